--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -61,6 +61,8 @@
 ExitCode
 RunServe(const OptionValues& aValues, std::span<const std::string> aFiles);
 ExitCode
+RunGateway(const OptionValues& aValues, std::span<const std::string> aFiles);
+ExitCode
 RunCheck(const OptionValues& aValues, std::span<const std::string> aFiles);
 ExitCode
 RunApply(const OptionValues& aValues, std::span<const std::string> aFiles);
--- a/src/cli/stopsignal.cc
+++ b/src/cli/stopsignal.cc
@@ -26,6 +26,8 @@
   std::signal(SIGTERM, OnStopSignal);
   std::signal(SIGINT, OnStopSignal);
   std::signal(SIGPIPE, SIG_IGN);
+  // Files that may change are looked at from time to time.
+  std::signal(SIGHUP, SIG_IGN);
 }
 
 void
--- a/src/core/clock.cc
+++ b/src/core/clock.cc
@@ -1,11 +1,15 @@
 #include "core/clock.h"
 
+#include <ctime>
+
 namespace hibiscushold {
 
 TimePoint
 SystemClock::Now() const
 {
-  return std::chrono::steady_clock::now();
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 int64_t
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -24,7 +24,8 @@
   virtual int64_t WallMillis() const = 0;
 };
 
-/// The machine's own clocks.
+/// The machine's own clocks. Time in which the machine was suspended counts,
+/// so that a deadline that passed meanwhile is seen as passed.
 class SystemClock final : public Clock
 {
 public:
--- a/src/core/errors.cc
+++ b/src/core/errors.cc
@@ -12,7 +12,7 @@
   const char* mText;
 };
 
-constexpr std::array<ErrorText, 29> kErrorTexts = { {
+constexpr std::array<ErrorText, 30> kErrorTexts = { {
   { "none", "no error" },
   { "file_unreadable", "the file cannot be read" },
   { "file_too_large", "the file is too large" },
@@ -42,6 +42,7 @@
   { "order_refused", "the target refused the order" },
   { "member_unknown", "no such member or VM" },
   { "tls_invalid", "the TLS set-up is invalid" },
+  { "store_history_gone", "the store no longer holds the changes asked for" },
 } };
 
 const ErrorText&
--- a/src/core/errors.h
+++ b/src/core/errors.h
@@ -39,10 +39,11 @@
   OrderRefused,
   MemberUnknown,
   TlsInvalid,
+  StoreHistoryGone,
 };
 
 /// The last value of Error.
-inline constexpr Error kLastError = Error::TlsInvalid;
+inline constexpr Error kLastError = Error::StoreHistoryGone;
 
 /// @return the category that names and describes Error values
 const std::error_category&
--- a/src/core/guardedsocket.cc
+++ b/src/core/guardedsocket.cc
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr auto kSlice = milliseconds(100);
+/// How often a wait looks whether it should end early.
+constexpr auto kSlice = milliseconds(50);
 /// Sent bytes that are not acknowledged for so long break the connection.
 constexpr int kUserTimeoutMillis = 3000;
 
@@ -92,6 +93,12 @@
   mIsGone = std::move(aIsGone);
 }
 
+void
+TransferGuard::SetAbandonCheck(std::function<bool()> aIsGivenUp)
+{
+  mIsGivenUp = std::move(aIsGivenUp);
+}
+
 void
 TransferGuard::Await(const std::function<bool(milliseconds)>& aIsReady)
 {
@@ -111,6 +118,10 @@
       mStop = TransferStop::CallerGone;
       throw Poco::Net::ConnectionAbortedException("the caller is gone");
     }
+    if (mIsGivenUp && mIsGivenUp()) {
+      mStop = TransferStop::Abandoned;
+      throw Poco::Net::ConnectionAbortedException("given up");
+    }
   }
 }
 
--- a/src/core/guardedsocket.h
+++ b/src/core/guardedsocket.h
@@ -15,6 +15,7 @@
   Deadline,
   Silence,
   CallerGone,
+  Abandoned, ///< the user of the connection gave it up
 };
 
 /// Bounds on the transfers of one connection. A socket's own timeouts start
@@ -34,6 +35,9 @@
   /// @param aIsGone asked while waiting; true ends the transfer
   void SetCallerCheck(std::function<bool()> aIsGone);
 
+  /// @param aIsGivenUp asked while waiting; true ends the transfer
+  void SetAbandonCheck(std::function<bool()> aIsGivenUp);
+
   /// Starts to count sent bytes anew.
   void ResetSent() { mSent = 0; }
 
@@ -56,6 +60,7 @@
   TimePoint mDeadline = TimePoint::max();
   Duration mGap{ 0 };
   std::function<bool()> mIsGone;
+  std::function<bool()> mIsGivenUp;
   uint64_t mSent = 0;
   TransferStop mStop = TransferStop::None;
 };
--- a/src/core/sessionpool.cc
+++ b/src/core/sessionpool.cc
@@ -1,9 +1,14 @@
 #include "core/sessionpool.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SecureStreamSocket.h>
+#include <Poco/Net/SocketImpl.h>
+#include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace hibiscushold {
 
@@ -65,6 +70,38 @@
          !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
 }
 
+bool
+HttpSession::SendRaw(std::string_view aBytes)
+{
+  const int fd = socket().impl()->sockfd();
+  while (!aBytes.empty()) {
+    pollfd entry{ fd, POLLIN | POLLOUT, 0 };
+    mGuard.Await([&entry](milliseconds aWait) {
+      return ::poll(&entry, 1, static_cast<int>(aWait.count())) > 0;
+    });
+    if ((entry.revents & POLLIN) != 0) {
+      return false;
+    }
+    const ssize_t n =
+      ::send(fd, aBytes.data(), aBytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+      throw Poco::Net::ConnectionResetException("while sending", errno);
+    }
+    if (n > 0) {
+      mGuard.AddSent(static_cast<uint64_t>(n));
+      aBytes.remove_prefix(static_cast<size_t>(n));
+    }
+  }
+  return true;
+}
+
+size_t
+HttpSession::ReadRaw(std::span<char> aInto)
+{
+  const int n = read(aInto.data(), static_cast<std::streamsize>(aInto.size()));
+  return n > 0 ? static_cast<size_t>(n) : 0;
+}
+
 SessionPool::SessionPool(const Clock& aClock,
                          std::shared_ptr<const TlsContext> aTls)
   : mClock(aClock)
--- a/src/core/sessionpool.h
+++ b/src/core/sessionpool.h
@@ -12,6 +12,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
+#include <string_view>
 #include <vector>
 
 namespace hibiscushold {
@@ -53,6 +55,19 @@
   /// @return whether the connection is open and nothing waits to be read
   bool IsIdle();
 
+  /// @return whether bytes were received that nobody has read yet
+  bool HasUnreadBytes() const { return buffered() > 0; }
+
+  /// Sends bytes as they are, until all have gone or the peer answers.
+  /// @return whether all have gone
+  /// @throw Poco::Exception when the connection fails or a bound is passed
+  bool SendRaw(std::string_view aBytes);
+
+  /// Reads what follows the head of an answer, without regard to its framing.
+  /// @return bytes read, 0 at the end of the connection
+  /// @throw Poco::Exception when the connection fails or a bound is passed
+  size_t ReadRaw(std::span<char> aInto);
+
   /// @return when the session was made
   TimePoint OpenedAt() const { return mOpenedAt; }
 
--- /dev/null
+++ b/src/core/workqueue.cc
@@ -0,0 +1,49 @@
+#include "core/workqueue.h"
+
+namespace hibiscushold {
+
+WorkQueue::WorkQueue(size_t aThreads)
+{
+  for (size_t n = 0; n < aThreads; ++n) {
+    mThreads.emplace_back([this] { Run(); });
+  }
+}
+
+WorkQueue::~WorkQueue()
+{
+  {
+    const std::lock_guard guard(mLock);
+    mStopping = true;
+  }
+  mChanged.notify_all();
+}
+
+void
+WorkQueue::Add(std::function<void()> aTask)
+{
+  {
+    const std::lock_guard guard(mLock);
+    mTasks.push_back(std::move(aTask));
+  }
+  mChanged.notify_one();
+}
+
+void
+WorkQueue::Run()
+{
+  for (;;) {
+    std::function<void()> task;
+    {
+      std::unique_lock guard(mLock);
+      mChanged.wait(guard, [this] { return mStopping || !mTasks.empty(); });
+      if (mStopping) {
+        return;
+      }
+      task = std::move(mTasks.front());
+      mTasks.pop_front();
+    }
+    task();
+  }
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/fleet/loads.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace hibiscushold {
+
+/// What this node knows of a target from its own requests.
+struct TargetLoad
+{
+  uint32_t mInFlight = 0;
+  uint32_t mStreaming = 0;   ///< of these, streams that have had an event
+  TimePoint mBusySince;      ///< start of the oldest time without a pause
+  TimePoint mLastProgress;   ///< last byte of any answer
+  TimePoint mAvoidUntil;     ///< takes no new request before this
+  uint32_t mFailuresInRow = 0;
+  double mFirstMillis = 0;   ///< moving average of waits for a first event
+  TimePoint mFirstAt;        ///< when the average was last renewed
+};
+
+/// Longest times without any byte of a target that has work.
+struct StallLimits
+{
+  milliseconds mStreaming{ 500 }; ///< some stream had begun
+  milliseconds mWaiting{ 900 };   ///< all wait for their first event
+};
+
+/// @return whether all that the target was given stands still
+bool
+IsStalled(const TargetLoad& aLoad, TimePoint aNow, const StallLimits& aLimits);
+
+/// The loads of all targets, in shards under a lock each.
+class TargetLoads
+{
+public:
+  TargetLoad Get(const std::string& aTarget) const;
+
+  void Begin(const std::string& aTarget, TimePoint aNow);
+  void End(const std::string& aTarget, bool aStreaming);
+
+  /// @param aFirstWait time from the send to the first event
+  void NoteFirst(const std::string& aTarget, Duration aFirstWait, TimePoint aNow);
+  void NoteProgress(const std::string& aTarget, TimePoint aNow);
+
+  /// Notes a failure; the target is avoided for longer with each in a row.
+  void NoteFailure(const std::string& aTarget, TimePoint aNow);
+  void NoteSuccess(const std::string& aTarget);
+  void Avoid(const std::string& aTarget, TimePoint aUntil);
+
+private:
+  static constexpr size_t kShards = 16;
+
+  struct Shard
+  {
+    mutable std::mutex mLock;
+    std::map<std::string, TargetLoad> mLoads;
+  };
+
+  Shard& ShardOf(const std::string& aTarget);
+  const Shard& ShardOf(const std::string& aTarget) const;
+
+  std::array<Shard, kShards> mShards;
+};
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/fleet/planner.cc
@@ -0,0 +1,436 @@
+#include "fleet/planner.h"
+
+#include "fleet/formation.h"
+#include "observe/events.h"
+
+#include <algorithm>
+
+namespace hibiscushold {
+
+namespace {
+
+/// A VM that left this many questions in a row unanswered counts as silent.
+constexpr uint32_t kSilentAfter = 2;
+/// A silent VM is not used for so long; the platform's list drops a dead one
+/// within three of its intervals.
+constexpr auto kSilence = milliseconds(5000);
+/// Orders are carried out within milliseconds, unless they got lost.
+constexpr auto kOrderAgain = milliseconds(450);
+/// Requests that a closing head still has end within their own time.
+constexpr auto kCloseLimit = milliseconds(9000);
+/// Beyond the stall, for the bounds of both clocks and the way of the order.
+constexpr auto kLockMargin = milliseconds(700);
+constexpr unsigned kEpochBits = 10;
+
+const FleetVm*
+FindVm(const FleetVms& aVms, const std::string& aId)
+{
+  const auto it = aVms.find(aId);
+  return it == aVms.end() ? nullptr : &it->second;
+}
+
+bool
+IsSeatedIn(const FleetVm* aVm, const GroupKey& aKey)
+{
+  return aVm != nullptr && aVm->mSeat && aVm->mSeat->mKey == aKey;
+}
+
+/// One step of the planner; collects orders.
+class Step
+{
+public:
+  Step(PlannerState& aState,
+       const PlannerView& aView,
+       const PlannerBounds& aBounds,
+       TimePoint aNow)
+    : mState(aState)
+    , mView(aView)
+    , mBounds(aBounds)
+    , mNow(aNow)
+  {
+  }
+
+  PlannerStep Run()
+  {
+    NoteVms();
+    TakeUpGroups();
+    for (auto it = mState.mGroups.begin(); it != mState.mGroups.end();) {
+      const bool stays = Attend(it->first, it->second);
+      if (!stays) {
+        mState.mDissolved.insert(it->first);
+      }
+      it = stays ? std::next(it) : mState.mGroups.erase(it);
+    }
+    PlanFormations(mState, mView, mBounds, mNow, mStep.mOrders);
+    return std::move(mStep);
+  }
+
+private:
+  void NoteVms()
+  {
+    for (const auto& [id, vm] : mView.mVms) {
+      if (vm.mService != mView.mService) {
+        continue;
+      }
+      VmBelief& belief = mState.mVms[id];
+      if (belief.mBornMillis != vm.mBornMillis) {
+        belief = VmBelief{ vm.mBornMillis, vm.mAddress, {}, {}, {}, 0, "" };
+      }
+      belief.mAddress = vm.mAddress;
+      if (vm.mSeat && vm.mSeat->mPhase != GroupPhase::Joining) {
+        belief.mLastModel = vm.mSeat->mModel;
+      }
+    }
+  }
+
+  /// Groups of an earlier planner, or ones that came to be by a late order.
+  void TakeUpGroups()
+  {
+    for (const SeatedGroup& it : SeatedGroups(mView.mVms, mView.mService)) {
+      if (mState.mGroups.contains(it.mKey) ||
+          mState.mDissolved.contains(it.mKey)) {
+        continue;
+      }
+      const FleetModel* model = mView.mEngine.FindModel(it.mModel);
+      const FleetVm* head = it.mMembers[0];
+      const bool serves =
+        head != nullptr && (head->mSeat->mPhase == GroupPhase::Open ||
+                            head->mSeat->mPhase == GroupPhase::Closing);
+      const bool whole = model != nullptr && IsWhole(it, model->mSize);
+      if (head == nullptr && it.mMembers.size() > 1) {
+        LockMembers(it);
+      }
+      if (!serves && !whole) {
+        mState.mDissolved.insert(it.mKey);
+        continue;
+      }
+      PlannedGroup group{ it.mModel, it.mDomain, {}, GroupStage::Serving, {}, {} };
+      for (const FleetVm* member : it.mMembers) {
+        group.mMembers.push_back(member == nullptr ? "" : member->mId);
+      }
+      const size_t size = model == nullptr ? 1 : model->mSize;
+      group.mMembers.resize(std::max(group.mMembers.size(), size));
+      mState.mGroups.emplace(it.mKey, std::move(group));
+    }
+  }
+
+  /// The head may live on where nobody sees it.
+  void LockMembers(const SeatedGroup& aGroup)
+  {
+    for (const FleetVm* it : aGroup.mMembers) {
+      if (it != nullptr) {
+        Lock(it->mId);
+        Order(OrderKind::Leave, it->mId, aGroup.mKey);
+      }
+    }
+  }
+
+  void Lock(const std::string& aVmId)
+  {
+    VmBelief& belief = mState.mVms[aVmId];
+    belief.mLockedUntil =
+      std::max(belief.mLockedUntil, mNow + mBounds.mStall + kLockMargin);
+  }
+
+  FleetOrder& Order(OrderKind aKind,
+                    const std::string& aVmId,
+                    const GroupKey& aKey)
+  {
+    FleetOrder order;
+    order.mKind = aKind;
+    order.mVmId = aVmId;
+    order.mAddress = mState.mVms[aVmId].mAddress;
+    order.mGroup = aKey;
+    order.mFence = mState.mFence;
+    mStep.mOrders.push_back(std::move(order));
+    return mStep.mOrders.back();
+  }
+
+  bool IsSilent(const std::string& aVmId) const
+  {
+    const auto it = mState.mVms.find(aVmId);
+    return it != mState.mVms.end() && it->second.mSilentUntil > mNow;
+  }
+
+  /// @return whether the group is still to be attended to
+  bool Attend(const GroupKey& aKey, PlannedGroup& aGroup)
+  {
+    switch (aGroup.mStage) {
+      case GroupStage::Forming:
+        return AttendForming(aKey, aGroup);
+      case GroupStage::Serving:
+        return AttendServing(aKey, aGroup);
+      case GroupStage::Closing:
+        return AttendClosing(aKey, aGroup);
+      case GroupStage::Leaving:
+        return AttendLeaving(aKey, aGroup);
+    }
+    return false;
+  }
+
+  bool AttendForming(const GroupKey& aKey, PlannedGroup& aGroup)
+  {
+    size_t ready = 0;
+    for (const std::string& it : aGroup.mMembers) {
+      const FleetVm* vm = FindVm(mView.mVms, it);
+      if (vm == nullptr || vm->mState != VmState::Live || IsSilent(it)) {
+        return Dissolve(aKey, aGroup, "lost_while_forming", it);
+      }
+      const bool seated = IsSeatedIn(vm, aKey);
+      ready += seated && vm->mSeat->mPhase == GroupPhase::Ready ? 1 : 0;
+    }
+    if (ready == aGroup.mMembers.size()) {
+      const FleetModel* model = mView.mEngine.FindModel(aGroup.mModel);
+      if (model == nullptr || model->mSize != aGroup.mMembers.size()) {
+        return Dissolve(aKey, aGroup, "spare_ready", "");
+      }
+      aGroup.mStage = GroupStage::Serving;
+      aGroup.mOrderAgainAt = mNow;
+      return AttendServing(aKey, aGroup);
+    }
+    if (mNow >= aGroup.mDeadline) {
+      return Dissolve(aKey, aGroup, "too_slow", "");
+    }
+    if (mNow >= aGroup.mOrderAgainAt) {
+      aGroup.mOrderAgainAt = mNow + kOrderAgain;
+      JoinAgain(aKey, aGroup);
+    }
+    return true;
+  }
+
+  /// A join that got no answer may be lost, or come late; the VM takes the
+  /// same join twice as one.
+  void JoinAgain(const GroupKey& aKey, const PlannedGroup& aGroup)
+  {
+    for (const std::string& it : aGroup.mMembers) {
+      if (!IsSeatedIn(FindVm(mView.mVms, it), aKey)) {
+        FleetOrder& order = Order(OrderKind::Join, it, aKey);
+        order.mModel = aGroup.mModel;
+        order.mMembers = aGroup.mMembers;
+      }
+    }
+  }
+
+  bool Dissolve(const GroupKey& aKey,
+                const PlannedGroup& aGroup,
+                const char* aReason,
+                const std::string& aVmId)
+  {
+    LogGroup(aKey, aGroup, aReason, aVmId);
+    return false;
+  }
+
+  static void LogGroup(const GroupKey& aKey,
+                       const PlannedGroup& aGroup,
+                       const char* aChange,
+                       const std::string& aVmId)
+  {
+    LogEvent(EventId::FleetGroupChanged,
+             { { "group", aKey.mName },
+               { "epoch", std::to_string(aKey.mEpoch) },
+               { "model", aGroup.mModel },
+               { "domain", aGroup.mDomain },
+               { "head", aGroup.mMembers[0] },
+               { "change", aChange },
+               { "vm", aVmId } });
+  }
+
+  bool AttendServing(const GroupKey& aKey, PlannedGroup& aGroup)
+  {
+    const std::string& headId = aGroup.mMembers[0];
+    const FleetVm* head = FindVm(mView.mVms, headId);
+    bool leaving = false;
+    for (const std::string& it : aGroup.mMembers) {
+      const FleetVm* vm = FindVm(mView.mVms, it);
+      if (!IsSeatedIn(vm, aKey) || vm->mSeat->mPhase == GroupPhase::Broken ||
+          IsSilent(it)) {
+        return StartLeaving(aKey, aGroup, "lost_vm", it);
+      }
+      leaving = leaving || vm->mState == VmState::Leaving;
+    }
+    if (leaving) {
+      LogGroup(aKey, aGroup, "member_leaves", "");
+      aGroup.mStage = GroupStage::Closing;
+      aGroup.mDeadline = mNow + kCloseLimit;
+      aGroup.mOrderAgainAt = mNow;
+      return AttendClosing(aKey, aGroup);
+    }
+    const bool opened = head->mSeat->mPhase == GroupPhase::Open;
+    if (!opened && mNow >= aGroup.mOrderAgainAt) {
+      Order(OrderKind::Open, headId, aKey);
+      aGroup.mOrderAgainAt = mNow + mView.mEngine.mOpening + kOrderAgain;
+    }
+    return true;
+  }
+
+  bool AttendClosing(const GroupKey& aKey, PlannedGroup& aGroup)
+  {
+    const std::string& headId = aGroup.mMembers[0];
+    const FleetVm* head = FindVm(mView.mVms, headId);
+    const bool seated = IsSeatedIn(head, aKey);
+    if (!seated || IsSilent(headId) || mNow >= aGroup.mDeadline) {
+      return StartLeaving(aKey, aGroup, "not_closed", headId);
+    }
+    if (head->mSeat->mPhase == GroupPhase::Ready) {
+      return Dissolve(aKey, aGroup, "closed", "");
+    }
+    if (head->mSeat->mPhase == GroupPhase::Open &&
+        mNow >= aGroup.mOrderAgainAt) {
+      Order(OrderKind::Close, headId, aKey);
+      aGroup.mOrderAgainAt = mNow + kOrderAgain;
+    }
+    return true;
+  }
+
+  bool StartLeaving(const GroupKey& aKey,
+                    PlannedGroup& aGroup,
+                    const char* aReason,
+                    const std::string& aVmId)
+  {
+    LogGroup(aKey, aGroup, aReason, aVmId);
+    aGroup.mStage = GroupStage::Leaving;
+    aGroup.mDeadline = mNow + 2 * kOrderAgain;
+    aGroup.mOrderAgainAt = mNow;
+    return AttendLeaving(aKey, aGroup);
+  }
+
+  /// The members are free once the head has left, is seen in no group or a
+  /// later life, or has certainly broken down.
+  bool AttendLeaving(const GroupKey& aKey, PlannedGroup& aGroup)
+  {
+    const std::string& headId = aGroup.mMembers[0];
+    const FleetVm* head = FindVm(mView.mVms, headId);
+    if (headId.empty() || (head != nullptr && !IsSeatedIn(head, aKey)) ||
+        (head != nullptr && head->mSeat->mPhase == GroupPhase::Broken)) {
+      return Dissolve(aKey, aGroup, "dissolved", "");
+    }
+    if (mNow >= aGroup.mDeadline) {
+      for (const std::string& it : aGroup.mMembers) {
+        if (it != headId && IsSeatedIn(FindVm(mView.mVms, it), aKey)) {
+          Order(OrderKind::Leave, it, aKey);
+          Lock(it);
+        }
+      }
+      Lock(headId);
+      return Dissolve(aKey, aGroup, "head_unreachable", headId);
+    }
+    if (mNow >= aGroup.mOrderAgainAt) {
+      Order(OrderKind::Leave, headId, aKey);
+      aGroup.mOrderAgainAt = mNow + kOrderAgain;
+    }
+    return true;
+  }
+
+  PlannerState& mState;
+  const PlannerView& mView;
+  const PlannerBounds& mBounds;
+  const TimePoint mNow;
+  PlannerStep mStep;
+};
+
+void
+NoteSilence(VmBelief& aBelief, TimePoint aNow)
+{
+  if (++aBelief.mFailures >= kSilentAfter) {
+    aBelief.mSilentUntil = aNow + kSilence;
+  }
+}
+
+/// An order whose group is no longer planned changes nothing.
+void
+RecordJoin(PlannerState& aState,
+           const FleetOrder& aOrder,
+           OrderOutcome aOutcome,
+           TimePoint aNow)
+{
+  const auto group = aState.mGroups.find(aOrder.mGroup);
+  if (group == aState.mGroups.end()) {
+    return;
+  }
+  if (aOutcome == OrderOutcome::Begun || aOutcome == OrderOutcome::Done) {
+    aState.mVms[aOrder.mVmId].mLastModel.clear();
+    return;
+  }
+  // The group cannot come to be; its deadline ends it in the next step.
+  if (aOutcome != OrderOutcome::Unknown) {
+    group->second.mDeadline = aNow;
+    aState.mVms[aOrder.mVmId].mLockedUntil = aNow + kOrderAgain;
+  }
+}
+
+} // namespace
+
+PlannerState
+StartPlanning(uint64_t aFence, TimePoint aNow)
+{
+  PlannerState state;
+  state.mFence = aFence;
+  state.mLastEpoch = aFence << kEpochBits;
+  state.mStartedAt = aNow;
+  return state;
+}
+
+PlannerStep
+PlanStep(PlannerState& aState,
+         const PlannerView& aView,
+         const PlannerBounds& aBounds,
+         TimePoint aNow)
+{
+  return Step(aState, aView, aBounds, aNow).Run();
+}
+
+void
+RecordOutcome(PlannerState& aState,
+              const FleetOrder& aOrder,
+              OrderOutcome aOutcome,
+              TimePoint aNow)
+{
+  VmBelief& belief = aState.mVms[aOrder.mVmId];
+  if (aOutcome == OrderOutcome::Unknown) {
+    NoteSilence(belief, aNow);
+  } else {
+    belief.mFailures = 0;
+    belief.mSilentUntil = {};
+  }
+  if (aOrder.mKind == OrderKind::Join) {
+    RecordJoin(aState, aOrder, aOutcome, aNow);
+    return;
+  }
+  const auto group = aState.mGroups.find(aOrder.mGroup);
+  const bool left =
+    aOrder.mKind == OrderKind::Leave &&
+    (aOutcome == OrderOutcome::Begun || aOutcome == OrderOutcome::Done) &&
+    group != aState.mGroups.end() && group->second.mMembers[0] == aOrder.mVmId;
+  if (left) {
+    aState.mDissolved.insert(aOrder.mGroup);
+    aState.mGroups.erase(group);
+  }
+}
+
+void
+RecordAnswer(PlannerState& aState,
+             const std::string& aVmId,
+             bool aAnswered,
+             TimePoint aNow)
+{
+  VmBelief& belief = aState.mVms[aVmId];
+  if (aAnswered) {
+    belief.mFailures = 0;
+    belief.mSilentUntil = {};
+  } else {
+    NoteSilence(belief, aNow);
+  }
+}
+
+std::vector<std::string>
+MembersToAsk(const PlannerState& aState, const std::string& aHead)
+{
+  for (const auto& [key, group] : aState.mGroups) {
+    if (group.mStage == GroupStage::Serving && group.mMembers[0] == aHead) {
+      return group.mMembers;
+    }
+  }
+  return {};
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/fleet/planrunner.cc
@@ -0,0 +1,170 @@
+#include "fleet/planrunner.h"
+
+#include "observe/events.h"
+
+namespace hibiscushold {
+
+namespace {
+
+constexpr const char* kLeaseName = "planner";
+/// A planner that died is replaced after this; each renewal and each look at
+/// the lease costs a call.
+constexpr auto kLeaseTerm = milliseconds(2100);
+/// Orders go to many VMs at once, and a dead VM holds a thread until the
+/// order's time is over.
+constexpr size_t kThreads = 12;
+constexpr auto kAskLimit = milliseconds(250);
+constexpr auto kAskGap = milliseconds(300);
+/// The planner asks after members earlier than requests give a head up.
+constexpr StallLimits kSuspicion{ milliseconds(300), milliseconds(700) };
+
+} // namespace
+
+PlanRunner::PlanRunner(std::string aNodeId, Parts aParts, PlannerBounds aBounds)
+  : mParts(std::move(aParts))
+  , mBounds(aBounds)
+  , mLeases(std::move(aNodeId), mParts.mPlatform, mParts.mClock, kLeaseTerm)
+  , mQueue(kThreads)
+{
+}
+
+void
+PlanRunner::LeaseStep()
+{
+  LeaseState lease;
+  {
+    const std::lock_guard guard(mLeaseLock);
+    lease = mLease;
+  }
+  const LeaseRole role =
+    mParts.mStopping ? LeaseRole::Bystander : LeaseRole::Preferred;
+  mLeases.Step(kLeaseName, role, 0, lease);
+  const std::lock_guard guard(mLeaseLock);
+  mLease = lease;
+}
+
+bool
+PlanRunner::MayOrder()
+{
+  const std::lock_guard guard(mLeaseLock);
+  return MayAct(mLease, mParts.mClock.Now()) && !mParts.mStopping;
+}
+
+void
+PlanRunner::PlanOnce()
+{
+  if (!MayOrder()) {
+    return;
+  }
+  uint64_t fence = 0;
+  {
+    const std::lock_guard guard(mLeaseLock);
+    fence = mLease.mLease.mEpoch;
+  }
+  const FleetConfigPtr config = mParts.mWatcher.Config();
+  const FleetVmsPtr vms = mParts.mWatcher.Vms();
+  if (config == nullptr || vms->empty()) {
+    return;
+  }
+  const std::lock_guard guard(mLock);
+  if (fence != mFence) {
+    mServices.clear();
+    mFence = fence;
+  }
+  for (const auto& [name, service] : config->mServices) {
+    if (service.mEngine && !service.mEngine->mModels.empty()) {
+      PlanService(service, vms);
+    }
+  }
+}
+
+void
+PlanRunner::PlanService(const FleetService& aService, const FleetVmsPtr& aVms)
+{
+  const TimePoint now = mParts.mClock.Now();
+  auto [it, isNew] = mServices.try_emplace(aService.mName);
+  Service& service = it->second;
+  if (isNew) {
+    service.mState = StartPlanning(mFence, now);
+  }
+  AskSuspects(service, *aVms);
+  const PlannerView view{
+    *aVms, aService.mName, *aService.mEngine, mParts.mIsBeforeTraffic()
+  };
+  PlannerStep step = PlanStep(service.mState, view, mBounds, now);
+  for (FleetOrder& order : step.mOrders) {
+    Give(aService.mName, std::move(order));
+  }
+}
+
+void
+PlanRunner::AskSuspects(Service& aService, const FleetVms& aVms)
+{
+  const TimePoint now = mParts.mClock.Now();
+  for (const auto& [key, group] : aService.mState.mGroups) {
+    const std::string& head = group.mMembers[0];
+    const TargetLoad load = mParts.mLoads.Get(head);
+    const bool suspect =
+      IsStalled(load, now, kSuspicion) || load.mAvoidUntil > now + kAskGap;
+    if (group.mStage != GroupStage::Serving || !suspect) {
+      continue;
+    }
+    for (const std::string& it : group.mMembers) {
+      const auto vm = aVms.find(it);
+      TimePoint& askedAt = aService.mAskedAt[it];
+      if (vm != aVms.end() && now - askedAt > kAskGap) {
+        askedAt = now;
+        Ask(vm->second.mService, it, vm->second.mAddress);
+      }
+    }
+  }
+}
+
+void
+PlanRunner::Ask(const std::string& aService,
+                const std::string& aVmId,
+                Endpoint aTo)
+{
+  mQueue.Add([this, aService, aVmId, to = std::move(aTo)] {
+    const Result<EngineStanding> standing =
+      mParts.mEngines.Ask(to, kAskLimit);
+    LogEvent(EventId::VmAsked,
+             { { "vm", aVmId },
+               { "answer",
+                 standing ? "alive" : Describe(standing.error()) } });
+    const std::lock_guard guard(mLock);
+    const auto it = mServices.find(aService);
+    if (it != mServices.end()) {
+      RecordAnswer(it->second.mState,
+                   aVmId,
+                   standing.has_value(),
+                   mParts.mClock.Now());
+    }
+  });
+}
+
+void
+PlanRunner::Give(const std::string& aService, FleetOrder aOrder)
+{
+  mQueue.Add([this, aService, order = std::move(aOrder)] {
+    if (!MayOrder()) {
+      return;
+    }
+    const OrderOutcome outcome = mParts.mEngines.Give(order);
+    mParts.mMetrics.CountOrder(NameOf(outcome));
+    LogEvent(EventId::OrderGiven,
+             { { "order", NameOf(order.mKind) },
+               { "vm", order.mVmId },
+               { "group", order.mGroup.mName },
+               { "fence", std::to_string(order.mFence) },
+               { "outcome", NameOf(outcome) } });
+    const std::lock_guard guard(mLock);
+    const auto it = mServices.find(aService);
+    if (it != mServices.end() && order.mFence == mFence) {
+      RecordOutcome(
+        it->second.mState, order, outcome, mParts.mClock.Now());
+    }
+  });
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/fleet/planrunner.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/workqueue.h"
+#include "fleet/choice.h"
+#include "fleet/planner.h"
+#include "fleet/watcher.h"
+#include "groups/leaseshell.h"
+#include "observe/metrics.h"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+
+namespace hibiscushold {
+
+/// Plans the groups of all engine services while it holds the planner's lease,
+/// and competes for the lease while it does not.
+class PlanRunner
+{
+public:
+  struct Parts
+  {
+    Platform& mPlatform;
+    const FleetWatcher& mWatcher;
+    EngineGate& mEngines;
+    const TargetLoads& mLoads;
+    Metrics& mMetrics;
+    const Clock& mClock;
+    std::function<bool()> mIsBeforeTraffic;
+    const std::atomic<bool>& mStopping;
+  };
+
+  PlanRunner(std::string aNodeId, Parts aParts, PlannerBounds aBounds);
+
+  /// Renews, takes or watches the lease.
+  void LeaseStep();
+
+  /// Plans once and gives the orders, if this node holds the lease.
+  void PlanOnce();
+
+private:
+  struct Service
+  {
+    PlannerState mState;
+    std::map<std::string, TimePoint> mAskedAt; ///< by VM
+  };
+
+  bool MayOrder();
+  void PlanService(const FleetService& aService, const FleetVmsPtr& aVms);
+  void AskSuspects(Service& aService, const FleetVms& aVms);
+  void Ask(const std::string& aService, const std::string& aVmId, Endpoint aTo);
+  void Give(const std::string& aService, FleetOrder aOrder);
+
+  const Parts mParts;
+  const PlannerBounds mBounds;
+  LeaseShell mLeases;
+  std::mutex mLeaseLock; ///< guards mLease
+  LeaseState mLease;
+  std::mutex mLock; ///< guards mServices and mFence
+  uint64_t mFence = 0;
+  std::map<std::string, Service> mServices;
+  WorkQueue mQueue;
+};
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/fleet/repeats.cc
@@ -0,0 +1,67 @@
+#include "fleet/repeats.h"
+
+namespace hibiscushold {
+
+namespace {
+
+/// Part of the common ratio that nodes use by themselves; the rest covers
+/// windows that the nodes see at other times.
+constexpr double kRatioPart = 0.75;
+/// Nodes that the common slack is dealt to. Nodes do not count each other, so
+/// this is the most that a deployment of today has.
+constexpr double kSlackParts = 16;
+
+void
+DropBefore(std::deque<TimePoint>& aTimes, TimePoint aStart)
+{
+  while (!aTimes.empty() && aTimes.front() < aStart) {
+    aTimes.pop_front();
+  }
+}
+
+} // namespace
+
+void
+Forget(RepeatWindow& aWindow, const RepeatBounds& aBounds, TimePoint aNow)
+{
+  DropBefore(aWindow.mRequests, aNow - aBounds.mWindow);
+  DropBefore(aWindow.mRepeats, aNow - aBounds.mWindow);
+}
+
+bool
+MayRepeat(const RepeatWindow& aWindow, const RepeatBounds& aBounds)
+{
+  const double most =
+    aBounds.mRatio * kRatioPart * static_cast<double>(aWindow.mRequests.size()) +
+    aBounds.mSlack / kSlackParts;
+  return static_cast<double>(aWindow.mRepeats.size()) + 1 <= most;
+}
+
+RepeatBudget::RepeatBudget(RepeatBounds aBounds)
+  : mBounds(aBounds)
+{
+}
+
+void
+RepeatBudget::AddRequest(const std::string& aService, TimePoint aNow)
+{
+  const std::lock_guard guard(mLock);
+  RepeatWindow& window = mWindows[aService];
+  Forget(window, mBounds, aNow);
+  window.mRequests.push_back(aNow);
+}
+
+bool
+RepeatBudget::TakeRepeat(const std::string& aService, TimePoint aNow)
+{
+  const std::lock_guard guard(mLock);
+  RepeatWindow& window = mWindows[aService];
+  Forget(window, mBounds, aNow);
+  if (!MayRepeat(window, mBounds)) {
+    return false;
+  }
+  window.mRepeats.push_back(aNow);
+  return true;
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/fleet/vm.cc
@@ -0,0 +1,64 @@
+#include "fleet/vm.h"
+
+#include <algorithm>
+
+namespace hibiscushold {
+
+const char*
+NameOf(GroupPhase aPhase)
+{
+  switch (aPhase) {
+    case GroupPhase::Joining:
+      return "joining";
+    case GroupPhase::Ready:
+      return "ready";
+    case GroupPhase::Open:
+      return "open";
+    case GroupPhase::Closing:
+      return "closing";
+    case GroupPhase::Broken:
+      return "broken";
+  }
+  return "";
+}
+
+std::vector<SeatedGroup>
+SeatedGroups(const FleetVms& aVms, std::string_view aService)
+{
+  std::map<GroupKey, SeatedGroup> groups;
+  for (const auto& [id, vm] : aVms) {
+    if (vm.mService != aService || !vm.mSeat) {
+      continue;
+    }
+    SeatedGroup& group = groups[vm.mSeat->mKey];
+    group.mKey = vm.mSeat->mKey;
+    group.mModel = vm.mSeat->mModel;
+    group.mDomain = vm.mDomain;
+    const size_t rank = vm.mSeat->mRank;
+    if (group.mMembers.size() <= rank) {
+      group.mMembers.resize(rank + 1);
+    }
+    group.mMembers[rank] = &vm;
+  }
+  std::vector<SeatedGroup> list;
+  list.reserve(groups.size());
+  for (auto& [key, group] : groups) {
+    list.push_back(std::move(group));
+  }
+  return list;
+}
+
+bool
+IsWhole(const SeatedGroup& aGroup, size_t aSize)
+{
+  return aGroup.mMembers.size() == aSize &&
+         std::all_of(aGroup.mMembers.begin(),
+                     aGroup.mMembers.end(),
+                     [](const FleetVm* it) {
+                       return it != nullptr && it->mState == VmState::Live &&
+                              it->mSeat->mPhase != GroupPhase::Joining &&
+                              it->mSeat->mPhase != GroupPhase::Broken;
+                     });
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/gateway/callerrequest.cc
@@ -0,0 +1,212 @@
+#include "gateway/callerrequest.h"
+
+#include "gateway/exchange.h"
+
+#include <Poco/String.h>
+#include <Poco/StringTokenizer.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <istream>
+#include <set>
+
+namespace hibiscushold {
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr size_t kMaxLengthDigits = 18;
+/// A wait that a caller may state; anything longer is taken as this.
+constexpr uint64_t kMaxWaitMillis = 3600000;
+
+Refusal
+Invalid(std::string aMessage)
+{
+  return { RefusalKind::InvalidRequest, std::move(aMessage) };
+}
+
+uint64_t
+NumberIn(const std::string& aText)
+{
+  uint64_t number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
+size_t
+CountFields(const HTTPServerRequest& aRequest, const std::string& aName)
+{
+  size_t n = 0;
+  for (const auto& [name, value] : aRequest) {
+    n += Poco::icompare(name, aName) == 0 ? 1 : 0;
+  }
+  return n;
+}
+
+/// Refuses what two readers could take as requests of different length.
+Answerable<void>
+CheckLength(const HTTPServerRequest& aRequest, uint64_t aMost)
+{
+  const size_t lengths = CountFields(aRequest, "Content-Length");
+  const size_t encodings = CountFields(aRequest, "Transfer-Encoding");
+  if (lengths + encodings > 1) {
+    return Invalid("send either one Content-Length or one Transfer-Encoding");
+  }
+  if (encodings == 1 && !aRequest.getChunkedTransferEncoding()) {
+    return Invalid("header Transfer-Encoding: only 'chunked' is taken");
+  }
+  if (lengths == 0) {
+    return boost::outcome_v2::success();
+  }
+  const std::string& text = aRequest.get("Content-Length");
+  const bool digits = std::all_of(text.begin(), text.end(), [](char it) {
+    return it >= '0' && it <= '9';
+  });
+  if (!digits || text.empty() || text.size() > kMaxLengthDigits) {
+    return Invalid("header Content-Length: send one whole number");
+  }
+  if (NumberIn(text) > aMost) {
+    return Refusal{ RefusalKind::BodyTooLarge,
+                    "the limit is " + std::to_string(aMost) + " bytes" };
+  }
+  return boost::outcome_v2::success();
+}
+
+/// Fields that the node sets itself or that are for the node only.
+std::set<std::string>
+OwnFields(const HTTPServerRequest& aRequest, const Dialect& aDialect)
+{
+  std::set<std::string> names;
+  for (const std::string& it : { aDialect.mDeadline,
+                                 aDialect.mAccount,
+                                 aDialect.mExpectVm,
+                                 aDialect.mLastEvent,
+                                 aDialect.mPriority,
+                                 std::string("Authorization"),
+                                 std::string("Expect") }) {
+    names.insert(Poco::toLower(it));
+  }
+  const Poco::StringTokenizer listed(aRequest.get("Connection", ""),
+                                     ",",
+                                     Poco::StringTokenizer::TOK_TRIM);
+  for (const std::string& it : listed) {
+    names.insert(Poco::toLower(it));
+  }
+  return names;
+}
+
+void
+CopyFields(const HTTPServerRequest& aRequest,
+           const Dialect& aDialect,
+           GatewayRequest& aInto)
+{
+  const std::set<std::string> own = OwnFields(aRequest, aDialect);
+  for (const auto& [name, value] : aRequest) {
+    if (!IsConnectionField(name) && !own.contains(Poco::toLower(name))) {
+      aInto.mFields.push_back({ name, value });
+    }
+  }
+}
+
+Answerable<void>
+Authenticate(const HTTPServerRequest& aRequest, GatewayRequest& aInto)
+{
+  if (!aInto.mConfig->mHasAccounts || aInto.mRoute->mPublic) {
+    return boost::outcome_v2::success();
+  }
+  const std::string field = aRequest.get("Authorization", "");
+  const FleetAccount* account = nullptr;
+  if (field.starts_with(kBearer)) {
+    account = FindAccount(*aInto.mConfig, field.substr(kBearer.size()));
+  }
+  if (account == nullptr) {
+    return Refusal{ RefusalKind::Unauthorized,
+                    "header Authorization: the key is missing or unknown" };
+  }
+  aInto.mAccount = account->mName;
+  return boost::outcome_v2::success();
+}
+
+TimePoint
+DeadlineOf(const HTTPServerRequest& aRequest,
+           const Dialect& aDialect,
+           const GatewayRequest& aOf)
+{
+  milliseconds wait = aOf.mRoute->mTimeout;
+  if (aRequest.has(aDialect.mDeadline)) {
+    const uint64_t stated =
+      std::min(NumberIn(aRequest.get(aDialect.mDeadline)), kMaxWaitMillis);
+    wait = std::min(wait, milliseconds(stated));
+  }
+  return aOf.mArrivedAt + wait;
+}
+
+} // namespace
+
+Answerable<GatewayRequest>
+ReadHead(const HTTPServerRequest& aRequest,
+         const FleetConfigPtr& aConfig,
+         const Dialect& aDialect,
+         TimePoint aNow,
+         double aFraction)
+{
+  BOOST_OUTCOME_TRY(CheckLength(aRequest, aConfig->mLimits.mMaxBodyBytes));
+  GatewayRequest request;
+  request.mConfig = aConfig;
+  request.mArrivedAt = aNow;
+  request.mId = aRequest.get(aDialect.mRequestId, "");
+  request.mMethod = aRequest.getMethod();
+  request.mUri = aRequest.getURI();
+  const std::string_view uri = request.mUri;
+  request.mRoute = FindRoute(
+    *aConfig, aRequest.get("Host", ""), uri.substr(0, uri.find('?')));
+  if (request.mRoute == nullptr) {
+    return Refusal{ RefusalKind::NoRoute, "no route takes this host and path" };
+  }
+  BOOST_OUTCOME_TRY(Authenticate(aRequest, request));
+  request.mDeadline = DeadlineOf(aRequest, aDialect, request);
+  request.mService = std::string(PickService(*request.mRoute, aFraction));
+  request.mModel = aRequest.get(aDialect.mModel, "");
+  request.mLastEvent = NumberIn(aRequest.get(aDialect.mLastEvent, "0"));
+  request.mPromptTokens =
+    static_cast<uint32_t>(NumberIn(aRequest.get(aDialect.mTokens, "0")));
+  CopyFields(aRequest, aDialect, request);
+  if (!request.mAccount.empty()) {
+    request.mFields.push_back({ aDialect.mAccount, request.mAccount });
+  }
+  return request;
+}
+
+Answerable<void>
+ReadBody(HTTPServerRequest& aRequest, GatewayRequest& aInto)
+{
+  const bool chunked = aRequest.getChunkedTransferEncoding();
+  if (!chunked && !aRequest.hasContentLength()) {
+    return boost::outcome_v2::success();
+  }
+  const uint64_t most = aInto.mConfig->mLimits.mMaxBodyBytes;
+  const auto length =
+    chunked ? 0 : static_cast<uint64_t>(aRequest.getContentLength64());
+  std::istream& in = aRequest.stream();
+  std::array<char, 16384> buf;
+  while (in.good() && (chunked || aInto.mBody.size() < length)) {
+    const size_t wanted =
+      chunked ? buf.size()
+              : std::min<size_t>(buf.size(), length - aInto.mBody.size());
+    in.read(buf.data(), static_cast<std::streamsize>(wanted));
+    aInto.mBody.append(buf.data(), static_cast<size_t>(in.gcount()));
+    if (aInto.mBody.size() > most) {
+      return Refusal{ RefusalKind::BodyTooLarge,
+                      "the limit is " + std::to_string(most) + " bytes" };
+    }
+  }
+  if (!chunked && aInto.mBody.size() != length) {
+    return Invalid("the body ended too early");
+  }
+  return boost::outcome_v2::success();
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,159 @@
+#include "gateway/gateway.h"
+
+#include "core/random.h"
+#include "gateway/callerrequest.h"
+#include "gateway/run.h"
+#include "observe/events.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequest.h>
+
+namespace hibiscushold {
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+/// A key that was taken away must stop before its time is over, also for a
+/// request that is still on its way to a target.
+constexpr auto kFreshnessMargin = milliseconds(700);
+/// A node learns a first configuration within some hundreds of milliseconds.
+constexpr uint32_t kUnreadyRetryMillis = 300;
+
+std::string
+SecondsText(uint32_t aMillis)
+{
+  const std::string part = std::to_string(1000 + aMillis % 1000).substr(1);
+  return std::to_string(aMillis / 1000) + "." + part;
+}
+
+bool
+IsFresh(const GatewayParts& aParts)
+{
+  const TimePoint until =
+    aParts.mWatcher.ConfigProof() + aParts.mKeyFreshness - kFreshnessMargin;
+  return aParts.mClock.Now() < until;
+}
+
+/// Answers one request of a caller.
+class CallerHandler final : public Poco::Net::HTTPRequestHandler
+{
+public:
+  explicit CallerHandler(const GatewayParts& aParts)
+    : mParts(aParts)
+  {
+    ++mParts.mRunning;
+  }
+
+  ~CallerHandler() override { --mParts.mRunning; }
+
+  CallerHandler(const CallerHandler&) = delete;
+  CallerHandler& operator=(const CallerHandler&) = delete;
+
+  void handleRequest(HTTPServerRequest& aRequest,
+                     HTTPServerResponse& aResponse) override
+  {
+    // The end of a chunked body is not framed safely enough to read on.
+    aResponse.setKeepAlive(aRequest.getKeepAlive() && !mParts.mStopping &&
+                           !aRequest.getChunkedTransferEncoding());
+    CallerPort port(aRequest, aResponse);
+    Answerable<GatewayRequest> request = Admit(aRequest);
+    if (request) {
+      const Answerable<void> body = ReadBody(aRequest, request.value());
+      if (!body) {
+        request = body.error();
+      }
+    }
+    if (!request) {
+      // The rest of a body that was not read must not be taken for a request.
+      aResponse.setKeepAlive(false);
+      Refuse(aRequest, port, request.error());
+      return;
+    }
+    const Answerable<void> served =
+      RunRequest(mParts, request.value(), port);
+    if (!served) {
+      Refuse(aRequest, port, served.error());
+    }
+  }
+
+private:
+  Answerable<GatewayRequest> Admit(const HTTPServerRequest& aRequest)
+  {
+    const FleetConfigPtr config = mParts.mWatcher.Config();
+    if (config == nullptr) {
+      return Refusal{ RefusalKind::NotFresh,
+                      "the node knows no configuration yet",
+                      Ran::No,
+                      kUnreadyRetryMillis };
+    }
+    BOOST_OUTCOME_TRY(request,
+                      ReadHead(aRequest,
+                               config,
+                               mParts.mDialect,
+                               mParts.mClock.Now(),
+                               NextFraction()));
+    if (!request.mAccount.empty() && !IsFresh(mParts)) {
+      return Refusal{ RefusalKind::NotFresh,
+                      "the node cannot tell whether the key is still valid",
+                      Ran::No,
+                      kUnreadyRetryMillis };
+    }
+    return request;
+  }
+
+  void Refuse(const HTTPServerRequest& aRequest,
+              CallerPort& aPort,
+              const Refusal& aRefusal)
+  {
+    const std::string id = aRequest.get(mParts.mDialect.mRequestId, "");
+    mParts.mMetrics.CountRefusal(NameOf(aRefusal.mKind));
+    const FleetConfigPtr config = mParts.mWatcher.Config();
+    LogEvent(EventId::RequestRefused,
+             { { "request", id },
+               { "reason", NameOf(aRefusal.mKind) },
+               { "ran", NameOf(aRefusal.mRan) },
+               { "detail", aRefusal.mMessage },
+               { "version",
+                 config == nullptr ? "0" : std::to_string(config->mVersion) } });
+    if (aPort.HasStarted()) {
+      aPort.Abort();
+      return;
+    }
+    std::vector<HttpField> fields{ { "Content-Type", "application/json" } };
+    if (!id.empty()) {
+      fields.push_back({ mParts.mDialect.mRequestId, id });
+    }
+    if (aRefusal.mRetryAfterMillis > 0) {
+      fields.push_back(
+        { "Retry-After", SecondsText(aRefusal.mRetryAfterMillis) });
+    }
+    aPort.SendWhole(
+      StatusOf(aRefusal.mKind), fields, RenderRefusal(aRefusal));
+  }
+
+  const GatewayParts& mParts;
+};
+
+} // namespace
+
+GatewayFactory::GatewayFactory(GatewayParts aParts)
+  : mParts(std::move(aParts))
+{
+}
+
+Poco::Net::HTTPRequestHandler*
+GatewayFactory::createRequestHandler(const HTTPServerRequest&)
+{
+  return new CallerHandler(mParts);
+}
+
+bool
+IsReady(const GatewayParts& aParts)
+{
+  return !aParts.mStopping && aParts.mWatcher.Config() != nullptr &&
+         IsFresh(aParts);
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/gateway/settings.cc
@@ -0,0 +1,202 @@
+#include "gateway/settings.h"
+
+#include "core/ini.h"
+
+#include <charconv>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace hibiscushold {
+
+namespace {
+
+using Setter =
+  std::function<Result<void>(GatewaySettings&, const std::string&)>;
+
+Failure
+Invalid(const std::string& aValue, const char* aRemedy)
+{
+  return { Error::SettingInvalid, "'" + aValue + "'", aRemedy };
+}
+
+Result<double>
+ParseReal(const std::string& aText)
+{
+  double number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [pos, ec] = std::from_chars(aText.data(), end, number);
+  if (ec != std::errc() || pos != end || number < 0) {
+    return Invalid(aText, "give a number that is not negative");
+  }
+  return number;
+}
+
+Setter
+Text(std::string GatewaySettings::*aField)
+{
+  return [aField](GatewaySettings& aInto, const std::string& aValue) {
+    if (aValue.empty()) {
+      return Result<void>(Invalid(aValue, "give a value"));
+    }
+    aInto.*aField = aValue;
+    return Result<void>(boost::outcome_v2::success());
+  };
+}
+
+Setter
+Address(Endpoint GatewaySettings::*aField)
+{
+  return [aField](GatewaySettings& aInto,
+                  const std::string& aValue) -> Result<void> {
+    BOOST_OUTCOME_TRY(value, ParseEndpoint(aValue));
+    aInto.*aField = value;
+    return boost::outcome_v2::success();
+  };
+}
+
+Setter
+Flag(bool GatewaySettings::*aField)
+{
+  return [aField](GatewaySettings& aInto, const std::string& aValue) {
+    if (aValue != "true" && aValue != "false") {
+      return Result<void>(Invalid(aValue, "choose true or false"));
+    }
+    aInto.*aField = aValue == "true";
+    return Result<void>(boost::outcome_v2::success());
+  };
+}
+
+/// A number times aUnit.
+Setter
+Number(std::function<void(GatewaySettings&, double)> aSet)
+{
+  return [aSet = std::move(aSet)](GatewaySettings& aInto,
+                                  const std::string& aValue) -> Result<void> {
+    BOOST_OUTCOME_TRY(value, ParseReal(aValue));
+    aSet(aInto, value);
+    return boost::outcome_v2::success();
+  };
+}
+
+milliseconds
+Millis(double aNumber)
+{
+  return milliseconds(static_cast<int64_t>(aNumber));
+}
+
+struct Known
+{
+  bool mRequired;
+  Setter mSet;
+};
+
+const std::map<std::string, Known>&
+KnownSettings()
+{
+  using Settings = GatewaySettings;
+  static const std::map<std::string, Known> known{
+    { "node.id", { true, Text(&Settings::mNodeId) } },
+    { "node.zone", { true, Text(&Settings::mZone) } },
+    { "node.caller_listen", { true, Address(&Settings::mCallerListen) } },
+    { "node.ready_listen", { true, Address(&Settings::mReadyListen) } },
+    { "node.first_start", { false, Flag(&Settings::mFirstStart) } },
+    { "node.max_connections",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mMaxConnections = static_cast<uint32_t>(aValue);
+        }) } },
+    { "log.level", { false, Text(&Settings::mLogLevel) } },
+    { "store.address", { true, Address(&Settings::mStore) } },
+    { "limits.key_freshness_ms",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mKeyFreshness = Millis(aValue);
+        }) } },
+    { "limits.grace_s", { false, Number([](Settings& aInto, double aValue) {
+                            aInto.mGrace = Millis(aValue * 1000);
+                          }) } },
+    { "limits.repeat_ratio",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mRepeats.mRatio = aValue;
+        }) } },
+    { "limits.repeat_window_s",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mRepeats.mWindow = Millis(aValue * 1000);
+        }) } },
+    { "limits.repeat_slack",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mRepeats.mSlack = aValue;
+        }) } },
+    { "groups.stall_ms", { false, Number([](Settings& aInto, double aValue) {
+                             aInto.mPlanner.mStall = Millis(aValue);
+                           }) } },
+    { "groups.ceiling_over",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mPlanner.mCeilingOver = aValue;
+        }) } },
+  };
+  return known;
+}
+
+Failure
+At(const std::string& aPath, int aLine, const Failure& aFailure)
+{
+  return { aFailure.mError,
+           aPath + ":" + std::to_string(aLine) + ": " + aFailure.mDetail,
+           aFailure.mRemedy };
+}
+
+Failure
+Unknown(const std::string& aName)
+{
+  std::vector<std::string> names;
+  for (const auto& [name, known] : KnownSettings()) {
+    names.push_back(name);
+  }
+  return { Error::SettingUnknown,
+           "'" + aName + "'",
+           "did you mean '" + NearestName(aName, names) + "'?" };
+}
+
+} // namespace
+
+Result<GatewaySettings>
+ParseGatewaySettings(const std::string& aPath, std::string_view aText)
+{
+  const IniFile file = ParseIni(aText);
+  if (!file.mFaults.empty()) {
+    return At(aPath, file.mFaults[0].mLine, file.mFaults[0].mFailure);
+  }
+  GatewaySettings settings;
+  std::set<std::string> given;
+  for (const IniLine& it : file.mLines) {
+    const std::string name = it.mSection + "." + it.mName;
+    const auto known = KnownSettings().find(name);
+    if (known == KnownSettings().end()) {
+      return At(aPath, it.mLine, Unknown(name));
+    }
+    given.insert(name);
+    // An empty value leaves what is not required at its default.
+    if (it.mValue.empty() && !known->second.mRequired) {
+      continue;
+    }
+    const Result<void> set = known->second.mSet(settings, it.mValue);
+    if (!set) {
+      return At(aPath, it.mLine, set.error());
+    }
+  }
+  for (const auto& [name, known] : KnownSettings()) {
+    if (known.mRequired && !given.contains(name)) {
+      return Failure{ Error::SettingMissing, aPath + ": " + name, "add it" };
+    }
+  }
+  return settings;
+}
+
+Result<GatewaySettings>
+LoadGatewaySettings(const std::string& aPath)
+{
+  BOOST_OUTCOME_TRY(text, ReadTextFile(aPath, kMaxSettingsBytes));
+  return ParseGatewaySettings(aPath, text);
+}
+
+} // namespace hibiscushold
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -42,9 +42,13 @@
              log4cplus::ERROR_LOG_LEVEL },
   EventType{ EventId::StoreLost, "store_lost", log4cplus::WARN_LOG_LEVEL },
   EventType{ EventId::StoreBack, "store_back", log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::StoreHistoryGone, "store_history_gone", log4cplus::WARN_LOG_LEVEL },
   EventType{ EventId::MemberRegistered,
              "member_registered",
              log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::VmGone, "vm_gone", log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::VmUnreadable, "vm_unreadable", log4cplus::WARN_LOG_LEVEL },
+  EventType{ EventId::VmAsked, "vm_asked", log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::LeaseTaken, "lease_taken", log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::LeaseLost, "lease_lost", log4cplus::WARN_LOG_LEVEL },
   EventType{ EventId::GroupChanged,
@@ -54,6 +58,8 @@
   EventType{ EventId::GroupNotReady,
              "group_not_ready",
              log4cplus::ERROR_LOG_LEVEL },
+  EventType{ EventId::OrderGiven, "order_given", log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::FleetGroupChanged, "fleet_group_changed", log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::TargetEjected,
              "target_ejected",
              log4cplus::WARN_LOG_LEVEL },
@@ -66,6 +72,7 @@
   EventType{ EventId::RequestAnswered,
              "request_answered",
              log4cplus::DEBUG_LOG_LEVEL },
+  EventType{ EventId::RequestTried, "request_tried", log4cplus::INFO_LOG_LEVEL },
 };
 
 std::atomic<bool> gJson{ false };
@@ -107,10 +114,10 @@
 } // namespace
 
 void
-StartLog(const std::string& aLevel, bool aJson)
+StartLog(const std::string& aLevel, bool aJson, LogTarget aTarget)
 {
   gJson = aJson;
-  const bool toStandardError = true;
+  const bool toStandardError = aTarget == LogTarget::StandardError;
   log4cplus::SharedAppenderPtr appender(
     new log4cplus::ConsoleAppender(toStandardError, true));
   const char* pattern = aJson ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n";
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -22,26 +22,41 @@
   ConfigUnreadable = 2004,
   StoreLost = 3001,
   StoreBack = 3002,
+  StoreHistoryGone = 3003,
   MemberRegistered = 3101,
+  VmGone = 3201,
+  VmUnreadable = 3202,
+  VmAsked = 3203,
   LeaseTaken = 4001,
   LeaseLost = 4002,
   GroupChanged = 4003,
   OrderFailed = 4004,
   GroupNotReady = 4005,
+  OrderGiven = 4006,
+  FleetGroupChanged = 4007,
   TargetEjected = 4101,
   RequestRefused = 5001,
   RequestRetried = 5002,
   RequestAnswered = 5003,
+  RequestTried = 5004,
 };
 
 /// One "name=value" part of an event.
 using EventField = std::pair<std::string_view, std::string>;
 
+enum class LogTarget
+{
+  StandardError,
+  StandardOutput,
+};
+
 /// Configures log4cplus once per process.
 /// @param aLevel debug, info, warn or error
 /// @param aJson whether each event is one JSON object instead of plain text
 void
-StartLog(const std::string& aLevel, bool aJson);
+StartLog(const std::string& aLevel,
+         bool aJson,
+         LogTarget aTarget = LogTarget::StandardError);
 
 /// Writes one event. The level follows from the event's number.
 void
--- a/src/serve/attempt.cc
+++ b/src/serve/attempt.cc
@@ -228,6 +228,7 @@
         return AttemptStop::Silence;
       case TransferStop::CallerGone:
         return AttemptStop::CallerGone;
+      case TransferStop::Abandoned:
       case TransferStop::None:
         break;
     }
