--- a/src/fleet/formation.cc
+++ b/src/fleet/formation.cc
@@ -61,7 +61,10 @@
     CountGroups();
     while (FormOne()) {
     }
-    ReadySpares();
+    // Before the first request, groups that serve come first.
+    if (!mView.mBeforeTraffic || AreAllWantedFormed()) {
+      ReadySpares();
+    }
   }
 
 private:
@@ -101,6 +104,16 @@
     }
   }
 
+  bool AreAllWantedFormed()
+  {
+    return std::all_of(mView.mEngine.mModels.begin(),
+                       mView.mEngine.mModels.end(),
+                       [this](const FleetModel& it) {
+                         return mGroups[it.mName] >=
+                                WantedGroups(it, mView.mEngine, mLive);
+                       });
+  }
+
   JoinCost CostOf(const FleetVm& aVm, const std::string& aModel) const
   {
     const auto belief = mState.mVms.find(aVm.mId);
@@ -327,7 +340,8 @@
     }
     const FreeVm vm{ aVm.mId, CostOf(aVm, model->mName) };
     const bool load = vm.mCost == JoinCost::Load;
-    if (load && LoadsAllowed() == 0) {
+    // An early load keeps its speed however many run.
+    if (load && !mView.mBeforeTraffic && LoadsAllowed() == 0) {
       return;
     }
     OrderJoins(*model, aVm.mDomain, { aVm.mId }, load ? 1 : 0);
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -44,7 +44,7 @@
 }
 
 bool
-PlanRunner::MayOrder()
+PlanRunner::IsPlanner()
 {
   const std::lock_guard guard(mLeaseLock);
   return MayAct(mLease, mParts.mClock.Now()) && !mParts.mStopping;
@@ -53,7 +53,7 @@
 void
 PlanRunner::PlanOnce()
 {
-  if (!MayOrder()) {
+  if (!IsPlanner()) {
     return;
   }
   uint64_t fence = 0;
@@ -147,7 +147,7 @@
 PlanRunner::Give(const std::string& aService, FleetOrder aOrder)
 {
   mQueue.Add([this, aService, order = std::move(aOrder)] {
-    if (!MayOrder()) {
+    if (!IsPlanner()) {
       return;
     }
     const OrderOutcome outcome = mParts.mEngines.Give(order);
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -38,6 +38,9 @@
   /// Plans once and gives the orders, if this node holds the lease.
   void PlanOnce();
 
+  /// @return whether this node holds the lease
+  bool IsPlanner();
+
 private:
   struct Service
   {
@@ -45,7 +48,6 @@
     std::map<std::string, TimePoint> mAskedAt; ///< by VM
   };
 
-  bool MayOrder();
   void PlanService(const FleetService& aService, const FleetVmsPtr& aVms);
   void AskSuspects(Service& aService, const FleetVms& aVms);
   void Ask(const std::string& aService, const std::string& aVmId, Endpoint aTo);
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -14,8 +14,6 @@
 constexpr auto kConfigWait = milliseconds(1500);
 constexpr auto kVmWait = milliseconds(2000);
 constexpr auto kRetryGap = milliseconds(250);
-/// Changes that come together are fetched by one call.
-constexpr auto kVmGap = milliseconds(30);
 /// The platform puts entries back within two seconds of the store's return.
 constexpr auto kReturnGrace = milliseconds(2300);
 
@@ -84,13 +82,13 @@
 }
 
 void
-FleetWatcher::StepVms()
+FleetWatcher::StepVms(Duration aGap)
 {
   bool whole = false;
   const Result<Listing> read = Read(mVmFeed, kVmWait, whole);
   if (read) {
     TakeVms(read.value(), whole);
-    std::this_thread::sleep_for(kVmGap);
+    std::this_thread::sleep_for(aGap);
   }
 }
 
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -27,7 +27,8 @@
   FleetWatcher(Platform& aPlatform, FleetSource aSource, const Clock& aClock);
 
   /// Waits for a change of the VMs and takes it in.
-  void StepVms();
+  /// @param aGap pause after it; changes that come together cost one call
+  void StepVms(Duration aGap);
 
   /// Waits for a change of the configuration and takes it in.
   void StepConfig();
