Form groups by share in homogeneous domains, take up groups at a takeover

Ruled out: more spares (12 idle ones did not help), a model for each domain alone (leaves one model short).

--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -12,6 +12,10 @@
 constexpr double kMillisPerRequest = 40;
 /// Waits seen so long ago say nothing any more.
 constexpr auto kFirstMemory = milliseconds(1500);
+/// A head that writes has an event every few tens of milliseconds; one that
+/// has been silent for longer may have lost a VM.
+constexpr auto kQuiet = milliseconds(110);
+constexpr double kQuietCost = 12;
 /// Costs closer than this are taken as equal.
 constexpr double kTie = 0.4;
 
@@ -70,6 +74,10 @@
       1 - static_cast<double>(ToMillis(age)) / kFirstMemory.count();
     cost += aTarget.mLoad.mFirstMillis * fade / kMillisPerRequest;
   }
+  const bool quiet =
+    aTarget.mLoad.mStreaming > 0 &&
+    aInput.mNow - aTarget.mLoad.mLastProgress > kQuiet;
+  cost += quiet ? kQuietCost : 0;
   return aTarget.mSameZone ? cost : cost + kOtherZoneCost;
 }
 
--- a/src/fleet/formation.cc
+++ b/src/fleet/formation.cc
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Part of the VMs that is kept back for repairs. Spares that hold a model
-/// join in about a second, others need a load of many seconds.
-constexpr double kReserve = 0.2;
 /// Loads start at this part of the common rate, which also covers those of an
 /// earlier planner.
 constexpr double kLoadPart = 0.8;
@@ -22,6 +19,10 @@
 /// Loads before the first request take this part of their time.
 constexpr double kEarlyLoadPart = 0.1;
 constexpr auto kOrderAgain = milliseconds(450);
+/// One more load weighs as much as this part of a model's share.
+constexpr double kLoadCost = 0.2;
+/// No new VM for so long means that all have appeared.
+constexpr auto kSettleTime = milliseconds(1000);
 
 /// What it takes a VM to join a group of a model.
 enum class JoinCost
@@ -58,12 +59,11 @@
   void Run()
   {
     FindFree();
-    CountGroups();
     while (FormOne()) {
     }
-    // Before the first request, groups that serve come first.
-    if (!mView.mBeforeTraffic || AreAllWantedFormed()) {
-      ReadySpares();
+    // VMs appear one after the other at the first start; groups go first.
+    if (!mView.mBeforeTraffic || HaveAllAppeared()) {
+      LoadSpares();
     }
   }
 
@@ -72,6 +72,12 @@
   {
     std::set<std::string> taken;
     for (const auto& [key, group] : mState.mGroups) {
+      if (group.mMembers.size() > 1) {
+        mServing[group.mModel] += 1;
+        mModelsIn[group.mDomain].insert(group.mModel);
+      } else {
+        ++mLoadingIn[{ group.mDomain, group.mModel }];
+      }
       taken.insert(group.mMembers.begin(), group.mMembers.end());
     }
     for (const auto& [id, vm] : mView.mVms) {
@@ -83,35 +89,19 @@
         continue;
       }
       ++mLive;
-      ++mLiveIn[vm.mDomain];
       if (!taken.contains(id) && belief.mLockedUntil <= mNow) {
         mFree[vm.mDomain].push_back(&vm);
       }
     }
   }
 
-  void CountGroups()
-  {
-    for (const auto& [key, group] : mState.mGroups) {
-      const FleetModel* model = mView.mEngine.FindModel(group.mModel);
-      const bool counts = group.mStage == GroupStage::Forming ||
-                          group.mStage == GroupStage::Serving;
-      if (model != nullptr && counts &&
-          group.mMembers.size() == model->mSize) {
-        ++mGroups[group.mModel];
-        ++mGroupsIn[{ group.mDomain, group.mModel }];
-      }
-    }
-  }
-
-  bool AreAllWantedFormed()
+  /// @return VMs that serve the model, relative to its share of the VMs
+  double FilledBy(const FleetModel& aModel) const
   {
-    return std::all_of(mView.mEngine.mModels.begin(),
-                       mView.mEngine.mModels.end(),
-                       [this](const FleetModel& it) {
-                         return mGroups[it.mName] >=
-                                WantedGroups(it, mView.mEngine, mLive);
-                       });
+    const auto serving = mServing.find(aModel.mName);
+    const double groups = serving == mServing.end() ? 0 : serving->second;
+    return groups * aModel.mSize /
+           std::max(aModel.mShare * static_cast<double>(mLive), 1e-9);
   }
 
   JoinCost CostOf(const FleetVm& aVm, const std::string& aModel) const
@@ -182,21 +172,13 @@
   bool FormOne()
   {
     std::optional<Option> best;
-    for (const FleetModel& model : mView.mEngine.mModels) {
-      const size_t wanted = WantedGroups(model, mView.mEngine, mLive);
-      const double filled = static_cast<double>(mGroups[model.mName]) /
-                            static_cast<double>(std::max<size_t>(wanted, 1));
-      for (const auto& [domain, vms] : mFree) {
-        const size_t spares =
-          filled < 1 ? 0 : mView.mEngine.mModels.size();
-        if (vms.size() < model.mSize + spares) {
-          continue;
-        }
-        Option option = MakeOption(model, domain, filled);
-        if (option.mLoads > 0 && LoadsAllowed() == 0) {
+    for (const auto& [domain, vms] : mFree) {
+      for (const FleetModel& model : mView.mEngine.mModels) {
+        if (vms.size() < model.mSize) {
           continue;
         }
-        if (!best || option.mRank < best->mRank) {
+        Option option = MakeOption(model, domain);
+        if (MayForm(option) && (!best || option.mRank < best->mRank)) {
           best = std::move(option);
         }
       }
@@ -208,24 +190,48 @@
     return true;
   }
 
-  Option MakeOption(const FleetModel& aModel,
-                    const std::string& aDomain,
-                    double aFilled)
+  /// Before the first request a load is a part of the join; later, spares are
+  /// loaded one by one. While VMs still appear, the model that has least waits
+  /// for enough of them.
+  bool MayForm(const Option& aOption) const
+  {
+    if (aOption.mLoads == 0) {
+      return true;
+    }
+    return mView.mBeforeTraffic &&
+           (HaveAllAppeared() || aOption.mModel == LeastFilled());
+  }
+
+  bool HaveAllAppeared() const
+  {
+    return mNow >= mState.mNewVmAt + kSettleTime;
+  }
+
+  const FleetModel* LeastFilled() const
+  {
+    const std::vector<FleetModel>& models = mView.mEngine.mModels;
+    return &*std::min_element(
+      models.begin(), models.end(), [this](auto& aL, auto& aR) {
+        return FilledBy(aL) < FilledBy(aR);
+      });
+  }
+
+  Option MakeOption(const FleetModel& aModel, const std::string& aDomain)
   {
     Option option{ &aModel, aDomain, Ranked(aDomain, aModel.mName), 0, 0 };
     option.mVms.resize(aModel.mSize);
     for (const FreeVm& it : option.mVms) {
       option.mLoads += it.mCost == JoinCost::Load ? 1 : 0;
     }
-    const double wait = option.mLoads > 0 ? 1 : 0;
-    const bool hasOne = mGroupsIn[{ aDomain, aModel.mName }] > 0;
-    const size_t rest = mFree[aDomain].size() - aModel.mSize;
-    // What is quick goes first, then the model that lacks most, then domains
-    // without the model, then the ones with most room.
-    option.mRank = wait * 100 + (aFilled >= 1 ? 50 : 0) + aFilled * 10 +
-                   (hasOne ? 3 : 0) + (rest == 0 ? 0.5 : 0) +
-                   static_cast<double>(option.mLoads) * 0.1 -
-                   static_cast<double>(rest) * 0.01;
+    // What is quick goes first, then the model that has least for its share.
+    // A domain that serves one model leaves fewer VMs over than one that
+    // serves several.
+    const std::set<std::string>& models = mModelsIn[aDomain];
+    const double mixed = models.contains(aModel.mName) ? 0
+                         : models.empty()              ? 1
+                                                       : 2;
+    option.mRank = (option.mLoads > 0 ? 1e6 : 0) +
+                   FilledBy(aModel) * 1000 + mixed;
     return option;
   }
 
@@ -240,8 +246,8 @@
       NoteCost(it, *aOption.mModel);
       Take(aOption.mDomain, it.mId);
     }
-    ++mGroups[aOption.mModel->mName];
-    ++mGroupsIn[{ aOption.mDomain, aOption.mModel->mName }];
+    mServing[aOption.mModel->mName] += 1;
+    mModelsIn[aOption.mDomain].insert(aOption.mModel->mName);
   }
 
   void Take(const std::string& aDomain, const std::string& aVmId)
@@ -305,49 +311,81 @@
   }
 
   /// A spare sits alone in a group that never opens, so that it can join the
-  /// next one at once.
-  void ReadySpares()
+  /// next one at once. Where spares lack a model, they load the one that
+  /// completes a group soonest or that has least for its share.
+  void LoadSpares()
   {
-    for (auto& [domain, vms] : mFree) {
-      std::map<std::string, size_t> held;
-      for (const FleetVm* it : vms) {
-        const std::string& last = mState.mVms[it->mId].mLastModel;
-        held[last] += last.empty() ? 0 : 1;
+    std::vector<Wanted> wanted;
+    for (const auto& [domain, vms] : mFree) {
+      const Wanted best = BestLoad(domain, vms);
+      if (best.mModel == nullptr) {
+        continue;
       }
-      const std::vector<const FleetVm*> spares = vms;
-      for (const FleetVm* it : spares) {
-        if (mState.mVms[it->mId].mLastModel.empty()) {
-          ReadySpare(*it, held);
+      for (const FleetVm* it : vms) {
+        if (it->mStaged.empty()) {
+          wanted.push_back({ best.mCost, best.mModel, it });
+        } else if (const FleetModel* model = HeldUnjoined(*it)) {
+          wanted.push_back({ 0, model, it });
         }
       }
     }
+    std::stable_sort(
+      wanted.begin(), wanted.end(), [](const auto& aL, const auto& aR) {
+        return aL.mCost < aR.mCost;
+      });
+    for (const Wanted& it : wanted) {
+      ReadySpare(*it.mVm, *it.mModel);
+    }
   }
 
-  void ReadySpare(const FleetVm& aVm, std::map<std::string, size_t>& aHeld)
+  struct Wanted
   {
-    const FleetModel* model = nullptr;
-    for (const FleetModel& it : mView.mEngine.mModels) {
-      const bool staged = CostOf(aVm, it.mName) != JoinCost::Load;
-      if (staged || model == nullptr || aHeld[it.mName] < aHeld[model->mName]) {
-        model = &it;
+    double mCost = 0;
+    const FleetModel* mModel = nullptr;
+    const FleetVm* mVm = nullptr;
+  };
+
+  Wanted BestLoad(const std::string& aDomain,
+                  const std::vector<const FleetVm*>& aVms)
+  {
+    Wanted best;
+    for (const FleetModel& model : mView.mEngine.mModels) {
+      size_t ready = mLoadingIn[{ aDomain, model.mName }];
+      for (const FleetVm* it : aVms) {
+        ready += CostOf(*it, model.mName) != JoinCost::Load ? 1 : 0;
       }
-      if (staged) {
-        break;
+      const size_t lacking = model.mSize - ready % model.mSize;
+      const double cost =
+        static_cast<double>(lacking) * kLoadCost + FilledBy(model);
+      if (model.mSize > 1 && (best.mModel == nullptr || cost < best.mCost)) {
+        best = { cost, &model, nullptr };
       }
     }
-    if (model == nullptr || model->mSize < 2) {
-      return;
+    return best;
+  }
+
+  /// @return the model on the VM's host, when the VM did not serve it last
+  const FleetModel* HeldUnjoined(const FleetVm& aVm) const
+  {
+    for (const FleetModel& it : mView.mEngine.mModels) {
+      if (CostOf(aVm, it.mName) == JoinCost::Warm && it.mSize > 1) {
+        return &it;
+      }
     }
-    const FreeVm vm{ aVm.mId, CostOf(aVm, model->mName) };
+    return nullptr;
+  }
+
+  void ReadySpare(const FleetVm& aVm, const FleetModel& aModel)
+  {
+    const FreeVm vm{ aVm.mId, CostOf(aVm, aModel.mName) };
     const bool load = vm.mCost == JoinCost::Load;
     // An early load keeps its speed however many run.
     if (load && !mView.mBeforeTraffic && LoadsAllowed() == 0) {
       return;
     }
-    OrderJoins(*model, aVm.mDomain, { aVm.mId }, load ? 1 : 0);
-    NoteCost(vm, *model);
+    OrderJoins(aModel, aVm.mDomain, { aVm.mId }, load ? 1 : 0);
+    NoteCost(vm, aModel);
     Take(aVm.mDomain, aVm.mId);
-    ++aHeld[model->mName];
   }
 
   PlannerState& mState;
@@ -357,26 +395,14 @@
   std::vector<FleetOrder>& mOrders;
   FreeVms mFree; ///< by domain
   size_t mLive = 0;
-  std::map<std::string, size_t> mLiveIn;
-  std::map<std::string, size_t> mGroups; ///< forming and serving, by model
-  std::map<std::pair<std::string, std::string>, size_t> mGroupsIn;
+  std::map<std::pair<std::string, std::string>, size_t>
+    mLoadingIn; ///< spares under way, by domain and model
+  std::map<std::string, std::set<std::string>> mModelsIn; ///< by domain
+  std::map<std::string, double> mServing; ///< groups of a model
 };
 
 } // namespace
 
-size_t
-WantedGroups(const FleetModel& aModel, const EngineSpec& aEngine, size_t aLiveVms)
-{
-  double shares = 0;
-  for (const FleetModel& it : aEngine.mModels) {
-    shares += it.mShare;
-  }
-  const double vms = static_cast<double>(aLiveVms) * (1 - kReserve) *
-                     aModel.mShare / std::max(shares, 1e-9);
-  return std::max<size_t>(
-    1, static_cast<size_t>(std::lround(vms / aModel.mSize)));
-}
-
 void
 PlanFormations(PlannerState& aState,
                const PlannerView& aView,
--- a/src/fleet/formation.h
+++ b/src/fleet/formation.h
@@ -4,9 +4,9 @@
 
 namespace hibiscushold {
 
-/// Decides which groups are formed of free VMs, and how spares are readied.
-/// Forms groups of models that have too few first; a domain keeps a spare for
-/// each model before more groups than needed are formed.
+/// Decides which groups are formed of free VMs, and which spares load a model.
+/// Loads are scarce: they go to the domains' own models, and there to where
+/// they complete a group soonest.
 /// @param aOrders the orders are added here
 void
 PlanFormations(PlannerState& aState,
@@ -15,9 +15,4 @@
                TimePoint aNow,
                std::vector<FleetOrder>& aOrders);
 
-/// How many groups of a model there should be.
-/// @param aLiveVms VMs that could serve
-size_t
-WantedGroups(const FleetModel& aModel, const EngineSpec& aEngine, size_t aLiveVms);
-
 } // namespace hibiscushold
--- a/src/fleet/loads.h
+++ b/src/fleet/loads.h
@@ -25,8 +25,8 @@
 /// Longest times without any byte of a target that has work.
 struct StallLimits
 {
-  milliseconds mStreaming{ 500 }; ///< some stream had begun
-  milliseconds mWaiting{ 900 };   ///< all wait for their first event
+  milliseconds mStreaming{ 320 }; ///< some stream had begun
+  milliseconds mWaiting{ 650 };   ///< all wait for their first event
 };
 
 /// @return whether all that the target was given stands still
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -74,7 +74,9 @@
       }
       VmBelief& belief = mState.mVms[id];
       if (belief.mBornMillis != vm.mBornMillis) {
-        belief = VmBelief{ vm.mBornMillis, vm.mAddress, {}, {}, {}, 0, "" };
+        belief = VmBelief{};
+        belief.mBornMillis = vm.mBornMillis;
+        mState.mNewVmAt = mNow;
       }
       belief.mAddress = vm.mAddress;
       if (vm.mSeat && vm.mSeat->mPhase != GroupPhase::Joining) {
@@ -91,27 +93,45 @@
           mState.mDissolved.contains(it.mKey)) {
         continue;
       }
-      const FleetModel* model = mView.mEngine.FindModel(it.mModel);
-      const FleetVm* head = it.mMembers[0];
-      const bool serves =
-        head != nullptr && (head->mSeat->mPhase == GroupPhase::Open ||
-                            head->mSeat->mPhase == GroupPhase::Closing);
-      const bool whole = model != nullptr && IsWhole(it, model->mSize);
-      if (head == nullptr && it.mMembers.size() > 1) {
-        LockMembers(it);
-      }
-      if (!serves && !whole) {
-        mState.mDissolved.insert(it.mKey);
-        continue;
-      }
-      PlannedGroup group{ it.mModel, it.mDomain, {}, GroupStage::Serving, {}, {} };
-      for (const FleetVm* member : it.mMembers) {
-        group.mMembers.push_back(member == nullptr ? "" : member->mId);
+      TakeUp(it);
+    }
+  }
+
+  /// Whatever has a head and more members may serve, or be opened by an order
+  /// of the earlier planner that is still on its way.
+  void TakeUp(const SeatedGroup& aGroup)
+  {
+    const FleetVm* head = aGroup.mMembers[0];
+    const bool serves = head != nullptr &&
+                        (head->mSeat->mPhase == GroupPhase::Open ||
+                         head->mSeat->mPhase == GroupPhase::Closing);
+    if (head == nullptr || (!serves && aGroup.mMembers.size() == 1)) {
+      if (head == nullptr) {
+        LockMembers(aGroup);
       }
-      const size_t size = model == nullptr ? 1 : model->mSize;
-      group.mMembers.resize(std::max(group.mMembers.size(), size));
-      mState.mGroups.emplace(it.mKey, std::move(group));
+      mState.mDissolved.insert(aGroup.mKey);
+      return;
     }
+    const FleetModel* model = mView.mEngine.FindModel(aGroup.mModel);
+    const size_t size = model == nullptr ? 1 : model->mSize;
+    PlannedGroup group{ aGroup.mModel, aGroup.mDomain, {}, {}, {}, {} };
+    bool joining = false;
+    for (const FleetVm* it : aGroup.mMembers) {
+      group.mMembers.push_back(it == nullptr ? "" : it->mId);
+      joining = joining || (it != nullptr &&
+                            it->mSeat->mPhase == GroupPhase::Joining);
+    }
+    group.mMembers.resize(std::max(group.mMembers.size(), size));
+    group.mStage =
+      joining && !serves ? GroupStage::Forming : GroupStage::Serving;
+    group.mDeadline = mNow + (model == nullptr ? Duration::zero()
+                                               : Duration(model->mLoad * 2));
+    group.mOrderAgainAt = group.mDeadline;
+    if (group.mStage == GroupStage::Serving) {
+      group.mOrderAgainAt = mNow;
+    }
+    LogGroup(aGroup.mKey, group, "taken_up", "");
+    mState.mGroups.emplace(aGroup.mKey, std::move(group));
   }
 
   /// The head may live on where nobody sees it.
@@ -291,9 +311,25 @@
     aGroup.mStage = GroupStage::Leaving;
     aGroup.mDeadline = mNow + 2 * kOrderAgain;
     aGroup.mOrderAgainAt = mNow;
+    if (aVmId == aGroup.mMembers[0]) {
+      FreeFromHead(aKey, aGroup);
+    }
     return AttendLeaving(aKey, aGroup);
   }
 
+  /// Members of a head that cannot be told to leave go themselves; the head
+  /// breaks down within the time of a stall.
+  void FreeFromHead(const GroupKey& aKey, const PlannedGroup& aGroup)
+  {
+    for (const std::string& it : aGroup.mMembers) {
+      Lock(it);
+      if (it != aGroup.mMembers[0] &&
+          IsSeatedIn(FindVm(mView.mVms, it), aKey)) {
+        Order(OrderKind::Leave, it, aKey);
+      }
+    }
+  }
+
   /// The members are free once the head has left, is seen in no group or a
   /// later life, or has certainly broken down.
   bool AttendLeaving(const GroupKey& aKey, PlannedGroup& aGroup)
@@ -305,13 +341,9 @@
       return Dissolve(aKey, aGroup, "dissolved", "");
     }
     if (mNow >= aGroup.mDeadline) {
-      for (const std::string& it : aGroup.mMembers) {
-        if (it != headId && IsSeatedIn(FindVm(mView.mVms, it), aKey)) {
-          Order(OrderKind::Leave, it, aKey);
-          Lock(it);
-        }
+      if (mState.mVms[headId].mLockedUntil <= mNow) {
+        FreeFromHead(aKey, aGroup);
       }
-      Lock(headId);
       return Dissolve(aKey, aGroup, "head_unreachable", headId);
     }
     if (mNow >= aGroup.mOrderAgainAt) {
@@ -379,6 +411,41 @@
   return Step(aState, aView, aBounds, aNow).Run();
 }
 
+PlannerCounts
+CountVms(const PlannerState& aState, const PlannerView& aView, TimePoint aNow)
+{
+  std::map<std::string, GroupStage> stages;
+  for (const auto& [key, group] : aState.mGroups) {
+    for (const std::string& it : group.mMembers) {
+      stages[it] = group.mStage;
+    }
+  }
+  PlannerCounts counts;
+  for (const auto& [id, vm] : aView.mVms) {
+    const auto belief = aState.mVms.find(id);
+    if (vm.mService != aView.mService || belief == aState.mVms.end()) {
+      continue;
+    }
+    const auto stage = stages.find(id);
+    ++counts.mLive;
+    if (vm.mState == VmState::Leaving) {
+      ++counts.mLeaving;
+    } else if (belief->second.mSilentUntil > aNow) {
+      ++counts.mSilent;
+    } else if (stage != stages.end()) {
+      const bool loading = belief->second.mLoadingUntil > aNow;
+      ++(stage->second == GroupStage::Serving ? counts.mServing
+         : loading                            ? counts.mLoading
+                                              : counts.mForming);
+    } else if (belief->second.mLockedUntil > aNow) {
+      ++counts.mLocked;
+    } else {
+      ++counts.mSpare;
+    }
+  }
+  return counts;
+}
+
 void
 RecordOutcome(PlannerState& aState,
               const FleetOrder& aOrder,
@@ -402,6 +469,9 @@
     (aOutcome == OrderOutcome::Begun || aOutcome == OrderOutcome::Done) &&
     group != aState.mGroups.end() && group->second.mMembers[0] == aOrder.mVmId;
   if (left) {
+    for (const std::string& it : group->second.mMembers) {
+      aState.mVms[it].mLockedUntil = {};
+    }
     aState.mDissolved.insert(aOrder.mGroup);
     aState.mGroups.erase(group);
   }
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -59,6 +59,7 @@
   uint64_t mFence = 0;
   uint64_t mLastEpoch = 0; ///< of a group; rises with each formation
   TimePoint mStartedAt;
+  TimePoint mNewVmAt; ///< when a VM was first seen last
   std::map<std::string, VmBelief> mVms;
   std::map<GroupKey, PlannedGroup> mGroups;
   std::set<GroupKey> mDissolved; ///< not taken up again
@@ -80,6 +81,25 @@
   std::vector<FleetOrder> mOrders;
 };
 
+/// How many VMs are in which use.
+struct PlannerCounts
+{
+  size_t mLive = 0;
+  size_t mServing = 0;
+  size_t mForming = 0;
+  size_t mLocked = 0;  ///< may not join yet
+  size_t mLoading = 0; ///< spares that load a model
+  size_t mSpare = 0;
+  size_t mSilent = 0;
+  size_t mLeaving = 0;
+
+  bool operator==(const PlannerCounts&) const = default;
+};
+
+/// @return the use of the service's VMs after a step
+PlannerCounts
+CountVms(const PlannerState& aState, const PlannerView& aView, TimePoint aNow);
+
 /// @return a state for a new lease
 /// @param aFence number of the lease
 PlannerState
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -9,14 +9,16 @@
 constexpr const char* kLeaseName = "planner";
 /// A planner that died is replaced after this; each renewal and each look at
 /// the lease costs a call.
-constexpr auto kLeaseTerm = milliseconds(2100);
+constexpr auto kLeaseTerm = milliseconds(1400);
 /// Orders go to many VMs at once, and a dead VM holds a thread until the
 /// order's time is over.
 constexpr size_t kThreads = 12;
-constexpr auto kAskLimit = milliseconds(250);
-constexpr auto kAskGap = milliseconds(300);
+/// The use of VMs is logged at most this often.
+constexpr auto kCountsGap = milliseconds(1000);
+constexpr auto kAskLimit = milliseconds(150);
+constexpr auto kAskGap = milliseconds(160);
 /// The planner asks after members earlier than requests give a head up.
-constexpr StallLimits kSuspicion{ milliseconds(300), milliseconds(700) };
+constexpr StallLimits kSuspicion{ milliseconds(220), milliseconds(450) };
 
 } // namespace
 
@@ -61,9 +63,16 @@
     const std::lock_guard guard(mLeaseLock);
     fence = mLease.mLease.mEpoch;
   }
+  if (fence != mFreshFence) {
+    mFreshFence = fence;
+    mFreshAt = mParts.mClock.Now();
+  }
   const FleetConfigPtr config = mParts.mWatcher.Config();
-  const FleetVmsPtr vms = mParts.mWatcher.Vms();
-  if (config == nullptr || vms->empty()) {
+  if (config == nullptr) {
+    return;
+  }
+  const FleetVmsPtr vms = FreshVms();
+  if (vms == nullptr) {
     return;
   }
   const std::lock_guard guard(mLock);
@@ -78,6 +87,22 @@
   }
 }
 
+FleetVmsPtr
+PlanRunner::FreshVms()
+{
+  // What is followed may lack what an earlier planner ordered last.
+  if (mParts.mWatcher.VmsReadAt() > mFreshAt) {
+    return mParts.mWatcher.Vms();
+  }
+  Result<FleetVms> vms = mParts.mWatcher.ReadVms();
+  if (!vms) {
+    LogEvent(EventId::StoreLost,
+             { { "objects", "vms" }, { "reason", Describe(vms.error()) } });
+    return nullptr;
+  }
+  return std::make_shared<const FleetVms>(std::move(vms.value()));
+}
+
 void
 PlanRunner::PlanService(const FleetService& aService, const FleetVmsPtr& aVms)
 {
@@ -95,6 +120,31 @@
   for (FleetOrder& order : step.mOrders) {
     Give(aService.mName, std::move(order));
   }
+  LogCounts(aService.mName, service, view);
+}
+
+void
+PlanRunner::LogCounts(const std::string& aName,
+                      Service& aService,
+                      const PlannerView& aView)
+{
+  const TimePoint now = mParts.mClock.Now();
+  const PlannerCounts counts = CountVms(aService.mState, aView, now);
+  if (now < aService.mLogAgainAt || counts == aService.mCounts) {
+    return;
+  }
+  aService.mCounts = counts;
+  aService.mLogAgainAt = now + kCountsGap;
+  LogEvent(EventId::FleetCounts,
+           { { "service", aName },
+             { "live", std::to_string(counts.mLive) },
+             { "serving", std::to_string(counts.mServing) },
+             { "forming", std::to_string(counts.mForming) },
+             { "loading", std::to_string(counts.mLoading) },
+             { "locked", std::to_string(counts.mLocked) },
+             { "spare", std::to_string(counts.mSpare) },
+             { "silent", std::to_string(counts.mSilent) },
+             { "leaving", std::to_string(counts.mLeaving) } });
 }
 
 void
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -46,9 +46,15 @@
   {
     PlannerState mState;
     std::map<std::string, TimePoint> mAskedAt; ///< by VM
+    PlannerCounts mCounts; ///< as last logged
+    TimePoint mLogAgainAt;
   };
 
+  FleetVmsPtr FreshVms();
   void PlanService(const FleetService& aService, const FleetVmsPtr& aVms);
+  void LogCounts(const std::string& aName,
+                 Service& aService,
+                 const PlannerView& aView);
   void AskSuspects(Service& aService, const FleetVms& aVms);
   void Ask(const std::string& aService, const std::string& aVmId, Endpoint aTo);
   void Give(const std::string& aService, FleetOrder aOrder);
@@ -58,10 +64,12 @@
   LeaseShell mLeases;
   std::mutex mLeaseLock; ///< guards mLease
   LeaseState mLease;
-  std::mutex mLock; ///< guards mServices and mFence
+  uint64_t mFreshFence = 0; ///< the planning thread's; fence of mFreshAt
+  TimePoint mFreshAt;       ///< VMs read before this are not planned with
+  std::mutex mLock;         ///< guards what follows
   uint64_t mFence = 0;
   std::map<std::string, Service> mServices;
-  WorkQueue mQueue;
+  WorkQueue mQueue; ///< last, so that its threads end first
 };
 
 } // namespace hibiscushold
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -139,6 +139,7 @@
   {
     const std::lock_guard guard(mLock);
     mVms = next;
+    mVmsReadAt = mClock.Now();
   }
   if (mListener) {
     mListener(next);
@@ -209,6 +210,29 @@
   return mVms;
 }
 
+Result<FleetVms>
+FleetWatcher::ReadVms() const
+{
+  BOOST_OUTCOME_TRY(listing,
+                    mPlatform.List(mSource.mVmPrefix, CallClass::Lease));
+  FleetVms vms;
+  for (const Object& it : listing.mObjects) {
+    Result<FleetVm> vm = mSource.mReadVm(it);
+    if (vm) {
+      std::string id = vm.value().mId;
+      vms.emplace(std::move(id), std::move(vm.value()));
+    }
+  }
+  return vms;
+}
+
+TimePoint
+FleetWatcher::VmsReadAt() const
+{
+  const std::lock_guard guard(mLock);
+  return mVmsReadAt;
+}
+
 FleetConfigPtr
 FleetWatcher::Config() const
 {
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -35,6 +35,12 @@
 
   FleetVmsPtr Vms() const;
 
+  /// Lists the VMs anew, apart from what is followed.
+  Result<FleetVms> ReadVms() const;
+
+  /// @return when the store last answered how the VMs stand
+  TimePoint VmsReadAt() const;
+
   /// @return the configuration in force, null while none is known
   FleetConfigPtr Config() const;
 
@@ -74,6 +80,7 @@
   std::function<void(const FleetVmsPtr&)> mListener;
   mutable std::mutex mLock; ///< guards what follows
   FleetVmsPtr mVms;
+  TimePoint mVmsReadAt;
   FleetConfigPtr mConfig;
   TimePoint mProof;
 };
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -244,7 +244,8 @@
     if (mEntry.mStreaming) {
       mParts.mLoads.NoteProgress(vm, now);
     } else {
-      mParts.mLoads.NoteFirst(vm, now - mSentAt, now);
+      mReport.mFirstWait = now - mSentAt;
+      mParts.mLoads.NoteFirst(vm, mReport.mFirstWait, now);
       mEntry.mStreaming = true;
       mSession->Guard().SetDeadline(mRequest.mDeadline);
       if (!mSink.OnHead(mReport.mReply.mStatus, mReport.mReply.mFields)) {
--- a/src/gateway/run.cc
+++ b/src/gateway/run.cc
@@ -119,6 +119,7 @@
 
   ExchangeReport Try(const FleetTarget& aTarget)
   {
+    mInFlight = mParts.mLoads.Get(aTarget.mVmId).mInFlight;
     const TimePoint now = mParts.mClock.Now();
     const bool stream = mRequest.mRoute->mRepeats == Repeats::Stream;
     ExchangeRequest exchange{ aTarget,
@@ -320,7 +321,10 @@
                { "end", NameOf(aReport.mEnd) },
                { "status", std::to_string(aReport.mReply.mStatus) },
                { "last_event", std::to_string(aReport.mLastEvent) },
+               { "first_ms", std::to_string(ToMillis(aReport.mFirstWait)) },
                { "ms", std::to_string(ToMillis(took)) },
+               { "prompt", std::to_string(mRequest.mPromptTokens) },
+               { "in_flight", std::to_string(mInFlight) },
                { "version", std::to_string(mRequest.mConfig->mVersion) },
                { "detail", aReport.mDetail } });
   }
@@ -331,6 +335,7 @@
   std::set<std::string> mTried;
   std::optional<TimePoint> mWaitsUntil;
   uint64_t mLastEvent;
+  uint32_t mInFlight = 0; ///< at the target when it was chosen
   uint32_t mSends = 0; ///< targets that got a byte of the request
   int mConnectFailures = 0;
   bool mMayHaveRun = false;
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -60,6 +60,7 @@
              log4cplus::ERROR_LOG_LEVEL },
   EventType{ EventId::OrderGiven, "order_given", log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::FleetGroupChanged, "fleet_group_changed", log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::FleetCounts, "fleet_counts", log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::TargetEjected,
              "target_ejected",
              log4cplus::WARN_LOG_LEVEL },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -34,6 +34,7 @@
   GroupNotReady = 4005,
   OrderGiven = 4006,
   FleetGroupChanged = 4007,
+  FleetCounts = 4008,
   TargetEjected = 4101,
   RequestRefused = 5001,
   RequestRetried = 5002,
