--- a/src/fleet/formation.cc
+++ b/src/fleet/formation.cc
@@ -89,7 +89,7 @@
         continue;
       }
       ++mLive;
-      if (!taken.contains(id) && belief.mLockedUntil <= mNow) {
+      if (!taken.contains(id) && !IsLocked(mState, mView.mVms, id, mNow)) {
         mFree[vm.mDomain].push_back(&vm);
       }
     }
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -139,15 +139,19 @@
   {
     for (const FleetVm* it : aGroup.mMembers) {
       if (it != nullptr) {
-        Lock(it->mId);
+        Lock(it->mId, "", aGroup.mKey);
         Order(OrderKind::Leave, it->mId, aGroup.mKey);
       }
     }
   }
 
-  void Lock(const std::string& aVmId)
+  void Lock(const std::string& aVmId,
+            const std::string& aHead,
+            const GroupKey& aKey)
   {
     VmBelief& belief = mState.mVms[aVmId];
+    belief.mLockedBy = aHead;
+    belief.mLockedIn = aKey;
     belief.mLockedUntil =
       std::max(belief.mLockedUntil, mNow + mBounds.mStall + kLockMargin);
   }
@@ -322,7 +326,7 @@
   void FreeFromHead(const GroupKey& aKey, const PlannedGroup& aGroup)
   {
     for (const std::string& it : aGroup.mMembers) {
-      Lock(it);
+      Lock(it, aGroup.mMembers[0], aKey);
       if (it != aGroup.mMembers[0] &&
           IsSeatedIn(FindVm(mView.mVms, it), aKey)) {
         Order(OrderKind::Leave, it, aKey);
@@ -437,10 +441,12 @@
       ++(stage->second == GroupStage::Serving ? counts.mServing
          : loading                            ? counts.mLoading
                                               : counts.mForming);
-    } else if (belief->second.mLockedUntil > aNow) {
+    } else if (IsLocked(aState, aView.mVms, id, aNow)) {
       ++counts.mLocked;
     } else {
       ++counts.mSpare;
+      const std::string model = vm.mStaged.empty() ? "" : vm.mStaged.back();
+      ++counts.mSpares[{ vm.mDomain, model }];
     }
   }
   return counts;
@@ -492,6 +498,29 @@
   }
 }
 
+bool
+IsLocked(const PlannerState& aState,
+         const FleetVms& aVms,
+         const std::string& aVmId,
+         TimePoint aNow)
+{
+  const auto it = aState.mVms.find(aVmId);
+  if (it == aState.mVms.end() || it->second.mLockedUntil <= aNow) {
+    return false;
+  }
+  const VmBelief& belief = it->second;
+  const auto head = aState.mVms.find(belief.mLockedBy);
+  if (head == aState.mVms.end()) {
+    return true;
+  }
+  const FleetVm* vm = FindVm(aVms, belief.mLockedBy);
+  if (vm != nullptr) {
+    return IsSeatedIn(vm, belief.mLockedIn);
+  }
+  // Neither the platform nor this node hears of it.
+  return head->second.mFailures < kSilentAfter;
+}
+
 std::vector<std::string>
 MembersToAsk(const PlannerState& aState, const std::string& aHead)
 {
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -26,6 +26,8 @@
   uint64_t mBornMillis = 0;
   Endpoint mAddress;
   TimePoint mLockedUntil;  ///< its old group may still serve until here
+  std::string mLockedBy;   ///< head of that group, when it is known
+  GroupKey mLockedIn;
   TimePoint mSilentUntil;  ///< it did not answer; not used before
   TimePoint mLoadingUntil; ///< a load from the weight store is under way
   uint32_t mFailures = 0;  ///< questions and orders in a row without answer
@@ -92,6 +94,8 @@
   size_t mSpare = 0;
   size_t mSilent = 0;
   size_t mLeaving = 0;
+  /// Free VMs by domain and the model on their host.
+  std::map<std::pair<std::string, std::string>, size_t> mSpares;
 
   bool operator==(const PlannerCounts&) const = default;
 };
@@ -126,6 +130,15 @@
              bool aAnswered,
              TimePoint aNow);
 
+/// @return whether the VM's old group may still serve: its head could not be
+///         told to leave, and neither has the platform dropped it from its
+///         list nor has it begun another life
+bool
+IsLocked(const PlannerState& aState,
+         const FleetVms& aVms,
+         const std::string& aVmId,
+         TimePoint aNow);
+
 /// @return the members of the group that aHead leads, to be asked whether they
 ///         are alive
 std::vector<std::string>
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -135,6 +135,10 @@
   }
   aService.mCounts = counts;
   aService.mLogAgainAt = now + kCountsGap;
+  std::string spares;
+  for (const auto& [where, n] : counts.mSpares) {
+    spares += where.first + ":" + where.second + "=" + std::to_string(n) + " ";
+  }
   LogEvent(EventId::FleetCounts,
            { { "service", aName },
              { "live", std::to_string(counts.mLive) },
@@ -144,7 +148,8 @@
              { "locked", std::to_string(counts.mLocked) },
              { "spare", std::to_string(counts.mSpare) },
              { "silent", std::to_string(counts.mSilent) },
-             { "leaving", std::to_string(counts.mLeaving) } });
+             { "leaving", std::to_string(counts.mLeaving) },
+             { "spares", spares } });
 }
 
 void
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,6 +20,8 @@
 constexpr auto kFreshnessMargin = milliseconds(700);
 /// A node learns a first configuration within some hundreds of milliseconds.
 constexpr uint32_t kUnreadyRetryMillis = 300;
+/// Another node takes the request at once.
+constexpr uint32_t kStoppingRetryMillis = 20;
 
 std::string
 SecondsText(uint32_t aMillis)
@@ -81,6 +83,12 @@
 private:
   Answerable<GatewayRequest> Admit(const HTTPServerRequest& aRequest)
   {
+    if (mParts.mClosed) {
+      return Refusal{ RefusalKind::Stopping,
+                      "the node is about to stop",
+                      Ran::No,
+                      kStoppingRetryMillis };
+    }
     const FleetConfigPtr config = mParts.mWatcher.Config();
     if (config == nullptr) {
       return Refusal{ RefusalKind::NotFresh,
--- a/src/gateway/run.cc
+++ b/src/gateway/run.cc
@@ -63,6 +63,11 @@
       if (target == nullptr) {
         return Fail(RefusalKind::NoTarget, kNoGroupRetryMillis);
       }
+      // On a busy node the caller may have left before its turn came.
+      if (mPort.IsGone()) {
+        mPort.Abort();
+        return boost::outcome_v2::success();
+      }
       if (mSends > 0 &&
           !mParts.mRepeats.TakeRepeat(mRequest.mService, mParts.mClock.Now())) {
         mParts.mMetrics.CountDenial("repeat_budget");
