--- a/src/fleet/formation.cc
+++ b/src/fleet/formation.cc
@@ -21,8 +21,10 @@
 constexpr auto kOrderAgain = milliseconds(450);
 /// One more load weighs as much as this part of a model's share.
 constexpr double kLoadCost = 0.2;
+/// Spares that a domain should hold for each VM that serves the model there.
+constexpr double kSparePart = 0.1;
 /// No new VM for so long means that all have appeared.
-constexpr auto kSettleTime = milliseconds(1000);
+constexpr auto kSettleTime = milliseconds(700);
 
 /// What it takes a VM to join a group of a model.
 enum class JoinCost
@@ -59,12 +61,14 @@
   void Run()
   {
     FindFree();
-    while (FormOne()) {
+    // VMs appear one after the other at the first start. Groups that are laid
+    // out when all are there leave the fewest over.
+    if (mView.mBeforeTraffic && !HaveAllAppeared()) {
+      return;
     }
-    // VMs appear one after the other at the first start; groups go first.
-    if (!mView.mBeforeTraffic || HaveAllAppeared()) {
-      LoadSpares();
+    while (FormOne()) {
     }
+    LoadSpares();
   }
 
 private:
@@ -75,6 +79,7 @@
       if (group.mMembers.size() > 1) {
         mServing[group.mModel] += 1;
         mModelsIn[group.mDomain].insert(group.mModel);
+        ++mGroupsIn[{ group.mDomain, group.mModel }];
       } else {
         ++mLoadingIn[{ group.mDomain, group.mModel }];
       }
@@ -191,15 +196,10 @@
   }
 
   /// Before the first request a load is a part of the join; later, spares are
-  /// loaded one by one. While VMs still appear, the model that has least waits
-  /// for enough of them.
+  /// loaded one by one.
   bool MayForm(const Option& aOption) const
   {
-    if (aOption.mLoads == 0) {
-      return true;
-    }
-    return mView.mBeforeTraffic &&
-           (HaveAllAppeared() || aOption.mModel == LeastFilled());
+    return aOption.mLoads == 0 || mView.mBeforeTraffic;
   }
 
   bool HaveAllAppeared() const
@@ -207,15 +207,6 @@
     return mNow >= mState.mNewVmAt + kSettleTime;
   }
 
-  const FleetModel* LeastFilled() const
-  {
-    const std::vector<FleetModel>& models = mView.mEngine.mModels;
-    return &*std::min_element(
-      models.begin(), models.end(), [this](auto& aL, auto& aR) {
-        return FilledBy(aL) < FilledBy(aR);
-      });
-  }
-
   Option MakeOption(const FleetModel& aModel, const std::string& aDomain)
   {
     Option option{ &aModel, aDomain, Ranked(aDomain, aModel.mName), 0, 0 };
@@ -248,6 +239,7 @@
     }
     mServing[aOption.mModel->mName] += 1;
     mModelsIn[aOption.mDomain].insert(aOption.mModel->mName);
+    ++mGroupsIn[{ aOption.mDomain, aOption.mModel->mName }];
   }
 
   void Take(const std::string& aDomain, const std::string& aVmId)
@@ -311,23 +303,13 @@
   }
 
   /// A spare sits alone in a group that never opens, so that it can join the
-  /// next one at once. Where spares lack a model, they load the one that
-  /// completes a group soonest or that has least for its share.
+  /// next one at once. Spares that hold no model, or one that completes no
+  /// group, load the one that their domain needs most.
   void LoadSpares()
   {
     std::vector<Wanted> wanted;
     for (const auto& [domain, vms] : mFree) {
-      const Wanted best = BestLoad(domain, vms);
-      if (best.mModel == nullptr) {
-        continue;
-      }
-      for (const FleetVm* it : vms) {
-        if (it->mStaged.empty()) {
-          wanted.push_back({ best.mCost, best.mModel, it });
-        } else if (const FleetModel* model = HeldUnjoined(*it)) {
-          wanted.push_back({ 0, model, it });
-        }
-      }
+      AddWanted(domain, vms, wanted);
     }
     std::stable_sort(
       wanted.begin(), wanted.end(), [](const auto& aL, const auto& aR) {
@@ -345,19 +327,101 @@
     const FleetVm* mVm = nullptr;
   };
 
+  /// What a domain has of a model beside its groups.
+  struct Stock
+  {
+    size_t mFree = 0;    ///< free VMs that hold it
+    size_t mCovered = 0; ///< the same with those that load it
+  };
+
+  Stock StockOf(const std::string& aDomain,
+                const std::vector<const FleetVm*>& aVms,
+                const FleetModel& aModel)
+  {
+    Stock stock;
+    for (const FleetVm* it : aVms) {
+      stock.mFree += CostOf(*it, aModel.mName) != JoinCost::Load ? 1 : 0;
+    }
+    stock.mCovered = stock.mFree + mLoadingIn[{ aDomain, aModel.mName }];
+    return stock;
+  }
+
+  void AddWanted(const std::string& aDomain,
+                 const std::vector<const FleetVm*>& aVms,
+                 std::vector<Wanted>& aWanted)
+  {
+    std::vector<const FleetVm*> empty;
+    std::vector<const FleetVm*> holding;
+    for (const FleetVm* it : aVms) {
+      if (const FleetModel* model = HeldUnjoined(*it)) {
+        aWanted.push_back({ 0, model, it });
+      }
+      (it->mStaged.empty() ? empty : holding).push_back(it);
+    }
+    std::map<std::string, size_t> added;
+    for (const FleetVm* it : empty) {
+      const Wanted best = BestLoad(aDomain, aVms, added);
+      if (best.mModel != nullptr) {
+        ++added[best.mModel->mName];
+        aWanted.push_back({ best.mCost, best.mModel, it });
+      }
+    }
+    if (empty.empty()) {
+      AddConversions(aDomain, aVms, holding, aWanted);
+    }
+  }
+
+  /// A spare of another model is worth a load when few of them complete a
+  /// group that many VMs wait for.
+  void AddConversions(const std::string& aDomain,
+                      const std::vector<const FleetVm*>& aVms,
+                      const std::vector<const FleetVm*>& aHolding,
+                      std::vector<Wanted>& aWanted)
+  {
+    for (const FleetModel& model : mView.mEngine.mModels) {
+      const Stock stock = StockOf(aDomain, aVms, model);
+      const size_t covered = stock.mCovered % model.mSize;
+      const size_t lacking = model.mSize - covered;
+      if (covered == 0 || lacking * 3 > model.mSize ||
+          aHolding.size() - stock.mFree < lacking) {
+        continue;
+      }
+      size_t n = 0;
+      for (const FleetVm* it : aHolding) {
+        if (n < lacking && CostOf(*it, model.mName) == JoinCost::Load) {
+          ++n;
+          aWanted.push_back({ kLoadCost * static_cast<double>(lacking) +
+                                FilledBy(model),
+                              &model,
+                              it });
+        }
+      }
+      return;
+    }
+  }
+
+  /// A domain first gets spares of the models that it serves, then what
+  /// completes a group soonest or has least for its share.
+  /// @param aAdded loads that this step has chosen already, by model
   Wanted BestLoad(const std::string& aDomain,
-                  const std::vector<const FleetVm*>& aVms)
+                  const std::vector<const FleetVm*>& aVms,
+                  std::map<std::string, size_t>& aAdded)
   {
     Wanted best;
     for (const FleetModel& model : mView.mEngine.mModels) {
-      size_t ready = mLoadingIn[{ aDomain, model.mName }];
-      for (const FleetVm* it : aVms) {
-        ready += CostOf(*it, model.mName) != JoinCost::Load ? 1 : 0;
+      if (model.mSize < 2) {
+        continue;
       }
-      const size_t lacking = model.mSize - ready % model.mSize;
+      const size_t covered =
+        StockOf(aDomain, aVms, model).mCovered + aAdded[model.mName];
+      const auto seats = static_cast<double>(
+        mGroupsIn[{ aDomain, model.mName }] * model.mSize);
+      const auto spares = static_cast<size_t>(std::ceil(seats * kSparePart));
+      const size_t lacking = model.mSize - covered % model.mSize;
       const double cost =
+        (covered < spares ? 0 : 1) +
         static_cast<double>(lacking) * kLoadCost + FilledBy(model);
-      if (model.mSize > 1 && (best.mModel == nullptr || cost < best.mCost)) {
+      if (best.mModel == nullptr || cost < best.mCost) {
         best = { cost, &model, nullptr };
       }
     }
@@ -398,6 +462,8 @@
   std::map<std::pair<std::string, std::string>, size_t>
     mLoadingIn; ///< spares under way, by domain and model
   std::map<std::string, std::set<std::string>> mModelsIn; ///< by domain
+  std::map<std::pair<std::string, std::string>, size_t>
+    mGroupsIn; ///< by domain and model
   std::map<std::string, double> mServing; ///< groups of a model
 };
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -18,8 +18,7 @@
   std::string mModel;       ///< model that a request is for
   std::string mTokens;      ///< prompt tokens and most answer tokens
   std::string mPriority;    ///< on a request to an engine
-  std::string mReadyPath;   ///< path of the balancer's check
-  int mMisdirected = 421;   ///< status: another VM has the address
+  int mMisdirected = 0;       ///< status: another VM has the address
 };
 
 } // namespace hibiscushold
--- a/src/gateway/run.cc
+++ b/src/gateway/run.cc
@@ -127,6 +127,7 @@
     mInFlight = mParts.mLoads.Get(aTarget.mVmId).mInFlight;
     const TimePoint now = mParts.mClock.Now();
     const bool stream = mRequest.mRoute->mRepeats == Repeats::Stream;
+    // What must not run twice takes no connection that may have gone stale.
     ExchangeRequest exchange{ aTarget,
                               mRequest.mMethod,
                               mRequest.mUri,
@@ -134,7 +135,12 @@
                               mRequest.mBody,
                               mRequest.mId,
                               mRequest.mDeadline,
-                              mRequest.mDeadline };
+                              mRequest.mDeadline,
+                              kConnectLimit,
+                              StallLimits{},
+                              mLastEvent,
+                              !mRequest.MayRepeat(),
+                              stream };
     if (mLastEvent > 0) {
       exchange.mFields.push_back(
         { mParts.mDialect.mLastEvent, std::to_string(mLastEvent) });
@@ -145,11 +151,6 @@
         now + std::chrono::duration_cast<Duration>(
                 mRequest.mRoute->mLatencyTarget * kPlainPatience);
     }
-    exchange.mConnectLimit = kConnectLimit;
-    exchange.mLastEvent = mLastEvent;
-    exchange.mStream = stream;
-    // What must not run twice takes no connection that may have gone stale.
-    exchange.mFresh = !mRequest.MayRepeat();
     return RunExchange({ mParts.mSessions,
                          mParts.mLoads,
                          mParts.mDialect,
