--- a/src/fleet/formation.cc
+++ b/src/fleet/formation.cc
@@ -94,7 +94,11 @@
         continue;
       }
       ++mLive;
-      if (!taken.contains(id) && !IsLocked(mState, mView.mVms, id, mNow)) {
+      const bool serves = vm.mSeat && vm.mSeat->mRank == 0 &&
+                          (vm.mSeat->mPhase == GroupPhase::Open ||
+                           vm.mSeat->mPhase == GroupPhase::Closing);
+      if (!taken.contains(id) && !serves &&
+          !IsLocked(mState, mView.mVms, id, mNow)) {
         mFree[vm.mDomain].push_back(&vm);
       }
     }
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -57,7 +57,7 @@
     for (auto it = mState.mGroups.begin(); it != mState.mGroups.end();) {
       const bool stays = Attend(it->first, it->second);
       if (!stays) {
-        mState.mDissolved.insert(it->first);
+        mState.mDissolved.emplace(it->first, mNow);
       }
       it = stays ? std::next(it) : mState.mGroups.erase(it);
     }
@@ -89,27 +89,38 @@
   void TakeUpGroups()
   {
     for (const SeatedGroup& it : SeatedGroups(mView.mVms, mView.mService)) {
-      if (mState.mGroups.contains(it.mKey) ||
-          mState.mDissolved.contains(it.mKey)) {
-        continue;
+      if (!mState.mGroups.contains(it.mKey) && !IsDoneWith(it)) {
+        TakeUp(it);
       }
-      TakeUp(it);
     }
   }
 
+  bool IsDoneWith(const SeatedGroup& aGroup) const
+  {
+    const auto dissolved = mState.mDissolved.find(aGroup.mKey);
+    if (dissolved == mState.mDissolved.end()) {
+      return false;
+    }
+    return mNow < dissolved->second || !Serves(aGroup.mMembers[0]);
+  }
+
+  static bool Serves(const FleetVm* aHead)
+  {
+    return aHead != nullptr && (aHead->mSeat->mPhase == GroupPhase::Open ||
+                                aHead->mSeat->mPhase == GroupPhase::Closing);
+  }
+
   /// Whatever has a head and more members may serve, or be opened by an order
   /// of the earlier planner that is still on its way.
   void TakeUp(const SeatedGroup& aGroup)
   {
     const FleetVm* head = aGroup.mMembers[0];
-    const bool serves = head != nullptr &&
-                        (head->mSeat->mPhase == GroupPhase::Open ||
-                         head->mSeat->mPhase == GroupPhase::Closing);
+    const bool serves = Serves(head);
     if (head == nullptr || (!serves && aGroup.mMembers.size() == 1)) {
       if (head == nullptr) {
         LockMembers(aGroup);
       }
-      mState.mDissolved.insert(aGroup.mKey);
+      mState.mDissolved[aGroup.mKey] = mNow;
       return;
     }
     const FleetModel* model = mView.mEngine.FindModel(aGroup.mModel);
@@ -348,6 +359,7 @@
       if (mState.mVms[headId].mLockedUntil <= mNow) {
         FreeFromHead(aKey, aGroup);
       }
+      mState.mDissolved[aKey] = mNow + mBounds.mStall + kLockMargin;
       return Dissolve(aKey, aGroup, "head_unreachable", headId);
     }
     if (mNow >= aGroup.mOrderAgainAt) {
@@ -478,7 +490,7 @@
     for (const std::string& it : group->second.mMembers) {
       aState.mVms[it].mLockedUntil = {};
     }
-    aState.mDissolved.insert(aOrder.mGroup);
+    aState.mDissolved[aOrder.mGroup] = aNow + kOrderAgain;
     aState.mGroups.erase(group);
   }
 }
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -64,7 +64,9 @@
   TimePoint mNewVmAt; ///< when a VM was first seen last
   std::map<std::string, VmBelief> mVms;
   std::map<GroupKey, PlannedGroup> mGroups;
-  std::set<GroupKey> mDissolved; ///< not taken up again
+  /// Groups that are no longer planned; not taken up again before the time
+  /// given, and after it only where the head serves.
+  std::map<GroupKey, TimePoint> mDissolved;
   std::deque<TimePoint> mLoads;  ///< starts of loads
 };
 
