Shed by the expected wait; judge a silent head by its usual pauses

Cause: with too few groups every answer was late; a fixed silence of 320 ms gave up heads that were only reading long prompts.

--- a/src/core/guardedsocket.cc
+++ b/src/core/guardedsocket.cc
@@ -13,7 +13,7 @@
 namespace {
 
 /// How often a wait looks whether it should end early.
-constexpr auto kSlice = milliseconds(50);
+constexpr auto kSlice = milliseconds(30);
 /// Sent bytes that are not acknowledged for so long break the connection.
 constexpr int kUserTimeoutMillis = 3000;
 
--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -1,6 +1,6 @@
 #include "fleet/choice.h"
 
-#include <cmath>
+#include "fleet/shedding.h"
 
 namespace hibiscushold {
 
@@ -10,11 +10,8 @@
 constexpr double kOtherZoneCost = 0.6;
 /// A wait of so many milliseconds for first events counts as one request.
 constexpr double kMillisPerRequest = 40;
-/// Waits seen so long ago say nothing any more.
-constexpr auto kFirstMemory = milliseconds(1500);
-/// A head that writes has an event every few tens of milliseconds; one that
-/// has been silent for longer may have lost a VM.
-constexpr auto kQuiet = milliseconds(110);
+/// A head that is silent for most of a usual pause may have lost a VM.
+constexpr double kQuietPart = 0.35;
 constexpr double kQuietCost = 12;
 /// Costs closer than this are taken as equal.
 constexpr double kTie = 0.4;
@@ -68,15 +65,12 @@
 CostOf(const LoadedTarget& aTarget, const ChoiceInput& aInput)
 {
   double cost = aTarget.mLoad.mInFlight + 1.0;
-  const Duration age = aInput.mNow - aTarget.mLoad.mFirstAt;
-  if (age < kFirstMemory) {
-    const double fade =
-      1 - static_cast<double>(ToMillis(age)) / kFirstMemory.count();
-    cost += aTarget.mLoad.mFirstMillis * fade / kMillisPerRequest;
-  }
+  cost +=
+    ExpectedFirstMillis(aTarget.mLoad, aInput.mNow) / kMillisPerRequest;
   const bool quiet =
     aTarget.mLoad.mStreaming > 0 &&
-    aInput.mNow - aTarget.mLoad.mLastProgress > kQuiet;
+    aInput.mNow - aTarget.mLoad.mLastProgress >
+      UsualPause(aTarget.mLoad, StallLimits{}) * kQuietPart;
   cost += quiet ? kQuietCost : 0;
   return aTarget.mSameZone ? cost : cost + kOtherZoneCost;
 }
--- a/src/fleet/loads.cc
+++ b/src/fleet/loads.cc
@@ -1,6 +1,7 @@
 #include "fleet/loads.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hibiscushold {
 
@@ -8,6 +9,13 @@
 
 /// Weight of the newest wait in the moving average.
 constexpr double kNewest = 0.3;
+/// Events that come closer than this belong to one pass of the engine.
+constexpr double kOnePassMillis = 6;
+/// Weight of the newest gap between events, as for round-trip times in TCP.
+constexpr double kNewestGap = 0.125;
+/// Deviations from the mean that are still usual.
+constexpr double kDeviations = 8;
+constexpr double kAloneFactor = 1.6;
 /// A target that failed once is avoided for so long, doubled with each
 /// failure in a row up to the longest.
 constexpr auto kFirstAvoid = milliseconds(200);
@@ -22,11 +30,21 @@
     return false;
   }
   const TimePoint since = std::max(aLoad.mBusySince, aLoad.mLastProgress);
-  const milliseconds limit =
-    aLoad.mStreaming > 0 ? aLimits.mStreaming : aLimits.mWaiting;
+  const milliseconds limit = aLoad.mStreaming > 0 ? UsualPause(aLoad, aLimits)
+                                                  : aLimits.mWaiting;
   return aNow - since > limit;
 }
 
+milliseconds
+UsualPause(const TargetLoad& aLoad, const StallLimits& aLimits)
+{
+  // One stream alone may pause for a packet that was lost.
+  const double factor = aLoad.mStreaming > 1 ? 1 : kAloneFactor;
+  const auto usual = static_cast<int64_t>(
+    factor * (aLoad.mGapMillis + kDeviations * aLoad.mGapSpread));
+  return std::clamp(milliseconds(usual), aLimits.mLeast, aLimits.mMost);
+}
+
 TargetLoad
 TargetLoads::Get(const std::string& aTarget) const
 {
@@ -77,7 +95,14 @@
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
-  shard.mLoads[aTarget].mLastProgress = aNow;
+  TargetLoad& load = shard.mLoads[aTarget];
+  const auto gap = static_cast<double>(ToMillis(aNow - load.mLastProgress));
+  if (load.mStreaming > 0 && gap > kOnePassMillis) {
+    const double off = gap - load.mGapMillis;
+    load.mGapMillis += kNewestGap * off;
+    load.mGapSpread += kNewestGap * (std::abs(off) - load.mGapSpread);
+  }
+  load.mLastProgress = aNow;
 }
 
 void
--- a/src/fleet/loads.h
+++ b/src/fleet/loads.h
@@ -18,17 +18,26 @@
   TimePoint mLastProgress;   ///< last byte of any answer
   TimePoint mAvoidUntil;     ///< takes no new request before this
   uint32_t mFailuresInRow = 0;
+  double mGapMillis = 0;     ///< moving average of the times between events
+  double mGapSpread = 0;     ///< moving average of their deviations
   double mFirstMillis = 0;   ///< moving average of waits for a first event
   TimePoint mFirstAt;        ///< when the average was last renewed
 };
 
-/// Longest times without any byte of a target that has work.
+/// Bounds of the time without any byte after which a target that has work
+/// counts as standing still.
 struct StallLimits
 {
-  milliseconds mStreaming{ 320 }; ///< some stream had begun
-  milliseconds mWaiting{ 650 };   ///< all wait for their first event
+  milliseconds mLeast{ 400 };   ///< while a stream runs
+  milliseconds mMost{ 500 };    ///< while a stream runs
+  milliseconds mWaiting{ 800 }; ///< all wait for their first event
 };
 
+/// @return the longest pause that is usual for the target's streams, within
+///         the limits
+milliseconds
+UsualPause(const TargetLoad& aLoad, const StallLimits& aLimits);
+
 /// @return whether all that the target was given stands still
 bool
 IsStalled(const TargetLoad& aLoad, TimePoint aNow, const StallLimits& aLimits);
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -21,8 +21,10 @@
 constexpr auto kCountsGap = milliseconds(1000);
 constexpr auto kAskLimit = milliseconds(150);
 constexpr auto kAskGap = milliseconds(160);
-/// The planner asks after members earlier than requests give a head up.
-constexpr StallLimits kSuspicion{ milliseconds(220), milliseconds(450) };
+/// The planner asks after members as early as requests give a head up.
+constexpr StallLimits kSuspicion{ milliseconds(200),
+                                  milliseconds(250),
+                                  milliseconds(450) };
 
 } // namespace
 
--- a/src/gateway/run.cc
+++ b/src/gateway/run.cc
@@ -1,6 +1,7 @@
 #include "gateway/run.h"
 
 #include "core/random.h"
+#include "fleet/shedding.h"
 #include "observe/events.h"
 
 #include <thread>
@@ -68,6 +69,9 @@
         mPort.Abort();
         return boost::outcome_v2::success();
       }
+      if (mSends == 0 && mRequest.mRoute->mRepeats == Repeats::Stream) {
+        BOOST_OUTCOME_TRY(AdmitOrShed(*target));
+      }
       if (mSends > 0 &&
           !mParts.mRepeats.TakeRepeat(mRequest.mService, mParts.mClock.Now())) {
         mParts.mMetrics.CountDenial("repeat_budget");
@@ -113,6 +117,26 @@
     return ChooseTarget(found->second, mParts.mLoads, input, mTried);
   }
 
+  /// Refuses at once what would only be late, when its turn comes.
+  Answerable<void> AdmitOrShed(const FleetTarget& aTarget)
+  {
+    const TimePoint now = mParts.mClock.Now();
+    const double expected =
+      ExpectedFirstMillis(mParts.mLoads.Get(aTarget.mVmId), now);
+    if (NextFraction() >=
+        ShedChance(expected, mRequest.mRoute->mLatencyTarget)) {
+      return boost::outcome_v2::success();
+    }
+    mParts.mMetrics.CountDenial("expected_wait");
+    const milliseconds back =
+      ComeBackAfter(expected, TimeLeft(mRequest.mDeadline, now));
+    return Refusal{ RefusalKind::Overloaded,
+                    "a first event is expected after " +
+                      std::to_string(static_cast<int>(expected)) + " ms",
+                    Ran::No,
+                    static_cast<uint32_t>(back.count()) };
+  }
+
   bool MayWait()
   {
     const TimePoint now = mParts.mClock.Now();
