Large groups keep spares in their domain; warming spares may be called up

Cause: a domain of 37 held two groups of 16, one of 4 and no spare for the large ones, so one loss stranded 15 VMs; nodes that all tried a lapsed lease made some 460 conflicting writes.

--- a/src/fleet/formation.cc
+++ b/src/fleet/formation.cc
@@ -104,6 +104,16 @@
     }
   }
 
+  /// A spare that joins without a load may be called up for a group.
+  bool IsWarmingSpare(const PlannedGroup& aGroup) const
+  {
+    const auto belief = mState.mVms.find(aGroup.mMembers[0]);
+    return aGroup.mMembers.size() == 1 &&
+           aGroup.mStage == GroupStage::Forming &&
+           belief != mState.mVms.end() &&
+           belief->second.mLoadingUntil == TimePoint{};
+  }
+
   /// @return VMs that serve the model, relative to its share of the VMs
   double FilledBy(const FleetModel& aModel) const
   {
@@ -201,9 +211,30 @@
 
   /// Before the first request a load is a part of the join; later, spares are
   /// loaded one by one.
-  bool MayForm(const Option& aOption) const
+  bool MayForm(const Option& aOption)
   {
-    return aOption.mLoads == 0 || mView.mBeforeTraffic;
+    return (aOption.mLoads == 0 || mView.mBeforeTraffic) &&
+           LeavesSpares(aOption);
+  }
+
+  /// Groups of another model leave a domain the spares that its own want; a
+  /// large group that lacks one VM strands all the others.
+  bool LeavesSpares(const Option& aOption)
+  {
+    size_t spares = 0;
+    for (const FleetModel& it : mView.mEngine.mModels) {
+      if (&it != aOption.mModel) {
+        spares += WantedSpares(aOption.mDomain, it);
+      }
+    }
+    return mFree[aOption.mDomain].size() >= aOption.mModel->mSize + spares;
+  }
+
+  size_t WantedSpares(const std::string& aDomain, const FleetModel& aModel)
+  {
+    const size_t seats = mGroupsIn[{ aDomain, aModel.mName }] * aModel.mSize;
+    return static_cast<size_t>(
+      std::ceil(static_cast<double>(seats) * kSparePart));
   }
 
   bool HaveAllAppeared() const
@@ -240,6 +271,11 @@
     for (const FreeVm& it : aOption.mVms) {
       NoteCost(it, *aOption.mModel);
       Take(aOption.mDomain, it.mId);
+      const auto warming = mWarming.find(it.mId);
+      if (warming != mWarming.end()) {
+        mState.mDissolved[warming->second] = mNow;
+        mState.mGroups.erase(warming->second);
+      }
     }
     mServing[aOption.mModel->mName] += 1;
     mModelsIn[aOption.mDomain].insert(aOption.mModel->mName);
@@ -357,7 +393,8 @@
     std::vector<const FleetVm*> empty;
     std::vector<const FleetVm*> holding;
     for (const FleetVm* it : aVms) {
-      if (const FleetModel* model = HeldUnjoined(*it)) {
+      const FleetModel* model = HeldUnjoined(*it);
+      if (model != nullptr && !mWarming.contains(it->mId)) {
         aWanted.push_back({ 0, model, it });
       }
       (it->mStaged.empty() ? empty : holding).push_back(it);
@@ -418,13 +455,13 @@
       }
       const size_t covered =
         StockOf(aDomain, aVms, model).mCovered + aAdded[model.mName];
-      const auto seats = static_cast<double>(
-        mGroupsIn[{ aDomain, model.mName }] * model.mSize);
-      const auto spares = static_cast<size_t>(std::ceil(seats * kSparePart));
+      const size_t spares = WantedSpares(aDomain, model);
       const size_t lacking = model.mSize - covered % model.mSize;
+      // What lets idle VMs serve goes before what replaces the next loss.
+      const bool completes = lacking == 1 && covered > 0;
+      const double rank = completes ? 0 : covered < spares ? 1 : 2;
       const double cost =
-        (covered < spares ? 0 : 1) +
-        static_cast<double>(lacking) * kLoadCost + FilledBy(model);
+        rank + static_cast<double>(lacking) * kLoadCost + FilledBy(model);
       if (best.mModel == nullptr || cost < best.mCost) {
         best = { cost, &model, nullptr };
       }
@@ -462,6 +499,7 @@
   const TimePoint mNow;
   std::vector<FleetOrder>& mOrders;
   FreeVms mFree; ///< by domain
+  std::map<std::string, GroupKey> mWarming; ///< spares that join, by VM
   size_t mLive = 0;
   std::map<std::pair<std::string, std::string>, size_t>
     mLoadingIn; ///< spares under way, by domain and model
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -52,6 +52,11 @@
                                             mParts.mWatcher.Vms()->size()));
   lease.mOldReadsDo = !lease.mHeld && !lease.mUnsettled &&
                       lease.mVersion != 0 && NextFraction() > few;
+  // Of many nodes that find it lapsed, few should try to take it.
+  if (lease.mOldReadsDo && DecideLease(lease, role, mParts.mClock.Now(),
+                                       kLeaseTerm) == LeaseAction::Take) {
+    return;
+  }
   mLeases.Step(kLeaseName, role, 0, lease);
   const std::lock_guard guard(mLeaseLock);
   mLease = lease;
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -11,7 +11,7 @@
 /// Each waiting question costs a call. The answer also proves that the store
 /// can be reached, so it must come well inside the time that a revoked key
 /// may still be used.
-constexpr auto kConfigWait = milliseconds(1500);
+constexpr auto kConfigWait = milliseconds(1800);
 constexpr auto kVmWait = milliseconds(2000);
 constexpr auto kRetryGap = milliseconds(250);
 /// The platform puts entries back within two seconds of the store's return.
