--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -65,12 +65,10 @@
 CostOf(const LoadedTarget& aTarget, const ChoiceInput& aInput)
 {
   double cost = aTarget.mLoad.mInFlight + 1.0;
-  cost +=
-    ExpectedFirstMillis(aTarget.mLoad, aInput.mNow) / kMillisPerRequest;
-  const bool quiet =
-    aTarget.mLoad.mStreaming > 0 &&
-    aInput.mNow - aTarget.mLoad.mLastProgress >
-      UsualPause(aTarget.mLoad, StallLimits{}) * kQuietPart;
+  cost += ExpectedFirstMillis(aTarget.mLoad, aInput.mNow) / kMillisPerRequest;
+  const bool quiet = aTarget.mLoad.mStreaming > 0 &&
+                     aInput.mNow - aTarget.mLoad.mLastProgress >
+                       UsualPause(aTarget.mLoad, StallLimits{}) * kQuietPart;
   cost += quiet ? kQuietCost : 0;
   return aTarget.mSameZone ? cost : cost + kOtherZoneCost;
 }
@@ -101,8 +99,8 @@
   if (costs.empty()) {
     return nullptr;
   }
-  const auto n = static_cast<size_t>(aInput.mFraction *
-                                     static_cast<double>(costs.size()));
+  const auto n =
+    static_cast<size_t>(aInput.mFraction * static_cast<double>(costs.size()));
   return costs[n].second;
 }
 
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -61,7 +61,7 @@
   std::vector<FleetModel> mModels;
   uint32_t mSlots = 1; ///< requests of a group that run at once
   uint64_t mMemoryTokens = 0;
-  double mStepMillis = 6;          ///< a token step
+  double mStepMillis = 6;           ///< a token step
   double mStepMillisPerRequest = 0; ///< added for each request that writes
   double mPrefillTokensPerMilli = 50;
   uint32_t mStride = 1; ///< token steps in a pass, and tokens in an event
--- a/src/fleet/formation.cc
+++ b/src/fleet/formation.cc
@@ -23,6 +23,8 @@
 constexpr double kLoadCost = 0.2;
 /// Spares that a domain should hold for each VM that serves the model there.
 constexpr double kSparePart = 0.1;
+/// Separates loads of different purposes; more than all loads of a group.
+constexpr double kSpareRank = 100;
 /// No new VM for so long means that all have appeared.
 constexpr auto kSettleTime = milliseconds(700);
 
@@ -237,10 +239,7 @@
       std::ceil(static_cast<double>(seats) * kSparePart));
   }
 
-  bool HaveAllAppeared() const
-  {
-    return mNow >= mState.mNewVmAt + kSettleTime;
-  }
+  bool HaveAllAppeared() const { return mNow >= mState.mNewVmAt + kSettleTime; }
 
   Option MakeOption(const FleetModel& aModel, const std::string& aDomain)
   {
@@ -256,8 +255,8 @@
     const double mixed = models.contains(aModel.mName) ? 0
                          : models.empty()              ? 1
                                                        : 2;
-    option.mRank = (option.mLoads > 0 ? 1e6 : 0) +
-                   FilledBy(aModel) * 1000 + mixed;
+    option.mRank =
+      (option.mLoads > 0 ? 1e6 : 0) + FilledBy(aModel) * 1000 + mixed;
     return option;
   }
 
@@ -312,8 +311,8 @@
   {
     const uint64_t epoch = ++mState.mLastEpoch;
     const GroupKey key{ "g" + std::to_string(epoch), epoch };
-    const Duration join = aModel.mWarm + (aLoads > 0 ? LoadTime(aModel) * 2
-                                                     : Duration::zero());
+    const Duration join =
+      aModel.mWarm + (aLoads > 0 ? LoadTime(aModel) * 2 : Duration::zero());
     const Duration limit =
       std::chrono::duration_cast<Duration>(join * kJoinFactor) + kJoinMargin;
     mState.mGroups.emplace(key,
@@ -332,14 +331,15 @@
                           aMembers,
                           mState.mFence });
     }
-    LogEvent(EventId::FleetGroupChanged,
-             { { "group", key.mName },
-               { "epoch", std::to_string(epoch) },
-               { "model", aModel.mName },
-               { "domain", aDomain },
-               { "head", aMembers[0] },
-               { "change", aMembers.size() == aModel.mSize ? "forming" : "spare" },
-               { "loads", std::to_string(aLoads) } });
+    LogEvent(
+      EventId::FleetGroupChanged,
+      { { "group", key.mName },
+        { "epoch", std::to_string(epoch) },
+        { "model", aModel.mName },
+        { "domain", aDomain },
+        { "head", aMembers[0] },
+        { "change", aMembers.size() == aModel.mSize ? "forming" : "spare" },
+        { "loads", std::to_string(aLoads) } });
   }
 
   /// A spare sits alone in a group that never opens, so that it can join the
@@ -431,10 +431,10 @@
       for (const FleetVm* it : aHolding) {
         if (n < lacking && CostOf(*it, model.mName) == JoinCost::Load) {
           ++n;
-          aWanted.push_back({ kLoadCost * static_cast<double>(lacking) +
-                                FilledBy(model),
-                              &model,
-                              it });
+          aWanted.push_back(
+            { kLoadCost * static_cast<double>(lacking) + FilledBy(model),
+              &model,
+              it });
         }
       }
       return;
@@ -459,7 +459,9 @@
       const size_t lacking = model.mSize - covered % model.mSize;
       // What lets idle VMs serve goes before what replaces the next loss.
       const bool completes = lacking == 1 && covered > 0;
-      const double rank = completes ? 0 : covered < spares ? 1 : 2;
+      const double rank = completes          ? 0
+                          : covered < spares ? kSpareRank
+                                             : 2 * kSpareRank;
       const double cost =
         rank + static_cast<double>(lacking) * kLoadCost + FilledBy(model);
       if (best.mModel == nullptr || cost < best.mCost) {
@@ -498,14 +500,14 @@
   const PlannerBounds& mBounds;
   const TimePoint mNow;
   std::vector<FleetOrder>& mOrders;
-  FreeVms mFree; ///< by domain
+  FreeVms mFree;                            ///< by domain
   std::map<std::string, GroupKey> mWarming; ///< spares that join, by VM
   size_t mLive = 0;
   std::map<std::pair<std::string, std::string>, size_t>
     mLoadingIn; ///< spares under way, by domain and model
   std::map<std::string, std::set<std::string>> mModelsIn; ///< by domain
   std::map<std::pair<std::string, std::string>, size_t>
-    mGroupsIn; ///< by domain and model
+    mGroupsIn;                            ///< by domain and model
   std::map<std::string, double> mServing; ///< groups of a model
 };
 
--- a/src/fleet/loads.cc
+++ b/src/fleet/loads.cc
@@ -30,8 +30,8 @@
     return false;
   }
   const TimePoint since = std::max(aLoad.mBusySince, aLoad.mLastProgress);
-  const milliseconds limit = aLoad.mStreaming > 0 ? UsualPause(aLoad, aLimits)
-                                                  : aLimits.mWaiting;
+  const milliseconds limit =
+    aLoad.mStreaming > 0 ? UsualPause(aLoad, aLimits) : aLimits.mWaiting;
   return aNow - since > limit;
 }
 
--- a/src/fleet/loads.h
+++ b/src/fleet/loads.h
@@ -13,15 +13,15 @@
 struct TargetLoad
 {
   uint32_t mInFlight = 0;
-  uint32_t mStreaming = 0;   ///< of these, streams that have had an event
-  TimePoint mBusySince;      ///< start of the oldest time without a pause
-  TimePoint mLastProgress;   ///< last byte of any answer
-  TimePoint mAvoidUntil;     ///< takes no new request before this
+  uint32_t mStreaming = 0; ///< of these, streams that have had an event
+  TimePoint mBusySince;    ///< start of the oldest time without a pause
+  TimePoint mLastProgress; ///< last byte of any answer
+  TimePoint mAvoidUntil;   ///< takes no new request before this
   uint32_t mFailuresInRow = 0;
-  double mGapMillis = 0;     ///< moving average of the times between events
-  double mGapSpread = 0;     ///< moving average of their deviations
-  double mFirstMillis = 0;   ///< moving average of waits for a first event
-  TimePoint mFirstAt;        ///< when the average was last renewed
+  double mGapMillis = 0;   ///< moving average of the times between events
+  double mGapSpread = 0;   ///< moving average of their deviations
+  double mFirstMillis = 0; ///< moving average of waits for a first event
+  TimePoint mFirstAt;      ///< when the average was last renewed
 };
 
 /// Bounds of the time without any byte after which a target that has work
@@ -52,7 +52,9 @@
   void End(const std::string& aTarget, bool aStreaming);
 
   /// @param aFirstWait time from the send to the first event
-  void NoteFirst(const std::string& aTarget, Duration aFirstWait, TimePoint aNow);
+  void NoteFirst(const std::string& aTarget,
+                 Duration aFirstWait,
+                 TimePoint aNow);
   void NoteProgress(const std::string& aTarget, TimePoint aNow);
 
   /// Notes a failure; the target is avoided for longer with each in a row.
--- a/src/fleet/orders.h
+++ b/src/fleet/orders.h
@@ -10,11 +10,11 @@
 
 enum class OrderKind
 {
-  Join,     ///< takes a seat in a group; the VM readies itself
-  Open,     ///< the head begins to serve
-  Close,    ///< the head ends its work and takes no more
-  Leave,    ///< gives up the seat at once
-  Stage,    ///< copies a model to the VM's host
+  Join,  ///< takes a seat in a group; the VM readies itself
+  Open,  ///< the head begins to serve
+  Close, ///< the head ends its work and takes no more
+  Leave, ///< gives up the seat at once
+  Stage, ///< copies a model to the VM's host
 };
 
 /// @return the stable name of the kind
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -129,14 +129,14 @@
     bool joining = false;
     for (const FleetVm* it : aGroup.mMembers) {
       group.mMembers.push_back(it == nullptr ? "" : it->mId);
-      joining = joining || (it != nullptr &&
-                            it->mSeat->mPhase == GroupPhase::Joining);
+      joining =
+        joining || (it != nullptr && it->mSeat->mPhase == GroupPhase::Joining);
     }
     group.mMembers.resize(std::max(group.mMembers.size(), size));
     group.mStage =
       joining && !serves ? GroupStage::Forming : GroupStage::Serving;
-    group.mDeadline = mNow + (model == nullptr ? Duration::zero()
-                                               : Duration(model->mLoad * 2));
+    group.mDeadline =
+      mNow + (model == nullptr ? Duration::zero() : Duration(model->mLoad * 2));
     group.mOrderAgainAt = group.mDeadline;
     if (group.mStage == GroupStage::Serving) {
       group.mOrderAgainAt = mNow;
@@ -356,7 +356,7 @@
       return Dissolve(aKey, aGroup, "dissolved", "");
     }
     if (mNow >= aGroup.mDeadline) {
-      if (mState.mVms[headId].mLockedUntil <= mNow) {
+      if (mState.mVms[headId].mLockedIn != aKey) {
         FreeFromHead(aKey, aGroup);
       }
       mState.mDissolved[aKey] = mNow + mBounds.mStall + kLockMargin;
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -25,8 +25,8 @@
 {
   uint64_t mBornMillis = 0;
   Endpoint mAddress;
-  TimePoint mLockedUntil;  ///< its old group may still serve until here
-  std::string mLockedBy;   ///< head of that group, when it is known
+  TimePoint mLockedUntil; ///< its old group may still serve until here
+  std::string mLockedBy;  ///< head of that group, when it is known
   GroupKey mLockedIn;
   TimePoint mSilentUntil;  ///< it did not answer; not used before
   TimePoint mLoadingUntil; ///< a load from the weight store is under way
@@ -67,7 +67,7 @@
   /// Groups that are no longer planned; not taken up again before the time
   /// given, and after it only where the head serves.
   std::map<GroupKey, TimePoint> mDissolved;
-  std::deque<TimePoint> mLoads;  ///< starts of loads
+  std::deque<TimePoint> mLoads; ///< starts of loads
 };
 
 /// What the planner sees in one step.
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -48,13 +48,14 @@
     mParts.mStopping ? LeaseRole::Bystander : LeaseRole::Preferred;
   // All that wait for the lease look at it; a few of them see it as it is, and
   // a conditional write settles who takes it.
-  const double few = kSharpLooks / (1.0 + static_cast<double>(
-                                            mParts.mWatcher.Vms()->size()));
+  const double few =
+    kSharpLooks / (1.0 + static_cast<double>(mParts.mWatcher.Vms()->size()));
   lease.mOldReadsDo = !lease.mHeld && !lease.mUnsettled &&
                       lease.mVersion != 0 && NextFraction() > few;
   // Of many nodes that find it lapsed, few should try to take it.
-  if (lease.mOldReadsDo && DecideLease(lease, role, mParts.mClock.Now(),
-                                       kLeaseTerm) == LeaseAction::Take) {
+  if (lease.mOldReadsDo &&
+      DecideLease(lease, role, mParts.mClock.Now(), kLeaseTerm) ==
+        LeaseAction::Take) {
     return;
   }
   mLeases.Step(kLeaseName, role, 0, lease);
@@ -198,19 +199,15 @@
                 Endpoint aTo)
 {
   mQueue.Add([this, aService, aVmId, to = std::move(aTo)] {
-    const Result<EngineStanding> standing =
-      mParts.mEngines.Ask(to, kAskLimit);
+    const Result<EngineStanding> standing = mParts.mEngines.Ask(to, kAskLimit);
     LogEvent(EventId::VmAsked,
              { { "vm", aVmId },
-               { "answer",
-                 standing ? "alive" : Describe(standing.error()) } });
+               { "answer", standing ? "alive" : Describe(standing.error()) } });
     const std::lock_guard guard(mLock);
     const auto it = mServices.find(aService);
     if (it != mServices.end()) {
-      RecordAnswer(it->second.mState,
-                   aVmId,
-                   standing.has_value(),
-                   mParts.mClock.Now());
+      RecordAnswer(
+        it->second.mState, aVmId, standing.has_value(), mParts.mClock.Now());
     }
   });
 }
@@ -233,8 +230,7 @@
     const std::lock_guard guard(mLock);
     const auto it = mServices.find(aService);
     if (it != mServices.end() && order.mFence == mFence) {
-      RecordOutcome(
-        it->second.mState, order, outcome, mParts.mClock.Now());
+      RecordOutcome(it->second.mState, order, outcome, mParts.mClock.Now());
     }
   });
 }
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -46,7 +46,7 @@
   {
     PlannerState mState;
     std::map<std::string, TimePoint> mAskedAt; ///< by VM
-    PlannerCounts mCounts; ///< as last logged
+    PlannerCounts mCounts;                     ///< as last logged
     TimePoint mLogAgainAt;
   };
 
--- a/src/fleet/repeats.cc
+++ b/src/fleet/repeats.cc
@@ -31,9 +31,9 @@
 bool
 MayRepeat(const RepeatWindow& aWindow, const RepeatBounds& aBounds)
 {
-  const double most =
-    aBounds.mRatio * kRatioPart * static_cast<double>(aWindow.mRequests.size()) +
-    aBounds.mSlack / kSlackParts;
+  const double most = aBounds.mRatio * kRatioPart *
+                        static_cast<double>(aWindow.mRequests.size()) +
+                      aBounds.mSlack / kSlackParts;
   return static_cast<double>(aWindow.mRepeats.size()) + 1 <= most;
 }
 
--- a/src/fleet/repeats.h
+++ b/src/fleet/repeats.h
@@ -13,9 +13,9 @@
 /// Bounds on requests sent to a second target, over all nodes.
 struct RepeatBounds
 {
-  double mRatio = 0.2;     ///< repeats for each request
+  double mRatio = 0.2; ///< repeats for each request
   milliseconds mWindow{ 10000 };
-  double mSlack = 100;     ///< repeats in a window beyond the ratio
+  double mSlack = 100; ///< repeats in a window beyond the ratio
 };
 
 /// Requests and repeats in a sliding window.
--- a/src/gateway/callerport.cc
+++ b/src/gateway/callerport.cc
@@ -93,13 +93,14 @@
 CallerPort::IsGone() const
 {
   char byte = 0;
-  const ssize_t n = ::recv(const_cast<Poco::Net::HTTPServerRequestImpl&>(mRequest)
-                             .socket()
-                             .impl()
-                             ->sockfd(),
-                           &byte,
-                           1,
-                           MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t n =
+    ::recv(const_cast<Poco::Net::HTTPServerRequestImpl&>(mRequest)
+             .socket()
+             .impl()
+             ->sockfd(),
+           &byte,
+           1,
+           MSG_PEEK | MSG_DONTWAIT);
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -62,9 +62,8 @@
     return boost::outcome_v2::success();
   }
   const std::string& text = aRequest.get("Content-Length");
-  const bool digits = std::all_of(text.begin(), text.end(), [](char it) {
-    return it >= '0' && it <= '9';
-  });
+  const bool digits = std::all_of(
+    text.begin(), text.end(), [](char it) { return it >= '0' && it <= '9'; });
   if (!digits || text.empty() || text.size() > kMaxLengthDigits) {
     return Invalid("header Content-Length: send one whole number");
   }
@@ -89,9 +88,8 @@
                                  std::string("Expect") }) {
     names.insert(Poco::toLower(it));
   }
-  const Poco::StringTokenizer listed(aRequest.get("Connection", ""),
-                                     ",",
-                                     Poco::StringTokenizer::TOK_TRIM);
+  const Poco::StringTokenizer listed(
+    aRequest.get("Connection", ""), ",", Poco::StringTokenizer::TOK_TRIM);
   for (const std::string& it : listed) {
     names.insert(Poco::toLower(it));
   }
@@ -161,8 +159,8 @@
   request.mMethod = aRequest.getMethod();
   request.mUri = aRequest.getURI();
   const std::string_view uri = request.mUri;
-  request.mRoute = FindRoute(
-    *aConfig, aRequest.get("Host", ""), uri.substr(0, uri.find('?')));
+  request.mRoute =
+    FindRoute(*aConfig, aRequest.get("Host", ""), uri.substr(0, uri.find('?')));
   if (request.mRoute == nullptr) {
     return Refusal{ RefusalKind::NoRoute, "no route takes this host and path" };
   }
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/http.h"
 #include "fleet/config.h"
 #include "gateway/dialect.h"
-#include "core/http.h"
 #include "serve/refusal.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -158,8 +158,8 @@
       return;
     }
     const bool success = status >= 200 && status < 300;
-    if (success && (!aHead.has(mParts.mDialect.mProof) ||
-                    aHead.has("Content-Encoding"))) {
+    if (success &&
+        (!aHead.has(mParts.mDialect.mProof) || aHead.has("Content-Encoding"))) {
       End(ExchangeEnd::Invalid, "a success without proof or with an encoding");
       return;
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -41,13 +41,13 @@
   std::vector<HttpField> mFields; ///< all but those of the connection
   std::string_view mBody;
   std::string mRequestId;
-  TimePoint mDeadline;      ///< of the whole request
-  TimePoint mGiveUpAt;      ///< a plain answer is waited for until here
+  TimePoint mDeadline; ///< of the whole request
+  TimePoint mGiveUpAt; ///< a plain answer is waited for until here
   milliseconds mConnectLimit{ 150 };
   StallLimits mStall;
-  uint64_t mLastEvent = 0;  ///< id of the last event that was passed on
-  bool mFresh = false;      ///< takes no connection from the pool
-  bool mStream = false;     ///< an event stream is expected
+  uint64_t mLastEvent = 0; ///< id of the last event that was passed on
+  bool mFresh = false;     ///< takes no connection from the pool
+  bool mStream = false;    ///< an event stream is expected
 };
 
 /// A whole answer that is not a stream.
@@ -62,12 +62,12 @@
 struct ExchangeReport
 {
   ExchangeEnd mEnd = ExchangeEnd::ConnectFailed;
-  PlainReply mReply;       ///< for Answered, unless it was a stream
-  bool mStreamed = false;  ///< events were passed on
+  PlainReply mReply;        ///< for Answered, unless it was a stream
+  bool mStreamed = false;   ///< events were passed on
   Duration mFirstWait{ 0 }; ///< from the send to the first event
-  bool mReused = false;    ///< the connection came from the pool
-  uint64_t mLastEvent = 0; ///< id of the last event that was passed on
-  uint64_t mSentBytes = 0; ///< zero: the target cannot have run the request
+  bool mReused = false;     ///< the connection came from the pool
+  uint64_t mLastEvent = 0;  ///< id of the last event that was passed on
+  uint64_t mSentBytes = 0;  ///< zero: the target cannot have run the request
   std::string mDetail;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -73,8 +73,7 @@
       Refuse(aRequest, port, request.error());
       return;
     }
-    const Answerable<void> served =
-      RunRequest(mParts, request.value(), port);
+    const Answerable<void> served = RunRequest(mParts, request.value(), port);
     if (!served) {
       Refuse(aRequest, port, served.error());
     }
@@ -118,13 +117,14 @@
     const std::string id = aRequest.get(mParts.mDialect.mRequestId, "");
     mParts.mMetrics.CountRefusal(NameOf(aRefusal.mKind));
     const FleetConfigPtr config = mParts.mWatcher.Config();
-    LogEvent(EventId::RequestRefused,
-             { { "request", id },
-               { "reason", NameOf(aRefusal.mKind) },
-               { "ran", NameOf(aRefusal.mRan) },
-               { "detail", aRefusal.mMessage },
-               { "version",
-                 config == nullptr ? "0" : std::to_string(config->mVersion) } });
+    LogEvent(
+      EventId::RequestRefused,
+      { { "request", id },
+        { "reason", NameOf(aRefusal.mKind) },
+        { "ran", NameOf(aRefusal.mRan) },
+        { "detail", aRefusal.mMessage },
+        { "version",
+          config == nullptr ? "0" : std::to_string(config->mVersion) } });
     if (aPort.HasStarted()) {
       aPort.Abort();
       return;
@@ -137,8 +137,7 @@
       fields.push_back(
         { "Retry-After", SecondsText(aRefusal.mRetryAfterMillis) });
     }
-    aPort.SendWhole(
-      StatusOf(aRefusal.mKind), fields, RenderRefusal(aRefusal));
+    aPort.SendWhole(StatusOf(aRefusal.mKind), fields, RenderRefusal(aRefusal));
   }
 
   const GatewayParts& mParts;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -31,7 +31,7 @@
   milliseconds mKeyFreshness{ 5000 }; ///< a key is believed for so long
   const std::atomic<bool>& mStopping;
   const std::atomic<bool>& mClosed; ///< no new request is taken any more
-  std::atomic<uint32_t>& mRunning; ///< requests that are being answered
+  std::atomic<uint32_t>& mRunning;  ///< requests that are being answered
 };
 
 /// Makes the handlers of the callers' port.
--- a/src/gateway/run.cc
+++ b/src/gateway/run.cc
@@ -175,12 +175,10 @@
         now + std::chrono::duration_cast<Duration>(
                 mRequest.mRoute->mLatencyTarget * kPlainPatience);
     }
-    return RunExchange({ mParts.mSessions,
-                         mParts.mLoads,
-                         mParts.mDialect,
-                         mParts.mClock },
-                       exchange,
-                       *this);
+    return RunExchange(
+      { mParts.mSessions, mParts.mLoads, mParts.mDialect, mParts.mClock },
+      exchange,
+      *this);
   }
 
   void Note(const FleetTarget& aTarget, const ExchangeReport& aReport)
@@ -235,9 +233,9 @@
       default:
         break;
     }
-    const bool unsent = aReport.mEnd == ExchangeEnd::ConnectFailed ||
-                        (aReport.mSentBytes == 0 &&
-                         aReport.mEnd == ExchangeEnd::Broken);
+    const bool unsent =
+      aReport.mEnd == ExchangeEnd::ConnectFailed ||
+      (aReport.mSentBytes == 0 && aReport.mEnd == ExchangeEnd::Broken);
     if (unsent) {
       if (++mConnectFailures >= kMaxConnectFailures) {
         return Fail(RefusalKind::NoTarget, kFullRetryMillis);
@@ -366,7 +364,7 @@
   std::optional<TimePoint> mWaitsUntil;
   uint64_t mLastEvent;
   uint32_t mInFlight = 0; ///< at the target when it was chosen
-  uint32_t mSends = 0; ///< targets that got a byte of the request
+  uint32_t mSends = 0;    ///< targets that got a byte of the request
   int mConnectFailures = 0;
   bool mMayHaveRun = false;
 };
--- a/src/serve/statusport.cc
+++ b/src/serve/statusport.cc
@@ -50,9 +50,8 @@
   const std::string& path = aRequest.getURI();
   if (path == mReadyPath) {
     const bool ready = mIsReady();
-    return new TextHandler(ready
-                             ? HTTPServerResponse::HTTP_OK
-                             : HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE,
+    return new TextHandler(ready ? HTTPServerResponse::HTTP_OK
+                                 : HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE,
                            ready ? "ready\n" : "not ready\n");
   }
   if (path == "/metrics") {
--- /dev/null
+++ b/test/exchange-test.cc
@@ -0,0 +1,236 @@
+#include "gateway/events.h"
+#include "gateway/exchange.h"
+#include "scriptedserver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+namespace {
+
+const Dialect kDialect{ "Id",      "Wait",  "Last",   "Proof", "Account", "Vm",
+                        "Not-Run", "Model", "Tokens", "Rank",  421 };
+
+std::string
+Reply(const std::string& aId, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nId: " + aId +
+         "\r\nProof: p\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+std::string
+StreamHead(const std::string& aId)
+{
+  return "HTTP/1.1 200 OK\r\nId: " + aId +
+         "\r\nProof: p\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string
+Chunk(const std::string& aBytes)
+{
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx", aBytes.size());
+  return std::string(size) + "\r\n" + aBytes + "\r\n";
+}
+
+class Sink final : public StreamSink
+{
+public:
+  bool OnHead(int aStatus, const std::vector<HttpField>&) override
+  {
+    mStatus = aStatus;
+    return true;
+  }
+
+  bool OnEvents(std::string_view aEvents) override
+  {
+    mEvents += aEvents;
+    return true;
+  }
+
+  bool IsCallerGone() override { return mGone; }
+
+  int mStatus = 0;
+  bool mGone = false;
+  std::string mEvents;
+};
+
+} // namespace
+
+TEST_GROUP(Exchange)
+{
+  SystemClock mClock;
+  SessionPool mPool{ mClock };
+  TargetLoads mLoads;
+  Sink mSink;
+
+  ExchangeReport Run(const ScriptedServer& aServer,
+                     bool aStream = false,
+                     Duration aLimit = milliseconds(500),
+                     uint64_t aLastEvent = 0)
+  {
+    const FleetTarget target{ "vm-1", aServer.Address(), "a", "m", {}, 1 };
+    const TimePoint deadline = mClock.Now() + aLimit;
+    ExchangeRequest request{ target,   "POST",   "/x",
+                             {},       "body",   "r1",
+                             deadline, deadline, milliseconds(200),
+                             {},       0,        false,
+                             false };
+    request.mStream = aStream;
+    request.mLastEvent = aLastEvent;
+    return RunExchange({ mPool, mLoads, kDialect, mClock }, request, mSink);
+  }
+};
+
+TEST(Exchange, BringsAWholeAnswerAndKeepsTheConnection)
+{
+  ScriptedServer server({ { Reply("r1", "one") }, { Reply("r1", "two") } });
+  ExchangeReport report = Run(server);
+  CHECK(ExchangeEnd::Answered == report.mEnd);
+  STRCMP_EQUAL("one", report.mReply.mBody.c_str());
+  report = Run(server);
+  CHECK(report.mReused);
+  STRCMP_EQUAL("two", report.mReply.mBody.c_str());
+  STRCMP_CONTAINS("Vm: vm-1\r\n", server.Requests()[0].c_str());
+}
+
+TEST(Exchange, NamesWhatIsNoWholeAnswerOfItsOwn)
+{
+  struct Case
+  {
+    const char* mWhat;
+    ScriptedServer::Answer mAnswer;
+    ExchangeEnd mEnd;
+  };
+  const std::string unproved =
+    "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n";
+  const std::string encoded = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n"
+                              "Content-Encoding: gzip\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  const std::string cut = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n"
+                          "Content-Length: 9\r\n\r\nabc";
+  const std::string shed = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+                           "Content-Length: 0\r\n\r\n";
+  const std::string other = "HTTP/1.1 421 Other\r\nId: r1\r\n"
+                            "Content-Length: 0\r\n\r\n";
+  const Case cases[] = {
+    { "no proof", { unproved }, ExchangeEnd::Invalid },
+    { "encoded", { encoded }, ExchangeEnd::Invalid },
+    { "cut body", { cut, true }, ExchangeEnd::Invalid },
+    { "reset", { cut, false, true }, ExchangeEnd::Broken },
+    { "shed", { shed }, ExchangeEnd::NotRun },
+    { "another VM", { other }, ExchangeEnd::WrongVm },
+    { "no HTTP", { "\1\2garbage\r\n\r\n", true }, ExchangeEnd::Invalid },
+    { "closed", { "", true }, ExchangeEnd::Broken },
+    { "silence", { "" }, ExchangeEnd::Deadline },
+  };
+  for (const Case& it : cases) {
+    ScriptedServer server({ it.mAnswer });
+    const ExchangeReport report = Run(server);
+    STRCMP_EQUAL_TEXT(NameOf(it.mEnd), NameOf(report.mEnd), it.mWhat);
+  }
+}
+
+TEST(Exchange, SkipsALateAnswerToAnotherRequest)
+{
+  ScriptedServer server({ { Reply("old", "foreign") + Reply("r1", "own") } });
+  const ExchangeReport report = Run(server);
+  CHECK(ExchangeEnd::Answered == report.mEnd);
+  STRCMP_EQUAL("own", report.mReply.mBody.c_str());
+  CHECK(!Run(server, false, milliseconds(50)).mReused);
+}
+
+TEST(Exchange, DoesNotReuseAConnectionWithAnExtraAnswer)
+{
+  ScriptedServer server(
+    { { Reply("r1", "own") + Reply("r1", "again") }, { Reply("r1", "new") } });
+  CHECK(ExchangeEnd::Answered == Run(server).mEnd);
+  const ExchangeReport report = Run(server);
+  CHECK(!report.mReused);
+  STRCMP_EQUAL("new", report.mReply.mBody.c_str());
+}
+
+TEST(Exchange, PassesEventsOnAndKnowsTheEnd)
+{
+  ScriptedServer server({ { StreamHead("r1") + Chunk("id: 1\n\n") +
+                            Chunk("id: 2\ndata: x\n\n") + "0\r\n\r\n" } });
+  const ExchangeReport report = Run(server, true);
+  CHECK(ExchangeEnd::Answered == report.mEnd);
+  CHECK(report.mStreamed);
+  CHECK_EQUAL(2U, report.mLastEvent);
+  STRCMP_EQUAL("id: 1\n\nid: 2\ndata: x\n\n", mSink.mEvents.c_str());
+}
+
+TEST(Exchange, PassesNoPartOfAnEventOfABrokenStream)
+{
+  ScriptedServer server(
+    { { StreamHead("r1") + Chunk("id: 1\n\nid: 2\nda"), true } });
+  const ExchangeReport report = Run(server, true);
+  CHECK(ExchangeEnd::Answered != report.mEnd);
+  CHECK_EQUAL(1U, report.mLastEvent);
+  STRCMP_EQUAL("id: 1\n\n", mSink.mEvents.c_str());
+}
+
+TEST(Exchange, RefusesAResumedStreamThatSkipsAnEvent)
+{
+  ScriptedServer server({ { StreamHead("r1") + Chunk("id: 9\n\n") } });
+  const ExchangeReport report = Run(server, true, milliseconds(500), 4);
+  CHECK(ExchangeEnd::Invalid == report.mEnd);
+  STRCMP_EQUAL("", mSink.mEvents.c_str());
+}
+
+TEST(Exchange, EndsWithTheCaller)
+{
+  ScriptedServer server({ { "" } });
+  mSink.mGone = true;
+  CHECK(ExchangeEnd::CallerGone == Run(server, true, seconds(5)).mEnd);
+}
+
+TEST(Exchange, CountsNothingAsSentWhenNobodyListens)
+{
+  Endpoint gone;
+  {
+    const ScriptedServer server({});
+    gone = server.Address();
+  }
+  const FleetTarget target{ "vm-1", gone, "a", "", {}, 1 };
+  const TimePoint deadline = mClock.Now() + milliseconds(300);
+  const ExchangeRequest request{
+    target, "GET", "/x",  {},   "", "r1", deadline, deadline, milliseconds(200),
+    {},     0,     false, false
+  };
+  const ExchangeReport report =
+    RunExchange({ mPool, mLoads, kDialect, mClock }, request, mSink);
+  CHECK(ExchangeEnd::ConnectFailed == report.mEnd);
+  CHECK_EQUAL(0U, report.mSentBytes);
+  CHECK_EQUAL(0U, mLoads.Get("vm-1").mInFlight);
+}
+
+TEST_GROUP(EventSplitter){};
+
+TEST(EventSplitter, TakesWholeEventsOnly)
+{
+  EventSplitter splitter(0);
+  splitter.Add("id: 7\r\ndata: a\r\n\r\nid: 8\r\n");
+  STRCMP_EQUAL("id: 7\r\ndata: a\r\n\r\n", splitter.Take().c_str());
+  CHECK_EQUAL(7U, splitter.LastId());
+  STRCMP_EQUAL("", splitter.Take().c_str());
+  CHECK(splitter.Rest() > 0);
+  splitter.Add("\r\n");
+  STRCMP_EQUAL("id: 8\r\n\r\n", splitter.Take().c_str());
+  CHECK(!splitter.IsOutOfOrder());
+}
+
+TEST(EventSplitter, SeesIdsThatDoNotFollow)
+{
+  EventSplitter twice(3);
+  twice.Add("id: 3\n\n");
+  (void)twice.Take();
+  CHECK(twice.IsOutOfOrder());
+  EventSplitter gap(0);
+  gap.Add("id: 1\n\nid: 3\n\n");
+  (void)gap.Take();
+  CHECK(gap.IsOutOfOrder());
+}
--- /dev/null
+++ b/test/gatewaysettings-test.cc
@@ -0,0 +1,49 @@
+#include "gateway/settings.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+namespace {
+
+const std::string kLeast = "[node]\nid = n1\nzone = a\n"
+                           "caller_listen = 127.0.0.1:1\n"
+                           "ready_listen = 127.0.0.1:2\n"
+                           "[store]\naddress = 127.0.0.1:3\n";
+
+} // namespace
+
+TEST_GROUP(GatewaySettings){};
+
+TEST(GatewaySettings, ReadsBoundsAndKeepsDefaultsForEmptyOnes)
+{
+  const GatewaySettings settings =
+    ParseGatewaySettings("f",
+                         kLeast + "[limits]\nkey_freshness_ms = 4000\n"
+                                  "repeat_ratio = 0.2\ngrace_s =\n"
+                                  "[groups]\nstall_ms = 6000\n")
+      .value();
+  CHECK(milliseconds(4000) == settings.mKeyFreshness);
+  CHECK(milliseconds(8000) == settings.mGrace);
+  DOUBLES_EQUAL(0.2, settings.mRepeats.mRatio, 1e-9);
+  CHECK(milliseconds(6000) == settings.mPlanner.mStall);
+  CHECK(!settings.mFirstStart);
+}
+
+TEST(GatewaySettings, NamesTheFirstFaultWithItsLine)
+{
+  const std::pair<std::string, Error> cases[] = {
+    { kLeast + "[limits]\ngrace = 8\n", Error::SettingUnknown },
+    { kLeast + "[limits]\ngrace_s = long\n", Error::SettingInvalid },
+    { kLeast + "[limits]\ngrace_s = -1\n", Error::SettingInvalid },
+    { kLeast + "[node]\nfirst_start = maybe\n", Error::SettingInvalid },
+    { "[node]\nid = n1\n", Error::SettingMissing },
+    { "[node]\nid =\n", Error::SettingInvalid },
+    { "[node\n", Error::SyntaxInvalid },
+  };
+  for (const auto& [text, error] : cases) {
+    const Result<GatewaySettings> settings = ParseGatewaySettings("f", text);
+    CHECK_TEXT(!settings, text.c_str());
+    CHECK_TEXT(error == settings.error().mError, text.c_str());
+  }
+}
--- a/test/leaseshell-test.cc
+++ b/test/leaseshell-test.cc
@@ -84,3 +84,21 @@
   mClock.Advance(kTerm / 2);
   CHECK_FALSE(Acts());
 }
+
+// Nobody planned for 28 s as each node went on with the version it knew.
+TEST(LeaseShell, AConflictIsReadBeforeTheNextTry)
+{
+  Step();
+  mOther.Step("rack", LeaseRole::Preferred, 0, mOthers);
+  mClock.Advance(kTerm / 3);
+  Step();
+  mClock.Advance(kTerm);
+  // The other one still knows the version from before the renewal.
+  mOther.Step("rack", LeaseRole::Preferred, 0, mOthers);
+  CHECK(!MayAct(mOthers, mClock.Now()));
+  mClock.Advance(kTerm / 10);
+  mOther.Step("rack", LeaseRole::Preferred, 0, mOthers);
+  mClock.Advance(kTerm * 11 / 10);
+  mOther.Step("rack", LeaseRole::Preferred, 0, mOthers);
+  CHECK(MayAct(mOthers, mClock.Now()));
+}
--- /dev/null
+++ b/test/planner-test.cc
@@ -0,0 +1,226 @@
+#include "plannerworld.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+TEST_GROUP(Planner)
+{
+  PlannerWorld mWorld;
+
+  std::string FormOneOf(const char* aModel, size_t aVms)
+  {
+    mWorld.Add("d0", aVms, aModel);
+    mWorld.Settle();
+    const std::vector<std::string> heads = mWorld.OpenHeads(aModel);
+    CHECK_EQUAL(1U, heads.size());
+    return heads.front();
+  }
+};
+
+TEST(Planner, ALostMemberIsReplacedByASpareAfterTheHeadHasLeft)
+{
+  const std::string head = FormOneOf("big", 5);
+  const std::string lost = mWorld.MembersOf(head).back();
+  mWorld.Silence(lost);
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Leave, head) != nullptr);
+  CHECK(mWorld.FindOrder(orders, OrderKind::Join, head) == nullptr);
+  mWorld.Settle();
+  const std::vector<std::string> heads = mWorld.OpenHeads("big");
+  CHECK_EQUAL(1U, heads.size());
+  for (const std::string& it : mWorld.MembersOf(heads.front())) {
+    CHECK(it != lost);
+  }
+}
+
+TEST(Planner, MembersOfASilentHeadStayLockedUntilItIsListedNoMore)
+{
+  const std::string head = FormOneOf("small", 5);
+  mWorld.Silence(head);
+  mWorld.Settle();
+  CHECK(mWorld.OpenHeads("small") == std::vector<std::string>{ head });
+  mWorld.Step(seconds(1));
+  mWorld.mVms.erase(head);
+  mWorld.Settle();
+  CHECK_EQUAL(1U, mWorld.OpenHeads("small").size());
+}
+
+TEST(Planner, MembersOfASilentHeadAreFreeOnceItMustHaveBrokenDown)
+{
+  const std::string head = FormOneOf("small", 5);
+  mWorld.Silence(head);
+  mWorld.Settle();
+  mWorld.Step(mWorld.mBounds.mStall + seconds(1));
+  mWorld.Silence(head);
+  mWorld.Settle();
+  CHECK_EQUAL(2U, mWorld.OpenHeads("small").size());
+}
+
+TEST(Planner, ANewPlannerTakesUpWhatServes)
+{
+  const std::string head = FormOneOf("big", 5);
+  mWorld.mState = StartPlanning(8, mWorld.mNow);
+  CHECK(mWorld.Step().empty());
+  CHECK_EQUAL(4U, mWorld.MembersOf(head).size());
+}
+
+TEST(Planner, ANewPlannerOpensWhatStandsReady)
+{
+  const std::string head = FormOneOf("big", 5);
+  mWorld.mVms[head].mSeat->mPhase = GroupPhase::Ready;
+  mWorld.mState = StartPlanning(8, mWorld.mNow);
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Open, head) != nullptr);
+  CHECK_EQUAL(1U, orders.size());
+}
+
+// The entry of a head that was cut off from the list comes back while a new
+// planner holds its members for free.
+TEST(Planner, AnOpenHeadThatComesBackIsNeverJoinedAnew)
+{
+  const std::string head = FormOneOf("small", 4);
+  const FleetVm hidden = mWorld.mVms[head];
+  mWorld.mVms.erase(head);
+  mWorld.mState = StartPlanning(8, mWorld.mNow);
+  mWorld.Settle();
+  mWorld.mVms[head] = hidden;
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Join, head) == nullptr);
+  CHECK(mWorld.FindOrder(orders, OrderKind::Leave, head) != nullptr);
+}
+
+TEST(Planner, ALeavingMemberLetsTheHeadEndItsWork)
+{
+  const std::string head = FormOneOf("big", 5);
+  const std::string leaving = mWorld.MembersOf(head)[1];
+  mWorld.mVms[leaving].mState = VmState::Leaving;
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Close, head) != nullptr);
+  CHECK(mWorld.FindOrder(orders, OrderKind::Leave, head) == nullptr);
+  mWorld.Settle();
+  CHECK_EQUAL(1U, mWorld.OpenHeads("big").size());
+}
+
+TEST(Planner, AVmThatBeganAnotherLifeIsNoMemberAnyMore)
+{
+  const std::string head = FormOneOf("big", 5);
+  FleetVm& member = mWorld.mVms[mWorld.MembersOf(head)[2]];
+  member.mBornMillis = 99;
+  member.mSeat.reset();
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Leave, head) != nullptr);
+}
+
+TEST(Planner, AJoinWithoutAnswerIsGivenAgainTheSame)
+{
+  mWorld.Add("d0", 3, "small");
+  mWorld.mSilent.insert("d0-1");
+  const std::vector<FleetOrder> first = mWorld.Step(seconds(1));
+  const std::vector<FleetOrder> again = mWorld.Step(milliseconds(500));
+  const FleetOrder* was = mWorld.FindOrder(first, OrderKind::Join, "d0-1");
+  const FleetOrder* is = mWorld.FindOrder(again, OrderKind::Join, "d0-1");
+  CHECK(was != nullptr && is != nullptr);
+  CHECK(was->mGroup == is->mGroup);
+  CHECK(was->mMembers == is->mMembers);
+}
+
+TEST(Planner, EpochsRiseOverPlanners)
+{
+  const std::string head = FormOneOf("big", 4);
+  const uint64_t before = mWorld.mVms[head].mSeat->mKey.mEpoch;
+  mWorld.mState = StartPlanning(8, mWorld.mNow);
+  CHECK(mWorld.mState.mLastEpoch > before);
+}
+
+TEST_GROUP(FleetFormation)
+{
+  PlannerWorld mWorld;
+
+  void LayOut(size_t aDomains, size_t aVms)
+  {
+    mWorld.mBeforeTraffic = true;
+    for (size_t n = 0; n < aDomains; ++n) {
+      mWorld.Add("d" + std::to_string(n), aVms);
+    }
+    mWorld.Step();
+    mWorld.Settle();
+  }
+};
+
+TEST(FleetFormation, TheFirstLayOutWaitsUntilAllVmsHaveAppeared)
+{
+  mWorld.mBeforeTraffic = true;
+  mWorld.Add("d0", 3);
+  CHECK(mWorld.Step().empty());
+  mWorld.Add("d0", 6);
+  CHECK(mWorld.Step().empty());
+  CHECK(!mWorld.Step(seconds(1)).empty());
+}
+
+TEST(FleetFormation, ModelsGetTheirShareOfTheVms)
+{
+  LayOut(6, 9);
+  CHECK_EQUAL(7U, mWorld.OpenHeads("big").size());
+  CHECK_EQUAL(7U, mWorld.OpenHeads("small").size());
+}
+
+// A dark domain takes all its groups with it; what is left keeps both models.
+TEST(FleetFormation, WhenADomainGoesDarkBothModelsAreStillServed)
+{
+  LayOut(6, 9);
+  for (size_t n = 0; n < 9; ++n) {
+    const std::string id = "d0-" + std::to_string(n);
+    mWorld.mSilent.insert(id);
+    mWorld.mVms.erase(id);
+  }
+  mWorld.mBeforeTraffic = false;
+  mWorld.Settle();
+  CHECK(mWorld.OpenHeads("big").size() >= 5);
+  CHECK(mWorld.OpenHeads("small").size() >= 4);
+}
+
+// Two groups of sixteen in a domain of 37 must not lose their spares to a
+// small group, as one loss would strand fifteen VMs.
+TEST(FleetFormation, LargeGroupsKeepSparesInTheirDomain)
+{
+  mWorld.mEngine.mModels[0].mSize = 16;
+  mWorld.mEngine.mModels[1].mSize = 4;
+  LayOut(6, 37);
+  const std::string head = mWorld.OpenHeads("big").front();
+  const std::string lost = mWorld.MembersOf(head).back();
+  const size_t before = mWorld.OpenHeads("big").size();
+  mWorld.mBeforeTraffic = false;
+  mWorld.Silence(lost);
+  mWorld.mVms.erase(lost);
+  mWorld.Settle();
+  CHECK_EQUAL(before, mWorld.OpenHeads("big").size());
+}
+
+TEST(FleetFormation, LoadsStayUnderTheCommonRate)
+{
+  for (size_t n = 0; n < 6; ++n) {
+    mWorld.Add("d" + std::to_string(n), 9);
+  }
+  for (int n = 0; n < 100; ++n) {
+    mWorld.Step(milliseconds(50));
+  }
+  const size_t loads = mWorld.mState.mLoads.size();
+  CHECK(loads > 0);
+  CHECK(loads <= mWorld.mEngine.mLoadsAtOnce);
+}
+
+// Three VMs that hold a model wait for a fourth: an empty one loads it before
+// any domain gets its first spare.
+TEST(FleetFormation, ALoadThatCompletesAGroupGoesFirst)
+{
+  mWorld.mEngine.mLoadsAtOnce = 1;
+  mWorld.Add("d0", 4, "big");
+  mWorld.Settle();
+  mWorld.Add("d1", 3, "big");
+  mWorld.Add("d0", 1);
+  mWorld.Add("d1", 1);
+  const std::vector<FleetOrder> orders = mWorld.Step(seconds(1));
+  CHECK(mWorld.FindOrder(orders, OrderKind::Join, "d1-3") != nullptr);
+  CHECK(mWorld.FindOrder(orders, OrderKind::Join, "d0-4") == nullptr);
+}
--- /dev/null
+++ b/test/plannerworld.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "fleet/planner.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace hibiscushold {
+
+/// VMs that carry out the planner's orders at once, for tests without network.
+/// Times of joins and loads are left out; a test decides who answers.
+class PlannerWorld
+{
+public:
+  PlannerWorld()
+  {
+    mEngine.mSlots = 26;
+    mEngine.mLoadsPerSecond = 4;
+    mEngine.mLoadsAtOnce = 6;
+    mEngine.mModels = {
+      { "big", 4, 0.57, 1, seconds(16), milliseconds(1600) },
+      { "small", 3, 0.43, 0.6, seconds(12), milliseconds(1100) }
+    };
+  }
+
+  /// Adds VMs to a domain; each holds aModel on its host, or none.
+  void Add(const std::string& aDomain, size_t aCount, const char* aModel = "")
+  {
+    const size_t first = CountIn(aDomain);
+    for (size_t n = first; n < first + aCount; ++n) {
+      FleetVm vm;
+      vm.mId = aDomain + "-" + std::to_string(n);
+      vm.mBornMillis = 1;
+      vm.mService = kService;
+      vm.mAddress = { "10.0.0.1", static_cast<uint16_t>(1000 + mVms.size()) };
+      vm.mDomain = aDomain;
+      vm.mZone = "a";
+      if (*aModel != '\0') {
+        vm.mStaged = { aModel };
+      }
+      mVms[vm.mId] = vm;
+    }
+  }
+
+  /// Plans once, and carries the orders out where the VMs answer.
+  std::vector<FleetOrder> Step(Duration aLater = milliseconds(50))
+  {
+    mNow += aLater;
+    PlannerStep step = PlanStep(
+      mState, { mVms, kService, mEngine, mBeforeTraffic }, mBounds, mNow);
+    for (const FleetOrder& it : step.mOrders) {
+      RecordOutcome(mState, it, CarryOut(it), mNow);
+    }
+    return std::move(step.mOrders);
+  }
+
+  /// Plans until nothing more is ordered.
+  void Settle()
+  {
+    Step(seconds(1));
+    for (int n = 0; n < 20 && !Step().empty(); ++n) {
+    }
+  }
+
+  /// The VM neither answers nor is dropped from the list yet.
+  void Silence(const std::string& aVmId)
+  {
+    mSilent.insert(aVmId);
+    RecordAnswer(mState, aVmId, false, mNow);
+    RecordAnswer(mState, aVmId, false, mNow);
+  }
+
+  size_t CountIn(const std::string& aDomain) const
+  {
+    return static_cast<size_t>(
+      std::count_if(mVms.begin(), mVms.end(), [&](const auto& it) {
+        return it.second.mDomain == aDomain;
+      }));
+  }
+
+  /// @return heads that serve the model
+  std::vector<std::string> OpenHeads(const std::string& aModel) const
+  {
+    std::vector<std::string> heads;
+    for (const auto& [id, vm] : mVms) {
+      if (vm.mSeat && vm.mSeat->mModel == aModel &&
+          vm.mSeat->mPhase == GroupPhase::Open) {
+        heads.push_back(id);
+      }
+    }
+    return heads;
+  }
+
+  const FleetOrder* FindOrder(const std::vector<FleetOrder>& aOrders,
+                              OrderKind aKind,
+                              const std::string& aVmId) const
+  {
+    const auto it =
+      std::find_if(aOrders.begin(), aOrders.end(), [&](const FleetOrder& o) {
+        return o.mKind == aKind && o.mVmId == aVmId;
+      });
+    return it == aOrders.end() ? nullptr : &*it;
+  }
+
+  std::vector<std::string> MembersOf(const std::string& aHead) const
+  {
+    return MembersToAsk(mState, aHead);
+  }
+
+  static constexpr const char* kService = "drafting";
+
+  FleetVms mVms;
+  EngineSpec mEngine;
+  PlannerBounds mBounds;
+  TimePoint mNow{ std::chrono::hours(1) };
+  PlannerState mState = StartPlanning(7, mNow);
+  bool mBeforeTraffic = false;
+  std::set<std::string> mSilent;
+
+private:
+  OrderOutcome CarryOut(const FleetOrder& aOrder)
+  {
+    const auto it = mVms.find(aOrder.mVmId);
+    if (it == mVms.end() || mSilent.contains(aOrder.mVmId)) {
+      return OrderOutcome::Unknown;
+    }
+    FleetVm& vm = it->second;
+    if (aOrder.mKind == OrderKind::Join) {
+      const auto rank = std::find(aOrder.mMembers.begin(),
+                                  aOrder.mMembers.end(),
+                                  aOrder.mVmId) -
+                        aOrder.mMembers.begin();
+      vm.mSeat = GroupSeat{ aOrder.mGroup,
+                            static_cast<uint32_t>(rank),
+                            GroupPhase::Ready,
+                            aOrder.mModel };
+      vm.mStaged = { aOrder.mModel };
+      return OrderOutcome::Begun;
+    }
+    if (!vm.mSeat || vm.mSeat->mKey != aOrder.mGroup) {
+      return OrderOutcome::Unfit;
+    }
+    switch (aOrder.mKind) {
+      case OrderKind::Open:
+        vm.mSeat->mPhase = GroupPhase::Open;
+        break;
+      case OrderKind::Close:
+        vm.mSeat->mPhase = GroupPhase::Ready;
+        break;
+      default:
+        vm.mSeat.reset();
+    }
+    return OrderOutcome::Done;
+  }
+};
+
+} // namespace hibiscushold
--- /dev/null
+++ b/test/platform-test.cc
@@ -0,0 +1,260 @@
+#include "core/ini.h"
+#include "manualclock.h"
+#include "platform/decode.h"
+#include "platform/engines.h"
+#include "platform/objects.h"
+#include "scriptedserver.h"
+
+#include <filesystem>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+namespace {
+
+Object
+Entry(const std::string& aValue)
+{
+  return { "servers/i-1", 3, aValue };
+}
+
+std::string
+Http(int aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " x\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+} // namespace
+
+TEST_GROUP(Decode){};
+
+TEST(Decode, ReadsAVmWithItsSeat)
+{
+  const FleetVm vm =
+    DecodeVm(Entry(R"({"service":"s","addr":"10.0.0.9:80","zone":"z",
+      "state":"ready","born":17,"domain":"d","slots":26,"seq":4,
+      "staged":["m"],"models":[{"name":"m","version":1}],
+      "group":{"name":"g7","epoch":12,"rank":2,"state":"ready"}})"))
+      .value();
+  STRCMP_EQUAL("i-1", vm.mId.c_str());
+  CHECK_EQUAL(17U, vm.mBornMillis);
+  CHECK(VmState::Live == vm.mState);
+  CHECK_EQUAL(80, vm.mAddress.mPort);
+  CHECK(vm.mSeat.has_value());
+  CHECK((GroupKey{ "g7", 12 } == vm.mSeat->mKey));
+  CHECK_EQUAL(2U, vm.mSeat->mRank);
+  STRCMP_EQUAL("m", vm.mSeat->mModel.c_str());
+}
+
+TEST(Decode, RefusesEntriesThatNameNoVmToUse)
+{
+  for (const char* it : {
+         "",
+         "null",
+         "[]",
+         "{}",
+         R"({"service":7,"addr":"10.0.0.9:80","state":"ready"})",
+         R"({"service":"s","addr":"10.0.0.9:80","state":"odd"})",
+         R"({"service":"s","addr":"nowhere","state":"ready"})",
+         R"({"service":"s","addr":"10.0.0.9:80","state":["ready"]})",
+       }) {
+    CHECK_TEXT(!DecodeVm(Entry(it)), it);
+  }
+}
+
+TEST(Decode, TakesASeatOfAnUnknownPhaseForNone)
+{
+  const Result<FleetVm> vm =
+    DecodeVm(Entry(R"({"service":"s","addr":"10.0.0.9:80","state":"draining",
+      "group":{"name":"g","epoch":1,"rank":0,"state":"resting"}})"));
+  CHECK(VmState::Leaving == vm.value().mState);
+  CHECK(!vm.value().mSeat.has_value());
+}
+
+TEST(Decode, ReadsRoutesEnginesAndAccounts)
+{
+  const FleetConfig config = DecodeConfig({ "config/main", 9, R"({"version":7,
+      "routes":[{"name":"r","host":"h.example","path_prefix":"/a/",
+        "kind":"streaming","timeout_ms":8000,"slo_ms":300,"attempts":2,
+        "resumable":true,"gap_slo_ms":200,
+        "split":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+        {"name":"q","host":"h.example","path_prefix":"/a/b/",
+        "kind":"non_idempotent","service":"t","public":true}],
+      "services":[{"name":"s","engine":{"slots":26,"stride":7,
+        "models":[{"name":"m","size":4,"share":0.5,"load_s":16.0}],
+        "loads_per_s":4.5}},{"name":"t"}],
+      "tenants":[{"name":"yard","keys":["k1","k2"]}]})" })
+                               .value();
+  CHECK_EQUAL(7U, config.mVersion);
+  const FleetRoute* route = FindRoute(config, "H.example:80", "/a/x");
+  STRCMP_EQUAL("r", route->mName.c_str());
+  CHECK(Repeats::Stream == route->mRepeats);
+  CHECK(route->mResumable);
+  STRCMP_EQUAL("s", std::string(PickService(*route, 0.5)).c_str());
+  STRCMP_EQUAL("t", std::string(PickService(*route, 0.95)).c_str());
+  STRCMP_EQUAL("q", FindRoute(config, "h.example", "/a/b/c")->mName.c_str());
+  CHECK(FindRoute(config, "other", "/a/") == nullptr);
+  STRCMP_EQUAL("yard", FindAccount(config, "k2")->mName.c_str());
+  CHECK(FindAccount(config, "k3") == nullptr);
+  const EngineSpec& engine = *config.mServices.at("s").mEngine;
+  CHECK_EQUAL(4U, engine.FindModel("m")->mSize);
+  CHECK(!config.mServices.at("t").mEngine.has_value());
+}
+
+TEST(Decode, RefusesAConfigurationThatCannotBeRead)
+{
+  CHECK(!DecodeConfig({ "config/main", 1, "{" }));
+  CHECK(!DecodeConfig({ "config/main", 1, "{}" }));
+  CHECK(!DecodeConfig(
+    { "config/main", 1, R"({"version":1,"routes":[{"kind":"new"}]})" }));
+}
+
+TEST_GROUP(ObjectStore)
+{
+  SystemClock mClock;
+  Metrics mMetrics;
+  HttpClient mClient{ mClock };
+};
+
+TEST(ObjectStore, ReadsAllPagesFromTheFirstRevision)
+{
+  ScriptedServer server({
+    { Http(200, R"({"items":[{"metadata":{"name":"a","rev":1},"spec":{}}],
+        "has_more":true,"as_of":5})") },
+    { Http(200, R"({"items":[7,{"metadata":{"name":"b","rev":9},"spec":{}}],
+        "has_more":false,"as_of":9})") },
+  });
+  ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+  const Listing listing = store.List("servers/", CallClass::Config).value();
+  CHECK_EQUAL(2U, listing.mObjects.size());
+  CHECK_EQUAL(5U, listing.mRevision);
+  STRCMP_EQUAL("servers/b", listing.mObjects[1].mKey.c_str());
+  STRCMP_CONTAINS("/v1/objects/servers?after=a", server.Requests()[1].c_str());
+}
+
+TEST(ObjectStore, TellsItsFailuresApart)
+{
+  struct Case
+  {
+    int mStatus;
+    Error mError;
+  };
+  const Case cases[] = { { 404, Error::StoreMissing },
+                         { 409, Error::StoreConflict },
+                         { 410, Error::StoreHistoryGone },
+                         { 429, Error::StoreThrottled },
+                         { 503, Error::StoreUnavailable } };
+  for (const Case& it : cases) {
+    ScriptedServer server({ { Http(it.mStatus, "{}") } });
+    ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+    const Result<Listing> read = store.Watch("config/", 3, milliseconds(10));
+    CHECK(it.mError == read.error().mError);
+  }
+}
+
+TEST(ObjectStore, ALostAnswerMayHaveTakenEffect)
+{
+  ScriptedServer server({ { "", true } });
+  ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+  const Result<uint64_t> written =
+    store.Update("lease/planner", "{}", 4, CallClass::Lease);
+  CHECK(Error::StoreUnavailable == written.error().mError);
+  STRCMP_CONTAINS(R"("rev":4)", server.Requests()[0].c_str());
+}
+
+TEST(ObjectStore, OnlyLeastImportantReadsMayBeOld)
+{
+  const std::string object =
+    R"({"metadata":{"name":"planner","rev":4},"spec":{"a":1}})";
+  ScriptedServer server({ { Http(200, object) }, { Http(200, object) } });
+  ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+  CHECK(store.Get("lease/planner", CallClass::Lease).has_value());
+  CHECK(store.Get("lease/planner", CallClass::Status).has_value());
+  CHECK(server.Requests()[0].find("allow_stale") == std::string::npos);
+  STRCMP_CONTAINS("?allow_stale=1", server.Requests()[1].c_str());
+}
+
+TEST(ObjectStore, ReadsChangesAndDeletions)
+{
+  ScriptedServer server({ { Http(200, R"({"as_of":8,"events":[
+    {"deleted":true,"object":{"metadata":{"name":"a","rev":7}}},
+    {"deleted":false,"object":{"metadata":{"name":"b","rev":8},
+      "spec":{"x":1}}}]})") } });
+  ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+  const Listing listing = store.Watch("servers/", 5, milliseconds(100)).value();
+  CHECK_EQUAL(8U, listing.mRevision);
+  STRCMP_EQUAL("servers/a", listing.mDeleted[0].c_str());
+  STRCMP_EQUAL(R"({"x":1})", listing.mObjects[0].mValue.c_str());
+}
+
+TEST_GROUP(PlatformEngines)
+{
+  SystemClock mClock;
+  HttpClient mClient{ mClock };
+  PlatformEngines mEngines{ mClient, mClock };
+
+  FleetOrder MakeOrder(const Endpoint& aTo) const
+  {
+    return {
+      OrderKind::Join, "i-1", aTo, { "g7", 12 }, "m", { "i-1", "i-2" }, 5
+    };
+  }
+};
+
+TEST(PlatformEngines, ReadsWhatBecameOfAnOrder)
+{
+  const std::pair<int, OrderOutcome> cases[] = {
+    { 202, OrderOutcome::Begun }, { 200, OrderOutcome::Done },
+    { 409, OrderOutcome::Unfit }, { 412, OrderOutcome::Outdated },
+    { 421, OrderOutcome::Wrong },
+  };
+  for (const auto& [status, outcome] : cases) {
+    ScriptedServer server({ { Http(status, "{}") } });
+    CHECK(outcome == mEngines.Give(MakeOrder(server.Address())));
+    const std::string request = server.Requests()[0];
+    STRCMP_CONTAINS("Expect-Instance: i-1", request.c_str());
+    STRCMP_CONTAINS(R"("fence":5)", request.c_str());
+    STRCMP_CONTAINS(R"("members":["i-1","i-2"])", request.c_str());
+  }
+}
+
+TEST(PlatformEngines, AnOrderWithoutAnswerMayComeLate)
+{
+  ScriptedServer server({});
+  CHECK(OrderOutcome::Unknown == mEngines.Give(MakeOrder(server.Address())));
+}
+
+TEST_GROUP(PlatformNames){};
+
+// Only the adapter knows how the platform spells things.
+TEST(PlatformNames, AreKnownInTheAdapterOnly)
+{
+  const std::string root = SOURCE_DIR;
+  for (const char* folder : { "/src", "/bench" }) {
+    for (const auto& it :
+         std::filesystem::recursive_directory_iterator(root + folder)) {
+      if (!it.is_regular_file()) {
+        continue;
+      }
+      const std::string path = it.path().string();
+      const std::string text = ReadTextFile(path, 1000000).value();
+      for (const char* name : { "Server-Stamp",
+                                "Token-Counts",
+                                "Prompt-Prefix",
+                                "Expect-Instance",
+                                "Deadline-Ms",
+                                "Req-Priority",
+                                "cold_left_ms",
+                                "path_prefix",
+                                "slo_ms",
+                                "allow_stale",
+                                "as_of" }) {
+        CHECK_TEXT(text.find(name) == std::string::npos,
+                   (path + ": " + name).c_str());
+      }
+    }
+  }
+}
