--- a/src/fleet/config.cc
+++ b/src/fleet/config.cc
@@ -9,11 +9,11 @@
 const FleetModel*
 EngineSpec::FindModel(std::string_view aName) const
 {
-  const auto it =
-    std::find_if(mModels.begin(), mModels.end(), [&](const FleetModel& model) {
-      return model.mName == aName;
+  const auto found =
+    std::find_if(mModels.begin(), mModels.end(), [&](const FleetModel& it) {
+      return it.mName == aName;
     });
-  return it == mModels.end() ? nullptr : &*it;
+  return found == mModels.end() ? nullptr : &*found;
 }
 
 const FleetRoute*
--- a/src/fleet/formation.cc
+++ b/src/fleet/formation.cc
@@ -49,12 +49,10 @@
 public:
   Formations(PlannerState& aState,
              const PlannerView& aView,
-             const PlannerBounds& aBounds,
              TimePoint aNow,
              std::vector<FleetOrder>& aOrders)
     : mState(aState)
     , mView(aView)
-    , mBounds(aBounds)
     , mNow(aNow)
     , mOrders(aOrders)
   {
@@ -497,7 +495,6 @@
 
   PlannerState& mState;
   const PlannerView& mView;
-  const PlannerBounds& mBounds;
   const TimePoint mNow;
   std::vector<FleetOrder>& mOrders;
   FreeVms mFree;                            ///< by domain
@@ -516,11 +513,10 @@
 void
 PlanFormations(PlannerState& aState,
                const PlannerView& aView,
-               const PlannerBounds& aBounds,
                TimePoint aNow,
                std::vector<FleetOrder>& aOrders)
 {
-  Formations(aState, aView, aBounds, aNow, aOrders).Run();
+  Formations(aState, aView, aNow, aOrders).Run();
 }
 
 } // namespace hibiscushold
--- a/src/fleet/formation.h
+++ b/src/fleet/formation.h
@@ -11,7 +11,6 @@
 void
 PlanFormations(PlannerState& aState,
                const PlannerView& aView,
-               const PlannerBounds& aBounds,
                TimePoint aNow,
                std::vector<FleetOrder>& aOrders);
 
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -61,7 +61,7 @@
       }
       it = stays ? std::next(it) : mState.mGroups.erase(it);
     }
-    PlanFormations(mState, mView, mBounds, mNow, mStep.mOrders);
+    PlanFormations(mState, mView, mNow, mStep.mOrders);
     return std::move(mStep);
   }
 
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -17,7 +17,6 @@
 struct PlannerBounds
 {
   milliseconds mStall{ 6000 }; ///< a group that lost a VM is broken after this
-  double mCeilingOver = 1.0;   ///< of the loads that may start each second
 };
 
 /// What the planner holds of one VM beyond the platform's list.
--- a/src/fleet/vm.h
+++ b/src/fleet/vm.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hibiscushold {
@@ -33,7 +34,10 @@
   uint64_t mEpoch = 0;
 
   bool operator==(const GroupKey&) const = default;
-  auto operator<=>(const GroupKey&) const = default;
+  bool operator<(const GroupKey& aOther) const
+  {
+    return std::tie(mEpoch, mName) < std::tie(aOther.mEpoch, aOther.mName);
+  }
 };
 
 /// What a VM says of its place in a group.
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -129,10 +129,6 @@
     { "groups.stall_ms", { false, Number([](Settings& aInto, double aValue) {
                              aInto.mPlanner.mStall = Millis(aValue);
                            }) } },
-    { "groups.ceiling_over",
-      { false, Number([](Settings& aInto, double aValue) {
-          aInto.mPlanner.mCeilingOver = aValue;
-        }) } },
   };
   return known;
 }
@@ -169,7 +165,8 @@
   GatewaySettings settings;
   std::set<std::string> given;
   for (const IniLine& it : file.mLines) {
-    const std::string name = it.mSection + "." + it.mName;
+    std::string name = it.mSection;
+    name.append(".").append(it.mName);
     const auto known = KnownSettings().find(name);
     if (known == KnownSettings().end()) {
       return At(aPath, it.mLine, Unknown(name));
--- a/test/plannerworld.h
+++ b/test/plannerworld.h
@@ -96,11 +96,11 @@
                               OrderKind aKind,
                               const std::string& aVmId) const
   {
-    const auto it =
-      std::find_if(aOrders.begin(), aOrders.end(), [&](const FleetOrder& o) {
-        return o.mKind == aKind && o.mVmId == aVmId;
+    const auto found =
+      std::find_if(aOrders.begin(), aOrders.end(), [&](const FleetOrder& it) {
+        return it.mKind == aKind && it.mVmId == aVmId;
       });
-    return it == aOrders.end() ? nullptr : &*it;
+    return found == aOrders.end() ? nullptr : &*found;
   }
 
   std::vector<std::string> MembersOf(const std::string& aHead) const
