--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -13,6 +13,10 @@
 
 namespace hibiscushold {
 
+/// Orders are carried out within milliseconds, unless they got lost; one whose
+/// effect is not seen is repeated after this.
+inline constexpr auto kOrderAgain = milliseconds(450);
+
 /// Bounds that the planner keeps to.
 struct PlannerBounds
 {
--- a/src/fleet/vm.cc
+++ b/src/fleet/vm.cc
@@ -22,6 +22,27 @@
   return "";
 }
 
+const FleetVm*
+FindVm(const FleetVms& aVms, const std::string& aId)
+{
+  const auto it = aVms.find(aId);
+  return it == aVms.end() ? nullptr : &it->second;
+}
+
+bool
+IsSeatedIn(const FleetVm* aVm, const GroupKey& aKey)
+{
+  return aVm != nullptr && aVm->mSeat && aVm->mSeat->mKey == aKey;
+}
+
+bool
+IsServingHead(const FleetVm* aHead)
+{
+  return aHead != nullptr && aHead->mSeat && aHead->mSeat->mRank == 0 &&
+         (aHead->mSeat->mPhase == GroupPhase::Open ||
+          aHead->mSeat->mPhase == GroupPhase::Closing);
+}
+
 std::vector<SeatedGroup>
 SeatedGroups(const FleetVms& aVms, std::string_view aService)
 {
--- a/src/fleet/vm.h
+++ b/src/fleet/vm.h
@@ -68,6 +68,20 @@
 using FleetVms = std::map<std::string, FleetVm>;
 using FleetVmsPtr = std::shared_ptr<const FleetVms>;
 
+/// @return the VM, or null
+const FleetVm*
+FindVm(const FleetVms& aVms, const std::string& aId);
+
+/// @param aVm may be null
+/// @return whether the VM has a seat in this formation of the group
+bool
+IsSeatedIn(const FleetVm* aVm, const GroupKey& aKey);
+
+/// @param aHead may be null
+/// @return whether it is the head of a group that takes or ends requests
+bool
+IsServingHead(const FleetVm* aHead);
+
 /// A group with all its VMs seated, as the list shows it.
 struct SeatedGroup
 {
