Poll the configuration each second; plan nothing while entries come back

Cause: when the store went away, keys were believed for as little as 0.7 s more, as a waiting question proves only the time it was sent; after its return a new planner took whole groups for broken, as entries were still missing.

--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -108,6 +108,11 @@
 FleetVmsPtr
 PlanRunner::FreshVms()
 {
+  // Entries that lapsed with the store are not yet back; without them, whole
+  // groups would look broken.
+  if (mParts.mClock.Now() < mParts.mWatcher.SettledAt()) {
+    return nullptr;
+  }
   // What is followed may lack what an earlier planner ordered last.
   if (mParts.mWatcher.VmsReadAt() > mFreshAt) {
     return mParts.mWatcher.Vms();
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -8,10 +8,10 @@
 
 namespace {
 
-/// Each waiting question costs a call. The answer also proves that the store
-/// can be reached, so it must come well inside the time that a revoked key
-/// may still be used.
-constexpr auto kConfigWait = milliseconds(1800);
+/// A waiting question is answered at the latest after this. Its answer proves
+/// the configuration as of when it was sent, so short waits keep keys valid for
+/// longer when the store goes away.
+constexpr auto kConfigWait = milliseconds(600);
 constexpr auto kVmWait = milliseconds(2000);
 constexpr auto kRetryGap = milliseconds(250);
 /// The platform puts entries back within two seconds of the store's return.
@@ -73,7 +73,8 @@
              { { "objects", aFeed.mWhat },
                { "reason", lost ? Describe(aRead.error()) : "" } });
     if (&aFeed == &mVmFeed && !lost) {
-      mStoreBackAt = mClock.Now();
+      const std::lock_guard guard(mLock);
+      mSettledAt = mClock.Now() + kReturnGrace;
     }
   }
   if (lost) {
@@ -107,7 +108,7 @@
       }
     }
   }
-  const TimePoint graceEnd = mStoreBackAt + kReturnGrace;
+  const TimePoint graceEnd = SettledAt();
   for (const std::string& it : gone) {
     const auto found = vms.find(it);
     const bool mayReturn = found != vms.end() &&
@@ -161,7 +162,7 @@
 }
 
 void
-FleetWatcher::StepConfig()
+FleetWatcher::StepConfig(Duration aGap)
 {
   const TimePoint askedAt = mClock.Now();
   bool whole = false;
@@ -174,8 +175,11 @@
       TakeConfig(it);
     }
   }
-  const std::lock_guard guard(mLock);
-  mProof = askedAt;
+  {
+    const std::lock_guard guard(mLock);
+    mProof = askedAt;
+  }
+  std::this_thread::sleep_for(aGap);
 }
 
 void
@@ -226,6 +230,13 @@
   return vms;
 }
 
+TimePoint
+FleetWatcher::SettledAt() const
+{
+  const std::lock_guard guard(mLock);
+  return mSettledAt;
+}
+
 TimePoint
 FleetWatcher::VmsReadAt() const
 {
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -31,13 +31,18 @@
   void StepVms(Duration aGap);
 
   /// Waits for a change of the configuration and takes it in.
-  void StepConfig();
+  /// @param aGap pause after it
+  void StepConfig(Duration aGap);
 
   FleetVmsPtr Vms() const;
 
   /// Lists the VMs anew, apart from what is followed.
   Result<FleetVms> ReadVms() const;
 
+  /// @return when all VMs that lapsed while the store was away should be
+  ///         listed again
+  TimePoint SettledAt() const;
+
   /// @return when the store last answered how the VMs stand
   TimePoint VmsReadAt() const;
 
@@ -75,12 +80,12 @@
   /// Entries that are gone from the list but may come back, as they lapsed
   /// while the store was away; with the time to drop them.
   std::map<std::string, TimePoint> mLapsed;
-  TimePoint mStoreBackAt;
   std::map<std::string, std::string> mUnreadable; ///< entry to its last fault
   std::function<void(const FleetVmsPtr&)> mListener;
   mutable std::mutex mLock; ///< guards what follows
   FleetVmsPtr mVms;
   TimePoint mVmsReadAt;
+  TimePoint mSettledAt;
   FleetConfigPtr mConfig;
   TimePoint mProof;
 };
--- a/test/watcher-test.cc
+++ b/test/watcher-test.cc
@@ -121,29 +121,29 @@
 {
   CHECK(mWatcher.Config() == nullptr);
   mStore.mValues["config/main"] = "7";
-  mWatcher.StepConfig();
+  mWatcher.StepConfig(Duration::zero());
   mStore.mValues["config/main"] = "5";
-  mWatcher.StepConfig();
+  mWatcher.StepConfig(Duration::zero());
   CHECK_EQUAL(7U, mWatcher.Config()->mVersion);
 }
 
 TEST(Watcher, KeepsTheLastConfigurationThatCouldBeRead)
 {
   mStore.mValues["config/main"] = "7";
-  mWatcher.StepConfig();
+  mWatcher.StepConfig(Duration::zero());
   mStore.mValues["config/main"] = "bad";
-  mWatcher.StepConfig();
+  mWatcher.StepConfig(Duration::zero());
   CHECK_EQUAL(7U, mWatcher.Config()->mVersion);
 }
 
 TEST(Watcher, ProvesFreshnessFromWhenTheQuestionWasSent)
 {
   const TimePoint asked = mClock.Now();
-  mWatcher.StepConfig();
+  mWatcher.StepConfig(Duration::zero());
   CHECK(asked == mWatcher.ConfigProof());
   mClock.Advance(seconds(3));
   mStore.mDown = true;
-  mWatcher.StepConfig();
+  mWatcher.StepConfig(Duration::zero());
   CHECK(asked == mWatcher.ConfigProof());
 }
 
@@ -180,7 +180,9 @@
   StepVms();
   CHECK(Knows("1"));
   CHECK(!Knows("2"));
+  CHECK(mClock.Now() < mWatcher.SettledAt());
   mClock.Advance(seconds(3));
+  CHECK(mClock.Now() > mWatcher.SettledAt());
   StepVms();
   CHECK(!Knows("1"));
 }
