Write logs from a thread of its own, deal the slack for repeats by fleet size

Cause: a reader of the log that stands still would have held up requests; on 91 nodes the parts of the slack for repeats added up to five times the whole.

--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -278,6 +278,8 @@
       return StartLeaving(aKey, aGroup, "not_closed", headId);
     }
     if (head->mSeat->mPhase == GroupPhase::Ready) {
+      // An order to open it that got no answer may still be on its way.
+      Order(OrderKind::Leave, headId, aKey);
       return Dissolve(aKey, aGroup, "closed", "");
     }
     if (head->mSeat->mPhase == GroupPhase::Open &&
--- a/src/fleet/repeats.cc
+++ b/src/fleet/repeats.cc
@@ -7,9 +7,6 @@
 /// Part of the common ratio that nodes use by themselves; the rest covers
 /// windows that the nodes see at other times.
 constexpr double kRatioPart = 0.75;
-/// Nodes that the common slack is dealt to. Nodes do not count each other, so
-/// this is the most that a deployment of today has.
-constexpr double kSlackParts = 16;
 
 void
 DropBefore(std::deque<TimePoint>& aTimes, TimePoint aStart)
@@ -29,11 +26,13 @@
 }
 
 bool
-MayRepeat(const RepeatWindow& aWindow, const RepeatBounds& aBounds)
+MayRepeat(const RepeatWindow& aWindow,
+          const RepeatBounds& aBounds,
+          size_t aNodes)
 {
   const double most = aBounds.mRatio * kRatioPart *
                         static_cast<double>(aWindow.mRequests.size()) +
-                      aBounds.mSlack / kSlackParts;
+                      aBounds.mSlack / static_cast<double>(aNodes);
   return static_cast<double>(aWindow.mRepeats.size()) + 1 <= most;
 }
 
@@ -51,13 +50,20 @@
   window.mRequests.push_back(aNow);
 }
 
+void
+RepeatBudget::DealSlack(size_t aNodes)
+{
+  const std::lock_guard guard(mLock);
+  mNodes = aNodes;
+}
+
 bool
 RepeatBudget::TakeRepeat(const std::string& aService, TimePoint aNow)
 {
   const std::lock_guard guard(mLock);
   RepeatWindow& window = mWindows[aService];
   Forget(window, mBounds, aNow);
-  if (!MayRepeat(window, mBounds)) {
+  if (!MayRepeat(window, mBounds, mNodes)) {
     return false;
   }
   window.mRepeats.push_back(aNow);
--- a/src/fleet/repeats.h
+++ b/src/fleet/repeats.h
@@ -29,9 +29,12 @@
 void
 Forget(RepeatWindow& aWindow, const RepeatBounds& aBounds, TimePoint aNow);
 
+/// @param aNodes how many nodes deal the slack
 /// @return whether this node may repeat one more request
 bool
-MayRepeat(const RepeatWindow& aWindow, const RepeatBounds& aBounds);
+MayRepeat(const RepeatWindow& aWindow,
+          const RepeatBounds& aBounds,
+          size_t aNodes);
 
 /// This node's part of the budget for repeats, by service. Safe for several
 /// threads.
@@ -43,13 +46,17 @@
 
   void AddRequest(const std::string& aService, TimePoint aNow);
 
+  /// @param aNodes how many nodes deal the common slack, at the most
+  void DealSlack(size_t aNodes);
+
   /// Takes one repeat.
   /// @return whether there was one
   bool TakeRepeat(const std::string& aService, TimePoint aNow);
 
 private:
   const RepeatBounds mBounds;
-  std::mutex mLock;
+  std::mutex mLock; ///< guards what follows
+  size_t mNodes = 16;
   std::map<std::string, RepeatWindow> mWindows;
 };
 
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -153,6 +153,12 @@
            "did you mean '" + NearestName(aName, names) + "'?" };
 }
 
+Failure
+MissingIn(const std::string& aPath, const std::string& aName)
+{
+  return { Error::SettingMissing, aPath + ": " + aName, "add it" };
+}
+
 } // namespace
 
 Result<GatewaySettings>
@@ -183,7 +189,7 @@
   }
   for (const auto& [name, known] : KnownSettings()) {
     if (known.mRequired && !given.contains(name)) {
-      return Failure{ Error::SettingMissing, aPath + ": " + name, "add it" };
+      return MissingIn(aPath, name);
     }
   }
   return settings;
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -1,6 +1,7 @@
 #include "observe/events.h"
 
 #include "core/json.h"
+#include "observe/boundedappender.h"
 
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
@@ -120,15 +121,23 @@
   return ToJson(json);
 }
 
+log4cplus::Appender*
+MakeAppender(LogTarget aTarget)
+{
+  if (aTarget == LogTarget::StandardOutput) {
+    return new BoundedAppender;
+  }
+  const bool toStandardError = true;
+  return new log4cplus::ConsoleAppender(toStandardError, true);
+}
+
 } // namespace
 
 void
 StartLog(const std::string& aLevel, bool aJson, LogTarget aTarget)
 {
   gJson = aJson;
-  const bool toStandardError = aTarget == LogTarget::StandardError;
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(toStandardError, true));
+  log4cplus::SharedAppenderPtr appender(MakeAppender(aTarget));
   const char* pattern = aJson ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n";
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
@@ -141,6 +150,12 @@
   root.setLogLevel(log4cplus::getLogLevelManager().fromString(level));
 }
 
+void
+StopLog()
+{
+  log4cplus::Logger::getRoot().closeNestedAppenders();
+}
+
 void
 LogEvent(EventId aId, std::initializer_list<EventField> aFields)
 {
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -59,6 +59,10 @@
          bool aJson,
          LogTarget aTarget = LogTarget::StandardError);
 
+/// Writes what still waits to be written.
+void
+StopLog();
+
 /// Writes one event. The level follows from the event's number.
 void
 LogEvent(EventId aId, std::initializer_list<EventField> aFields);
--- a/test/loadpatterns-test.cc
+++ b/test/loadpatterns-test.cc
@@ -143,3 +143,12 @@
   }
   CHECK(budget.TakeRepeat("small", kStart));
 }
+
+TEST(LoadPatterns, MoreNodesGetLessOfTheCommonSlack)
+{
+  RepeatBudget budget({ 0, seconds(10), 160 });
+  budget.DealSlack(80);
+  CHECK(budget.TakeRepeat("drafting", kStart));
+  CHECK(budget.TakeRepeat("drafting", kStart));
+  CHECK(!budget.TakeRepeat("drafting", kStart));
+}
