--- a/src/fleet/orders.cc
+++ b/src/fleet/orders.cc
@@ -14,8 +14,6 @@
       return "close";
     case OrderKind::Leave:
       return "leave";
-    case OrderKind::Stage:
-      return "stage";
   }
   return "";
 }
--- a/src/fleet/orders.h
+++ b/src/fleet/orders.h
@@ -14,7 +14,6 @@
   Open,  ///< the head begins to serve
   Close, ///< the head ends its work and takes no more
   Leave, ///< gives up the seat at once
-  Stage, ///< copies a model to the VM's host
 };
 
 /// @return the stable name of the kind
@@ -28,7 +27,7 @@
   std::string mVmId;
   Endpoint mAddress;
   GroupKey mGroup;
-  std::string mModel;                ///< for Join and Stage
+  std::string mModel;                ///< for Join
   std::vector<std::string> mMembers; ///< for Join, the head first
   uint64_t mFence = 0;               ///< number of the planner's lease
 };
