--- a/src/serve/intake.cc
+++ b/src/serve/intake.cc
@@ -100,6 +100,13 @@
 {
   const TimePoint now = aClock.Now();
   BOOST_OUTCOME_TRY(CheckFraming(aRequest, aSettings));
+  if (aConfig->mVersion == 0) {
+    return Refusal{ RefusalKind::NotFresh,
+                    "the node knows no rules yet; "
+                    "send the request to another node",
+                    Ran::No,
+                    kFreshRetryMillis };
+  }
   BOOST_OUTCOME_TRY(account, Authenticate(aRequest, aConfig->mRules));
   CallerRequest request;
   request.mId = aId;
--- a/test/intake-test.cc
+++ b/test/intake-test.cc
@@ -179,3 +179,12 @@
   STRCMP_CONTAINS("400",
                   std::string(buf.data(), static_cast<size_t>(n)).c_str());
 }
+
+TEST(Intake, ANodeWithoutRulesJudgesNoKeyAndNoPath)
+{
+  mConfig = std::make_shared<const ActiveConfig>();
+  Check({ std::string("GET /nowhere HTTP/1.1\r\nHost: h\r\n") + kKey,
+          "",
+          503,
+          "config_not_fresh" });
+}
