Ask in one place whether a peer is gone; drop two values that nobody read

Cause: the callers' ports of both interfaces looked at the socket with the same code; the targets counted whole groups, and the planner kept its start, for nobody.

--- a/src/core/guardedsocket.cc
+++ b/src/core/guardedsocket.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace hibiscushold {
 
@@ -130,4 +131,13 @@
 {
 }
 
+bool
+IsPeerGone(const Poco::Net::StreamSocket& aSocket)
+{
+  char byte = 0;
+  const ssize_t n =
+    ::recv(aSocket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 } // namespace hibiscushold
--- a/src/core/guardedsocket.h
+++ b/src/core/guardedsocket.h
@@ -72,4 +72,9 @@
   explicit GuardedSocket(TransferGuard& aGuard);
 };
 
+/// @return whether the peer has closed or reset the connection; bytes that
+///         wait to be read are left there
+bool
+IsPeerGone(const Poco::Net::StreamSocket& aSocket);
+
 } // namespace hibiscushold
--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -28,7 +28,6 @@
       continue;
     }
     const FleetVm& head = *it.mMembers[0];
-    ++aInto.mWholeGroups[it.mModel];
     aInto.mByService[aService.mName].push_back({ head.mId,
                                                  head.mAddress,
                                                  head.mZone,
--- a/src/fleet/choice.h
+++ b/src/fleet/choice.h
@@ -28,7 +28,6 @@
 struct FleetTargets
 {
   std::map<std::string, std::vector<FleetTarget>, std::less<>> mByService;
-  std::map<std::string, size_t> mWholeGroups; ///< by model
 };
 
 using FleetTargetsPtr = std::shared_ptr<const FleetTargets>;
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -45,12 +45,11 @@
 } // namespace
 
 PlannerState
-StartPlanning(uint64_t aFence, TimePoint aNow)
+StartPlanning(uint64_t aFence)
 {
   PlannerState state;
   state.mFence = aFence;
   state.mLastEpoch = aFence << kEpochBits;
-  state.mStartedAt = aNow;
   return state;
 }
 
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -63,8 +63,7 @@
 {
   uint64_t mFence = 0;
   uint64_t mLastEpoch = 0; ///< of a group; rises with each formation
-  TimePoint mStartedAt;
-  TimePoint mNewVmAt; ///< when a VM was first seen last
+  TimePoint mNewVmAt;      ///< when a VM was first seen last
   std::map<std::string, VmBelief> mVms;
   std::map<GroupKey, PlannedGroup> mGroups;
   /// Groups that are no longer planned; not taken up again before the time
@@ -112,7 +111,7 @@
 /// @return a state for a new lease
 /// @param aFence number of the lease
 PlannerState
-StartPlanning(uint64_t aFence, TimePoint aNow);
+StartPlanning(uint64_t aFence);
 
 /// Decides the next orders. Repairs go before growth, growth before spares.
 PlannerStep
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -133,7 +133,7 @@
   auto [it, isNew] = mServices.try_emplace(aService.mName);
   Service& service = it->second;
   if (isNew) {
-    service.mState = StartPlanning(mFence, now);
+    service.mState = StartPlanning(mFence);
   }
   AskSuspects(service, *aVms);
   const PlannerView view{
--- a/src/gateway/callerport.cc
+++ b/src/gateway/callerport.cc
@@ -1,10 +1,9 @@
 #include "gateway/callerport.h"
 
+#include "core/guardedsocket.h"
+
 #include <Poco/Exception.h>
-#include <Poco/Net/SocketImpl.h>
-#include <sys/socket.h>
 
-#include <cerrno>
 #include <cstdio>
 #include <sstream>
 
@@ -92,16 +91,7 @@
 bool
 CallerPort::IsGone() const
 {
-  char byte = 0;
-  const ssize_t n =
-    ::recv(const_cast<Poco::Net::HTTPServerRequestImpl&>(mRequest)
-             .socket()
-             .impl()
-             ->sockfd(),
-           &byte,
-           1,
-           MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+  return IsPeerGone(mRequest.socket());
 }
 
 bool
--- a/src/serve/front.cc
+++ b/src/serve/front.cc
@@ -1,5 +1,6 @@
 #include "serve/front.h"
 
+#include "core/guardedsocket.h"
 #include "core/ids.h"
 #include "observe/events.h"
 #include "serve/intake.h"
@@ -8,10 +9,7 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/SocketImpl.h>
-#include <sys/socket.h>
 
-#include <cerrno>
 #include <ostream>
 
 namespace hibiscushold {
@@ -71,13 +69,7 @@
   bool IsCallerGone() override
   {
     auto* request = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&mRequest);
-    if (request == nullptr) {
-      return false;
-    }
-    char byte = 0;
-    const ssize_t n = ::recv(
-      request->socket().impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+    return request != nullptr && IsPeerGone(request->socket());
   }
 
   bool HasStarted() const { return mOut != nullptr; }
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -60,7 +60,7 @@
 TEST(Planner, ANewPlannerTakesUpWhatServes)
 {
   const std::string head = FormOneOf("big", 5);
-  mWorld.mState = StartPlanning(8, mWorld.mNow);
+  mWorld.mState = StartPlanning(8);
   CHECK(mWorld.Step().empty());
   CHECK_EQUAL(4U, mWorld.MembersOf(head).size());
 }
@@ -69,7 +69,7 @@
 {
   const std::string head = FormOneOf("big", 5);
   mWorld.mVms[head].mSeat->mPhase = GroupPhase::Ready;
-  mWorld.mState = StartPlanning(8, mWorld.mNow);
+  mWorld.mState = StartPlanning(8);
   const std::vector<FleetOrder> orders = mWorld.Step();
   CHECK(mWorld.FindOrder(orders, OrderKind::Open, head) != nullptr);
   CHECK_EQUAL(1U, orders.size());
@@ -82,7 +82,7 @@
   const std::string head = FormOneOf("small", 4);
   const FleetVm hidden = mWorld.mVms[head];
   mWorld.mVms.erase(head);
-  mWorld.mState = StartPlanning(8, mWorld.mNow);
+  mWorld.mState = StartPlanning(8);
   mWorld.Settle();
   mWorld.mVms[head] = hidden;
   const std::vector<FleetOrder> orders = mWorld.Step();
@@ -129,7 +129,7 @@
 {
   const std::string head = FormOneOf("big", 4);
   const uint64_t before = mWorld.mVms[head].mSeat->mKey.mEpoch;
-  mWorld.mState = StartPlanning(8, mWorld.mNow);
+  mWorld.mState = StartPlanning(8);
   CHECK(mWorld.mState.mLastEpoch > before);
 }
 
--- a/test/plannerworld.h
+++ b/test/plannerworld.h
@@ -114,7 +114,7 @@
   EngineSpec mEngine;
   PlannerBounds mBounds;
   TimePoint mNow{ std::chrono::hours(1) };
-  PlannerState mState = StartPlanning(7, mNow);
+  PlannerState mState = StartPlanning(7);
   bool mBeforeTraffic = false;
   std::set<std::string> mSilent;
 
