Let nodes follow a node of their zone instead of the store

Change: src/relay. Nodes enter themselves under peers/ in the store; the first of each zone asks the first of all, the others ask theirs, by JSON-RPC with a token that only readers of the store know. An answer tells its age, so keys are trusted no longer than before. A node that is silent, lost the store or stops is set aside for three seconds and the store is asked at once.

Ruled out: reads that may be old (configurations would come too late while the store compacts); one hub for all without zones (bytes between zones).

--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -11,9 +11,6 @@
 /// A planner that died is replaced after this; each renewal and each look at
 /// the lease costs a call.
 constexpr auto kLeaseTerm = milliseconds(1400);
-/// Part of the looks at the lease that must not be old, for one VM; larger
-/// fleets have more nodes that look.
-constexpr double kSharpLooks = 30;
 /// Orders go to many VMs at once, and a dead VM holds a thread until the
 /// order's time is over.
 constexpr size_t kThreads = 12;
@@ -46,18 +43,6 @@
   }
   const LeaseRole role =
     mParts.mStopping ? LeaseRole::Bystander : LeaseRole::Preferred;
-  // All that wait for the lease look at it; a few of them see it as it is, and
-  // a conditional write settles who takes it.
-  const double few =
-    kSharpLooks / (1.0 + static_cast<double>(mParts.mWatcher.Vms()->size()));
-  lease.mOldReadsDo = !lease.mHeld && !lease.mUnsettled &&
-                      lease.mVersion != 0 && NextFraction() > few;
-  // Of many nodes that find it lapsed, few should try to take it.
-  if (lease.mOldReadsDo &&
-      DecideLease(lease, role, mParts.mClock.Now(), kLeaseTerm) ==
-        LeaseAction::Take) {
-    return;
-  }
   mLeases.Step(kLeaseName, role, 0, lease);
   const std::lock_guard guard(mLeaseLock);
   mLease = lease;
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -2,6 +2,7 @@
 
 #include "observe/events.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace hibiscushold {
@@ -12,7 +13,7 @@
 /// the configuration as of when it was sent, so short waits keep keys valid for
 /// longer when the store goes away.
 constexpr auto kConfigWait = milliseconds(600);
-constexpr auto kVmWait = milliseconds(2000);
+constexpr auto kVmWait = milliseconds(1000);
 constexpr auto kRetryGap = milliseconds(250);
 /// The platform puts entries back within two seconds of the store's return.
 constexpr auto kReturnGrace = milliseconds(2300);
@@ -177,7 +178,7 @@
   }
   {
     const std::lock_guard guard(mLock);
-    mProof = askedAt;
+    mProof = std::max(mProof, askedAt - read.value().mAge);
   }
   std::this_thread::sleep_for(aGap);
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -242,6 +242,7 @@
     const TimePoint now = mParts.mClock.Now();
     const std::string& vm = mRequest.mTarget.mVmId;
     if (mEntry.mStreaming) {
+      mReport.mLongestGap = std::max(mReport.mLongestGap, now - mLastEventAt);
       mParts.mLoads.NoteProgress(vm, now);
     } else {
       mReport.mFirstWait = now - mSentAt;
@@ -254,6 +255,7 @@
       }
       mReport.mStreamed = true;
     }
+    mLastEventAt = now;
     if (!mSink.OnEvents(events)) {
       End(ExchangeEnd::CallerGone, "");
       return false;
@@ -307,6 +309,7 @@
   LoadEntry mEntry;
   SessionPool::Session mSession;
   ExchangeReport mReport;
+  TimePoint mLastEventAt;
   bool mSentWhole = false;
   bool mClean = true; ///< no answer of another request came in
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -65,6 +65,7 @@
   PlainReply mReply;        ///< for Answered, unless it was a stream
   bool mStreamed = false;   ///< events were passed on
   Duration mFirstWait{ 0 }; ///< from the send to the first event
+  Duration mLongestGap{ 0 }; ///< between events
   bool mReused = false;     ///< the connection came from the pool
   uint64_t mLastEvent = 0;  ///< id of the last event that was passed on
   uint64_t mSentBytes = 0;  ///< zero: the target cannot have run the request
--- a/src/gateway/run.cc
+++ b/src/gateway/run.cc
@@ -350,6 +350,7 @@
                { "status", std::to_string(aReport.mReply.mStatus) },
                { "last_event", std::to_string(aReport.mLastEvent) },
                { "first_ms", std::to_string(ToMillis(aReport.mFirstWait)) },
+               { "gap_ms", std::to_string(ToMillis(aReport.mLongestGap)) },
                { "ms", std::to_string(ToMillis(took)) },
                { "prompt", std::to_string(mRequest.mPromptTokens) },
                { "in_flight", std::to_string(mInFlight) },
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -100,6 +100,10 @@
     { "node.zone", { true, Text(&Settings::mZone) } },
     { "node.caller_listen", { true, Address(&Settings::mCallerListen) } },
     { "node.ready_listen", { true, Address(&Settings::mReadyListen) } },
+    { "node.peer_listen", { true, Address(&Settings::mPeerListen) } },
+    { "node.capacity", { false, Number([](Settings& aInto, double aValue) {
+                           aInto.mCapacity = aValue;
+                         }) } },
     { "node.first_start", { false, Flag(&Settings::mFirstStart) } },
     { "node.max_connections",
       { false, Number([](Settings& aInto, double aValue) {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -13,6 +13,8 @@
   std::string mZone;
   Endpoint mCallerListen;
   Endpoint mReadyListen;
+  Endpoint mPeerListen;   ///< where other nodes ask this one
+  double mCapacity = 1.0; ///< its part of a core; the largest nodes relay
   Endpoint mStore;
   std::string mLogLevel = "info";
   uint32_t mMaxConnections = 512;
--- a/src/groups/leaseshell.cc
+++ b/src/groups/leaseshell.cc
@@ -58,9 +58,7 @@
                  LeaseState& aState)
 {
   aState.mReadAt = mClock.Now();
-  const CallClass importance =
-    aState.mOldReadsDo ? CallClass::Status : CallClass::Lease;
-  Result<Object> object = mPlatform.Get(LeaseKey(aDomain), importance);
+  Result<Object> object = mPlatform.Get(LeaseKey(aDomain), CallClass::Lease);
   if (!object && object.error().mError == Error::StoreMissing) {
     aState.mUnsettled.reset();
     aState.mHeld = false;
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -24,6 +24,8 @@
   StoreBack = 3002,
   StoreHistoryGone = 3003,
   MemberRegistered = 3101,
+  UpstreamLost = 3102,
+  RosterFailed = 3103,
   VmGone = 3201,
   VmUnreadable = 3202,
   VmAsked = 3203,
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -40,6 +40,9 @@
   , mStoreCalls(MakeCounter(mRegistry,
                             "hibiscushold_store_calls_total",
                             "Calls to the platform's store, by kind"))
+  , mRelays(MakeCounter(mRegistry,
+                        "hibiscushold_relay_events_total",
+                        "Events of following other nodes, by kind"))
   , mOrders(MakeCounter(mRegistry,
                         "hibiscushold_orders_total",
                         "Orders to engines, by outcome"))
@@ -94,6 +97,12 @@
   mStoreCalls.Add({ { "kind", std::string(aKind) } }).Increment();
 }
 
+void
+Metrics::CountRelay(std::string_view aKind)
+{
+  mRelays.Add({ { "kind", std::string(aKind) } }).Increment();
+}
+
 void
 Metrics::CountOrder(std::string_view aOutcome)
 {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -31,6 +31,8 @@
   void CountAnswer(int aStatus);
   /// Counts one call to the platform's store by kind.
   void CountStoreCall(std::string_view aKind);
+  /// Counts one event of following other nodes instead of the store, by kind.
+  void CountRelay(std::string_view aKind);
   /// Counts one order to an engine by its outcome.
   void CountOrder(std::string_view aOutcome);
   /// Notes the time that a request took up to a point of its answer.
@@ -52,6 +54,7 @@
   prometheus::Family<prometheus::Counter>& mRetries;
   prometheus::Family<prometheus::Counter>& mAnswers;
   prometheus::Family<prometheus::Counter>& mStoreCalls;
+  prometheus::Family<prometheus::Counter>& mRelays;
   prometheus::Family<prometheus::Counter>& mOrders;
   prometheus::Counter& mServedBytes;
   prometheus::Family<prometheus::Gauge>& mGauges;
--- /dev/null
+++ b/src/relay/methods.cc
@@ -0,0 +1,103 @@
+#include "relay/methods.h"
+
+#include "core/json.h"
+
+#include <algorithm>
+
+namespace hibiscushold {
+
+namespace {
+
+constexpr const char* kFollow = "follow";
+/// Beyond its wait an answer takes some milliseconds; a busy node a few
+/// hundreds. A lost node must be given up well within a second.
+constexpr auto kAnswerGrace = milliseconds(300);
+/// A listing of all VMs takes a small node's link longer.
+constexpr auto kListGrace = milliseconds(1200);
+/// A follower that asks for longer is answered after this.
+constexpr auto kLongestWait = milliseconds(5000);
+
+Json::Value
+ToJsonValue(const FeedAnswer& aAnswer)
+{
+  Json::Value json;
+  json["revision"] = Json::UInt64(aAnswer.mListing.mRevision);
+  json["age_ms"] = Json::Int64(ToMillis(aAnswer.mAge) + 1);
+  json["objects"] = Json::Value(Json::arrayValue);
+  for (const Object& it : aAnswer.mListing.mObjects) {
+    Json::Value object;
+    object["key"] = it.mKey;
+    object["version"] = Json::UInt64(it.mVersion);
+    object["value"] = it.mValue;
+    json["objects"].append(std::move(object));
+  }
+  json["deleted"] = Json::Value(Json::arrayValue);
+  for (const std::string& it : aAnswer.mListing.mDeleted) {
+    json["deleted"].append(it);
+  }
+  return json;
+}
+
+FeedAnswer
+FromJsonValue(const Json::Value& aJson)
+{
+  FeedAnswer answer;
+  answer.mListing.mRevision = NumberAt(aJson, "revision");
+  answer.mAge = milliseconds(NumberAt(aJson, "age_ms"));
+  for (const Json::Value& it : ArrayAt(aJson, "objects")) {
+    answer.mListing.mObjects.push_back(
+      { TextAt(it, "key"), NumberAt(it, "version"), TextAt(it, "value") });
+  }
+  for (const Json::Value& it : ArrayAt(aJson, "deleted")) {
+    answer.mListing.mDeleted.push_back(it.asString());
+  }
+  return answer;
+}
+
+} // namespace
+
+void
+AddFeedMethods(RpcServer& aInto,
+               FeedBook& aBook,
+               const Clock& aClock,
+               const std::atomic<bool>& aStopping)
+{
+  aInto.Add(
+    kFollow,
+    [&aBook, &aClock, &aStopping](
+      const Json::Value& aParams) -> Result<Json::Value> {
+      if (aStopping) {
+        return Failure{ Error::PeerRefused, "the node stops", "ask another" };
+      }
+      const milliseconds wait(NumberAt(aParams, "wait_ms"));
+      BOOST_OUTCOME_TRY(
+        answer,
+        aBook.Wait(TextAt(aParams, "prefix"),
+                   NumberAt(aParams, "since"),
+                   aClock.Now() + std::min<milliseconds>(wait, kLongestWait)));
+      return ToJsonValue(answer);
+    });
+}
+
+AskPeer
+MakeAskPeer(HttpClient& aClient, const Clock& aClock)
+{
+  return [&aClient, &aClock](const RosterEntry& aPeer,
+                             std::string_view aPrefix,
+                             uint64_t aSince,
+                             milliseconds aWait) -> Result<FeedAnswer> {
+    Json::Value params;
+    params["prefix"] = std::string(aPrefix);
+    params["since"] = Json::UInt64(aSince);
+    params["wait_ms"] = Json::Int64(aWait.count());
+    const TokenBook token(aPeer.mToken);
+    PeerClient peer(aClient, token);
+    const milliseconds grace = aSince == 0 ? kListGrace : kAnswerGrace;
+    BOOST_OUTCOME_TRY(
+      json,
+      peer.Call(aPeer.mAddress, kFollow, params, aClock.Now() + aWait + grace));
+    return FromJsonValue(json);
+  };
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/relay/relayedplatform.cc
@@ -0,0 +1,178 @@
+#include "relay/relayedplatform.h"
+
+#include "observe/events.h"
+
+namespace hibiscushold {
+
+namespace {
+
+/// A node that did not answer, or lost the store itself, is not asked again
+/// for so long: about the time in which a killed node is back.
+constexpr auto kAside = milliseconds(3000);
+/// A node whose own proof is older than this may have lost the store without
+/// knowing it yet. It asks every second and gives up after one more.
+constexpr auto kOldestAnswer = milliseconds(2600);
+
+} // namespace
+
+RelayedPlatform::RelayedPlatform(Parts aParts)
+  : mParts(std::move(aParts))
+{
+}
+
+void
+RelayedPlatform::SetUpstreams(std::vector<RosterEntry> aUpstreams)
+{
+  const std::lock_guard guard(mLock);
+  mUpstreams = std::move(aUpstreams);
+}
+
+std::optional<RosterEntry>
+RelayedPlatform::Upstream() const
+{
+  const TimePoint now = mParts.mClock.Now();
+  const std::lock_guard guard(mLock);
+  for (const RosterEntry& it : mUpstreams) {
+    const auto aside = mAsideUntil.find(it.mId);
+    if (aside == mAsideUntil.end() || aside->second <= now) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+RelayedPlatform::IsDirect() const
+{
+  return !Upstream().has_value();
+}
+
+void
+RelayedPlatform::SetAside(const RosterEntry& aPeer, const Failure& aFailure)
+{
+  LogEvent(EventId::UpstreamLost,
+           { { "node", aPeer.mId }, { "reason", Describe(aFailure) } });
+  mParts.mMetrics.CountRelay("peer_lost");
+  const std::lock_guard guard(mLock);
+  mAsideUntil[aPeer.mId] = mParts.mClock.Now() + kAside;
+}
+
+Result<Listing>
+RelayedPlatform::FromPeer(const RosterEntry& aPeer,
+                          std::string_view aPrefix,
+                          uint64_t aSince,
+                          milliseconds aWait)
+{
+  Result<FeedAnswer> answer = mParts.mAsk(aPeer, aPrefix, aSince, aWait);
+  if (!answer) {
+    return answer.error();
+  }
+  if (answer.value().mAge > kOldestAnswer) {
+    return Failure{ Error::StoreUnavailable,
+                    aPeer.mId + " last asked the store " +
+                      std::to_string(ToMillis(answer.value().mAge)) + " ms ago",
+                    "" };
+  }
+  Listing listing = std::move(answer.value().mListing);
+  listing.mAge = answer.value().mAge;
+  return listing;
+}
+
+void
+RelayedPlatform::Note(std::string_view aPrefix,
+                      const Result<Listing>& aRead,
+                      bool aWhole,
+                      TimePoint aProvenAt)
+{
+  if (aRead) {
+    mParts.mBook.Take(aPrefix, aRead.value(), aWhole, aProvenAt);
+  } else if (aRead.error().mError != Error::StoreHistoryGone) {
+    mParts.mBook.Lose(aPrefix);
+  }
+}
+
+Result<Listing>
+RelayedPlatform::List(std::string_view aPrefix, CallClass aClass)
+{
+  const std::optional<RosterEntry> peer = Upstream();
+  const TimePoint askedAt = mParts.mClock.Now();
+  if (peer && aClass == CallClass::Config) {
+    Result<Listing> listing = FromPeer(*peer, aPrefix, 0, milliseconds(0));
+    if (listing) {
+      Note(aPrefix, listing, true, askedAt - listing.value().mAge);
+      return listing;
+    }
+    SetAside(*peer, listing.error());
+  }
+  const TimePoint directAt = mParts.mClock.Now();
+  Result<Listing> listing = mParts.mStore.List(aPrefix, aClass);
+  Note(aPrefix, listing, true, directAt);
+  return listing;
+}
+
+Result<Listing>
+RelayedPlatform::Watch(std::string_view aPrefix,
+                       uint64_t aSince,
+                       milliseconds aWait)
+{
+  const std::optional<RosterEntry> peer = Upstream();
+  const TimePoint askedAt = mParts.mClock.Now();
+  if (peer) {
+    Result<Listing> changes = FromPeer(*peer, aPrefix, aSince, aWait);
+    if (changes) {
+      Note(aPrefix, changes, false, askedAt - changes.value().mAge);
+      return changes;
+    }
+    if (changes.error().mError == Error::StoreHistoryGone) {
+      return changes;
+    }
+    SetAside(*peer, changes.error());
+  }
+  const TimePoint directAt = mParts.mClock.Now();
+  Result<Listing> changes = mParts.mStore.Watch(aPrefix, aSince, aWait);
+  Note(aPrefix, changes, false, directAt);
+  if (changes) {
+    // The question that was answered began when the peer was still asked.
+    changes.value().mAge = askedAt - directAt;
+  }
+  return changes;
+}
+
+Result<Object>
+RelayedPlatform::Get(std::string_view aKey, CallClass aClass)
+{
+  return mParts.mStore.Get(aKey, aClass);
+}
+
+Result<uint64_t>
+RelayedPlatform::Create(std::string_view aKey,
+                        std::string_view aValue,
+                        CallClass aClass)
+{
+  return mParts.mStore.Create(aKey, aValue, aClass);
+}
+
+Result<uint64_t>
+RelayedPlatform::Update(std::string_view aKey,
+                        std::string_view aValue,
+                        uint64_t aVersion,
+                        CallClass aClass)
+{
+  return mParts.mStore.Update(aKey, aValue, aVersion, aClass);
+}
+
+Result<void>
+RelayedPlatform::Delete(std::string_view aKey,
+                        uint64_t aVersion,
+                        CallClass aClass)
+{
+  return mParts.mStore.Delete(aKey, aVersion, aClass);
+}
+
+Result<VmListing>
+RelayedPlatform::ListVms(uint64_t aSince)
+{
+  return mParts.mStore.ListVms(aSince);
+}
+
+} // namespace hibiscushold
--- a/src/store/platform.h
+++ b/src/store/platform.h
@@ -24,6 +24,8 @@
   uint64_t mRevision = 0;
   std::vector<Object> mObjects;
   std::vector<std::string> mDeleted; ///< filled by Watch only
+  /// What was answered may be older than the question by this.
+  std::chrono::steady_clock::duration mAge{ 0 };
 };
 
 enum class VmState
--- a/test/gatewaysettings-test.cc
+++ b/test/gatewaysettings-test.cc
@@ -9,6 +9,7 @@
 const std::string kLeast = "[node]\nid = n1\nzone = a\n"
                            "caller_listen = 127.0.0.1:1\n"
                            "ready_listen = 127.0.0.1:2\n"
+                           "peer_listen = 127.0.0.1:4\n"
                            "[store]\naddress = 127.0.0.1:3\n";
 
 } // namespace
--- /dev/null
+++ b/test/relay-test.cc
@@ -0,0 +1,325 @@
+#include "core/json.h"
+#include "fakeplatform.h"
+#include "manualclock.h"
+#include "relay/methods.h"
+#include "relay/registrar.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+namespace {
+
+Listing
+ListingOf(uint64_t aRevision, std::vector<Object> aObjects)
+{
+  Listing listing;
+  listing.mRevision = aRevision;
+  listing.mObjects = std::move(aObjects);
+  return listing;
+}
+
+RosterNode
+Node(const char* aId, const char* aZone, double aCapacity)
+{
+  return { { aId, aZone, {}, "token", aCapacity }, 1 };
+}
+
+Roster
+RosterOf(const std::vector<RosterNode>& aNodes)
+{
+  Roster roster;
+  for (const RosterNode& it : aNodes) {
+    roster[it.mEntry.mId] = it;
+  }
+  return roster;
+}
+
+std::string
+IdsOf(const std::vector<RosterEntry>& aEntries)
+{
+  std::string ids;
+  for (const RosterEntry& it : aEntries) {
+    ids += it.mId + " ";
+  }
+  return ids;
+}
+
+} // namespace
+
+TEST_GROUP(Feed)
+{
+  const TimePoint mNow{ seconds(100) };
+  Feed mFeed;
+};
+
+TEST(Feed, TellsOnlyWhatChangedAfterARevision)
+{
+  TakeWhole(
+    mFeed, ListingOf(10, { { "a/1", 4, "x" }, { "a/2", 9, "y" } }), mNow);
+  TakeChanges(mFeed, ListingOf(12, { { "a/1", 12, "z" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 10);
+  CHECK(changes.has_value());
+  CHECK_EQUAL(1U, changes->mObjects.size());
+  STRCMP_EQUAL("z", changes->mObjects[0].mValue.c_str());
+  CHECK_EQUAL(12U, changes->mRevision);
+}
+
+TEST(Feed, TellsOfWhatAListingLacks)
+{
+  TakeWhole(
+    mFeed, ListingOf(10, { { "a/1", 4, "x" }, { "a/2", 9, "y" } }), mNow);
+  TakeWhole(mFeed, ListingOf(20, { { "a/2", 9, "y" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 10);
+  CHECK(changes.has_value());
+  CHECK_EQUAL(1U, changes->mDeleted.size());
+  STRCMP_EQUAL("a/1", changes->mDeleted[0].c_str());
+}
+
+TEST(Feed, DoesNotDeleteWhatCameBack)
+{
+  TakeWhole(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
+  Listing gone;
+  gone.mRevision = 11;
+  gone.mDeleted = { "a/1" };
+  TakeChanges(mFeed, gone, mNow);
+  TakeChanges(mFeed, ListingOf(12, { { "a/1", 12, "x" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 10);
+  CHECK(changes->mDeleted.empty());
+  CHECK_EQUAL(1U, changes->mObjects.size());
+}
+
+TEST(Feed, KnowsNothingOfWhatWasBeforeItBegan)
+{
+  TakeWhole(mFeed, ListingOf(10, {}), mNow);
+  CHECK(!ChangesSince(mFeed, 9).has_value());
+  CHECK(ChangesSince(mFeed, 10).has_value());
+}
+
+TEST(Feed, NeverTellsAFollowerALowerRevisionThanItsOwn)
+{
+  TakeWhole(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 15);
+  CHECK(changes->mObjects.empty());
+  CHECK_EQUAL(15U, changes->mRevision);
+}
+
+TEST_GROUP(FeedBook)
+{
+  ManualClock mClock;
+  FeedBook mBook{ mClock };
+};
+
+TEST(FeedBook, TellsTheAgeOfWhatItKnows)
+{
+  const TimePoint asked = mClock.Now();
+  mBook.Take("a/", ListingOf(10, {}), true, asked);
+  mClock.Advance(milliseconds(700));
+  const Result<FeedAnswer> answer = mBook.Wait("a/", 10, mClock.Now());
+  CHECK_EQUAL(700, ToMillis(answer.value().mAge));
+}
+
+TEST(FeedBook, RefusesWhatItLostOrNeverHad)
+{
+  CHECK(Error::StoreUnavailable ==
+        mBook.Wait("a/", 0, mClock.Now()).error().mError);
+  mBook.Take("a/", ListingOf(10, {}), true, mClock.Now());
+  mBook.Lose("a/");
+  CHECK(Error::StoreUnavailable ==
+        mBook.Wait("a/", 10, mClock.Now()).error().mError);
+  mBook.Take("a/", ListingOf(11, {}), false, mClock.Now());
+  CHECK(mBook.Wait("a/", 10, mClock.Now()).has_value());
+}
+
+TEST_GROUP(Upstreams){};
+
+TEST(Upstreams, LeadToTheLargestNodeWithoutACircle)
+{
+  const Roster roster = RosterOf({ Node("n1", "a", 0.1),
+                                   Node("n2", "a", 0.5),
+                                   Node("n3", "b", 0.5),
+                                   Node("n4", "b", 0.1),
+                                   Node("n5", "b", 0.1) });
+  STRCMP_EQUAL("", IdsOf(UpstreamsOf(roster, roster.at("n2").mEntry)).c_str());
+  STRCMP_EQUAL("n2 ",
+               IdsOf(UpstreamsOf(roster, roster.at("n3").mEntry)).c_str());
+  STRCMP_EQUAL("n2 n3 ",
+               IdsOf(UpstreamsOf(roster, roster.at("n1").mEntry)).c_str());
+  STRCMP_EQUAL("n3 n4 n2 n1 ",
+               IdsOf(UpstreamsOf(roster, roster.at("n5").mEntry)).c_str());
+}
+
+TEST(Upstreams, AreTheSameWhetherOrNotTheNodeFindsItself)
+{
+  const Roster roster = RosterOf({ Node("n1", "a", 1), Node("n2", "a", 1) });
+  const RosterEntry late{ "n3", "a", {}, "token", 1 };
+  STRCMP_EQUAL("n1 n2 ", IdsOf(UpstreamsOf(roster, late)).c_str());
+}
+
+/// Another node that answers as the test says.
+TEST_GROUP(Relay)
+{
+  ManualClock mClock;
+  FakePlatform mStore;
+  Metrics mMetrics;
+  FeedBook mBook{ mClock };
+  std::map<std::string, Result<FeedAnswer>> mPeers;
+  std::vector<std::string> mAsked;
+  RelayedPlatform mRelay{
+    { mStore,
+      mBook,
+      [this](
+        const RosterEntry& aPeer, std::string_view, uint64_t, milliseconds) {
+        mAsked.push_back(aPeer.mId);
+        return mPeers.at(aPeer.mId);
+      },
+      mMetrics,
+      mClock }
+  };
+
+  void Follow(std::vector<RosterEntry> aPeers)
+  {
+    mRelay.SetUpstreams(std::move(aPeers));
+  }
+
+  static Result<FeedAnswer> Answer(uint64_t aRevision, milliseconds aAge)
+  {
+    return FeedAnswer{ ListingOf(aRevision, { { "a/1", aRevision, "x" } }),
+                       aAge };
+  }
+
+  static Result<FeedAnswer> Silence()
+  {
+    return Failure{ Error::PeerUnavailable, "silent", "" };
+  }
+};
+
+TEST(Relay, AsksTheStoreWhileItKnowsNobody)
+{
+  CHECK(mRelay.IsDirect());
+  CHECK(mStore.Create("a/1", "x", CallClass::Config).has_value());
+  CHECK_EQUAL(1U, mRelay.List("a/", CallClass::Config).value().mObjects.size());
+  CHECK(mAsked.empty());
+}
+
+TEST(Relay, TakesTheAgeOfAnAnswerFromTheNodeThatGaveIt)
+{
+  Follow({ { "n1", "a", {}, "t", 1 } });
+  mPeers.emplace("n1", Answer(7, milliseconds(900)));
+  const Result<Listing> read = mRelay.Watch("a/", 5, milliseconds(100));
+  CHECK_EQUAL(900, ToMillis(read.value().mAge));
+  CHECK(!mRelay.IsDirect());
+}
+
+TEST(Relay, GoesToTheStoreAtOnceWhenANodeIsSilentAndThenToAnother)
+{
+  Follow({ { "n1", "a", {}, "t", 1 }, { "n2", "a", {}, "t", 1 } });
+  mPeers.emplace("n1", Silence());
+  mPeers.emplace("n2", Answer(7, milliseconds(10)));
+  CHECK(mRelay.List("a/", CallClass::Config).has_value());
+  CHECK_EQUAL(1U, mAsked.size());
+  CHECK(mRelay.Watch("a/", 5, milliseconds(100)).has_value());
+  STRCMP_EQUAL("n2", mAsked.back().c_str());
+  mClock.Advance(seconds(4));
+  CHECK(mRelay.Watch("a/", 5, milliseconds(100)).has_value());
+  STRCMP_EQUAL("n1", mAsked.back().c_str());
+}
+
+TEST(Relay, LeavesANodeWhoseProofIsOld)
+{
+  Follow({ { "n1", "a", {}, "t", 1 } });
+  mPeers.emplace("n1", Answer(7, milliseconds(2700)));
+  const Result<Listing> read = mRelay.Watch("a/", 5, milliseconds(100));
+  CHECK_EQUAL(0, ToMillis(read.value().mAge));
+  CHECK(mRelay.IsDirect());
+}
+
+TEST(Relay, PassesOnThatHistoryIsGoneWithoutLeavingTheNode)
+{
+  Follow({ { "n1", "a", {}, "t", 1 } });
+  mPeers.emplace("n1", Failure{ Error::StoreHistoryGone, "", "" });
+  CHECK(Error::StoreHistoryGone ==
+        mRelay.Watch("a/", 5, milliseconds(100)).error().mError);
+  CHECK(!mRelay.IsDirect());
+}
+
+TEST(Relay, TellsItsOwnFollowersWhenNobodyAnswers)
+{
+  CHECK(mRelay.List("a/", CallClass::Config).has_value());
+  mStore.mNextRead = StoreFault::Down;
+  CHECK(!mRelay.Watch("a/", 1, milliseconds(100)).has_value());
+  CHECK(!mBook.Wait("a/", 1, mClock.Now()).has_value());
+}
+
+TEST(Relay, CarriesAFeedBetweenNodes)
+{
+  mBook.Take("a/", ListingOf(7, { { "a/1", 7, "x" } }), true, mClock.Now());
+  RpcServer server;
+  const std::atomic<bool> stopping{ false };
+  AddFeedMethods(server, mBook, mClock, stopping);
+  const std::string answer =
+    server.Answer(R"({"jsonrpc":"2.0","id":1,"method":"follow",)"
+                  R"("params":{"prefix":"a/","since":0,"wait_ms":0}})");
+  const Json::Value result = ParseJsonObject(answer).value()["result"];
+  CHECK_EQUAL(7U, NumberAt(result["objects"][0], "version"));
+  CHECK_EQUAL(1U, NumberAt(result, "age_ms"));
+}
+
+TEST(Relay, SendsFollowersElsewhereWhenItStops)
+{
+  mBook.Take("a/", ListingOf(7, {}), true, mClock.Now());
+  RpcServer server;
+  const std::atomic<bool> stopping{ true };
+  AddFeedMethods(server, mBook, mClock, stopping);
+  const std::string answer =
+    server.Answer(R"({"jsonrpc":"2.0","id":1,"method":"follow",)"
+                  R"("params":{"prefix":"a/","since":6,"wait_ms":0}})");
+  CHECK(answer.find("error") != std::string::npos);
+}
+
+TEST_GROUP(Registrar)
+{
+  ManualClock mClock;
+  FakePlatform mStore;
+  Metrics mMetrics;
+  FeedBook mBook{ mClock };
+  RelayedPlatform mRelay{ { mStore, mBook, nullptr, mMetrics, mClock } };
+  const RosterEntry mSelf{ "n1", "a", { "10.0.0.1", 7 }, "token", 1 };
+  Registrar mRegistrar{ mSelf, mRelay };
+
+  std::string Stored()
+  {
+    const Result<Object> object = mStore.Get("peers/n1", CallClass::Config);
+    return object ? object.value().mValue : "";
+  }
+};
+
+TEST(Registrar, EntersItselfAndLeaves)
+{
+  mRegistrar.Register();
+  STRCMP_EQUAL(SerializeRosterEntry(mSelf).c_str(), Stored().c_str());
+  mRegistrar.Leave();
+  STRCMP_EQUAL("", Stored().c_str());
+  mRegistrar.Step();
+  STRCMP_EQUAL("", Stored().c_str());
+}
+
+TEST(Registrar, ReplacesTheEntryOfItsEarlierLife)
+{
+  const RosterEntry before{ "n1", "a", { "10.0.0.1", 7 }, "old", 1 };
+  CHECK(
+    mStore.Create("peers/n1", SerializeRosterEntry(before), CallClass::Config)
+      .has_value());
+  mRegistrar.Register();
+  mRegistrar.Step();
+  STRCMP_EQUAL(SerializeRosterEntry(mSelf).c_str(), Stored().c_str());
+}
+
+TEST(Registrar, EntersItselfAgainWhenTheFirstTryWasLost)
+{
+  mStore.mNextWrite = StoreFault::Down;
+  mRegistrar.Register();
+  STRCMP_EQUAL("", Stored().c_str());
+  mRegistrar.Step();
+  STRCMP_EQUAL(SerializeRosterEntry(mSelf).c_str(), Stored().c_str());
+}
