Tell other nodes what requests ask of heads; choose by the summed demand

Change: nodes send the node that they follow what they ask of each head (waiting requests, prompt tokens, streams, last progress) in datagrams and get the sum of all others. The choice counts tokens and requests in milliseconds by the engine's own figures and spreads requests, as several nodes choose at once. A head that others see moving is judged by what its work explains. Tokens of the roster outlive a restart; ages of relayed answers no longer count the time that a question was held.

--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -2,19 +2,35 @@
 
 #include "fleet/shedding.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace hibiscushold {
 
 namespace {
 
-/// Another zone adds some milliseconds to each event and its bytes cost more.
-constexpr double kOtherZoneCost = 0.6;
-/// A wait of so many milliseconds for first events counts as one request.
-constexpr double kMillisPerRequest = 40;
+/// Another zone adds some milliseconds to each event, and its bytes cost more
+/// than a short wait is worth.
+constexpr double kOtherZoneMillis = 48;
 /// A head that is silent for most of a usual pause may have lost a VM.
 constexpr double kQuietPart = 0.35;
-constexpr double kQuietCost = 12;
-/// Costs closer than this are taken as equal.
-constexpr double kTie = 0.4;
+constexpr double kQuietMillis = 480;
+/// A request costs others more than its part of a pass: it takes memory, and
+/// those that come later read their prompts beside it.
+constexpr double kLeastMillisPerRequest = 2;
+/// Nodes that choose at the same moment do not see each other, so each spreads
+/// its requests: a target that costs more by this is chosen e times less often.
+constexpr double kSpreadMillis = 10;
+/// Targets that cost more than the least by this are not chosen.
+constexpr double kMostSpreadMillis = 40;
+/// A pass may take longer than computed by this part, and an event needs time
+/// to cross zones.
+constexpr double kPauseFactor = 1.5;
+constexpr double kPauseMargin = 60;
+constexpr auto kLeastPause = milliseconds(130);
+/// Streams of others that must have moved before their silence says anything;
+/// one alone may pause for a packet that was lost.
+constexpr uint32_t kWitnesses = 2;
 
 void
 AddGroups(const FleetVms& aVms,
@@ -28,12 +44,14 @@
       continue;
     }
     const FleetVm& head = *it.mMembers[0];
-    aInto.mByService[aService.mName].push_back({ head.mId,
-                                                 head.mAddress,
-                                                 head.mZone,
-                                                 it.mModel,
-                                                 it.mKey,
-                                                 aService.mEngine->mSlots });
+    aInto.mByService[aService.mName].push_back(
+      { head.mId,
+        head.mAddress,
+        head.mZone,
+        it.mModel,
+        it.mKey,
+        aService.mEngine->mSlots,
+        aService.mEngine->TimesOf(*model) });
   }
 }
 
@@ -54,7 +72,7 @@
       service != aConfig.mServices.end() && !service->second.mEngine;
     if (plain && vm.mState == VmState::Live) {
       targets.mByService[vm.mService].push_back(
-        { id, vm.mAddress, vm.mZone, "", {}, vm.mSlots });
+        { id, vm.mAddress, vm.mZone, "", {}, vm.mSlots, {} });
     }
   }
   return targets;
@@ -63,23 +81,100 @@
 double
 CostOf(const LoadedTarget& aTarget, const ChoiceInput& aInput)
 {
-  double cost = aTarget.mLoad.mInFlight + 1.0;
-  cost += ExpectedFirstMillis(aTarget.mLoad, aInput.mNow) / kMillisPerRequest;
-  const bool quiet = aTarget.mLoad.mStreaming > 0 &&
-                     aInput.mNow - aTarget.mLoad.mLastProgress >
-                       UsualPause(aTarget.mLoad, StallLimits{}) * kQuietPart;
-  cost += quiet ? kQuietCost : 0;
-  return aTarget.mSameZone ? cost : cost + kOtherZoneCost;
+  const TargetLoad& load = aTarget.mLoad;
+  const TargetTimes& times = aTarget.mTarget->mTimes;
+  const TargetDemand& others = load.mOthers;
+  const double requests =
+    load.mInFlight + others.mWaiting + others.mStreaming + 1.0;
+  const auto tokens =
+    static_cast<double>(load.mWaitingTokens + others.mWaitingTokens);
+  double cost =
+    requests * std::max(times.mMillisPerRequest, kLeastMillisPerRequest);
+  cost += tokens * times.mMillisPerToken;
+  // Waits that the target's work does not explain show that it is slow.
+  cost += std::max(
+    0.0,
+    ExpectedFirstMillis(load, aInput.mNow) -
+      static_cast<double>(ExplainedPause(*aTarget.mTarget, load).count()));
+  const bool quiet =
+    load.mStreaming > 0 && aInput.mNow - load.mLastProgress >
+                             UsualPause(load, StallLimits{}) * kQuietPart;
+  cost += quiet ? kQuietMillis : 0;
+  return aTarget.mSameZone ? cost : cost + kOtherZoneMillis;
+}
+
+milliseconds
+ExplainedPause(const FleetTarget& aTarget, const TargetLoad& aLoad)
+{
+  const TargetTimes& times = aTarget.mTimes;
+  const uint32_t streams = aLoad.mStreaming + aLoad.mOthers.mStreaming;
+  const auto tokens =
+    static_cast<double>(aLoad.mWaitingTokens + aLoad.mOthers.mWaitingTokens);
+  const double pass = times.mPassMillis + streams * times.mMillisPerRequest +
+                      tokens * times.mMillisPerToken;
+  return milliseconds(static_cast<int64_t>(pass * kPauseFactor + kPauseMargin));
+}
+
+bool
+IsStalled(const FleetTarget& aTarget, const TargetLoad& aLoad, TimePoint aNow)
+{
+  const StallLimits limits;
+  if (aLoad.mOthers.mStreaming < kWitnesses) {
+    return IsStalled(aLoad, aNow, limits);
+  }
+  if (aLoad.mInFlight == 0) {
+    return false;
+  }
+  const TimePoint since = std::max(
+    { aLoad.mBusySince, aLoad.mLastProgress, aLoad.mOthers.mProgressAt });
+  // A slow engine is known by its gaps.
+  const auto seen =
+    static_cast<int64_t>(aLoad.mGapMillis * kPauseFactor + kPauseMargin);
+  const milliseconds limit =
+    std::max(ExplainedPause(aTarget, aLoad), milliseconds(seen));
+  return aNow - since > std::clamp(limit, kLeastPause, limits.mMost);
+}
+
+namespace {
+
+struct CostedTarget
+{
+  double mCost = 0;
+  const FleetTarget* mTarget = nullptr;
+};
+
+/// @param aCosts the cheapest first
+/// @return a target, cheaper ones more often, or null when there is none
+const FleetTarget*
+PickBySpread(const std::vector<CostedTarget>& aCosts, double aFraction)
+{
+  const auto weight = [&](const CostedTarget& aIt) {
+    const double more = aIt.mCost - aCosts.front().mCost;
+    return more > kMostSpreadMillis ? 0 : std::exp(-more / kSpreadMillis);
+  };
+  double sum = 0;
+  for (const CostedTarget& it : aCosts) {
+    sum += weight(it);
+  }
+  double left = aFraction * sum;
+  for (const CostedTarget& it : aCosts) {
+    left -= weight(it);
+    if (left < 0) {
+      return it.mTarget;
+    }
+  }
+  return aCosts.empty() ? nullptr : aCosts.front().mTarget;
 }
 
+} // namespace
+
 const FleetTarget*
 ChooseTarget(std::span<const FleetTarget> aTargets,
              const TargetLoads& aLoads,
              const ChoiceInput& aInput,
              const std::set<std::string>& aTried)
 {
-  std::vector<std::pair<double, const FleetTarget*>> costs;
-  double least = 0;
+  std::vector<CostedTarget> costs;
   for (const FleetTarget& it : aTargets) {
     if (it.mModel != aInput.mModel || aTried.contains(it.mVmId)) {
       continue;
@@ -87,20 +182,14 @@
     const LoadedTarget loaded{ &it,
                                aLoads.Get(it.mVmId),
                                it.mZone == aInput.mZone };
-    if (loaded.mLoad.mAvoidUntil > aInput.mNow) {
-      continue;
+    if (loaded.mLoad.mAvoidUntil <= aInput.mNow) {
+      costs.push_back({ CostOf(loaded, aInput), &it });
     }
-    const double cost = CostOf(loaded, aInput);
-    least = costs.empty() ? cost : std::min(least, cost);
-    costs.emplace_back(cost, &it);
-  }
-  std::erase_if(costs, [&](const auto& it) { return it.first > least + kTie; });
-  if (costs.empty()) {
-    return nullptr;
   }
-  const auto n =
-    static_cast<size_t>(aInput.mFraction * static_cast<double>(costs.size()));
-  return costs[n].second;
+  std::stable_sort(costs.begin(), costs.end(), [](auto& aL, auto& aR) {
+    return aL.mCost < aR.mCost;
+  });
+  return PickBySpread(costs, aInput.mFraction);
 }
 
 } // namespace hibiscushold
--- a/src/fleet/choice.h
+++ b/src/fleet/choice.h
@@ -21,6 +21,7 @@
   std::string mModel; ///< empty for plain services
   GroupKey mGroup;
   uint32_t mSlots = 1;
+  TargetTimes mTimes{};
 };
 
 /// The targets that take new requests, by service. Made anew from each list of
@@ -54,11 +55,21 @@
   double mFraction = 0; ///< random, at least 0 and less than 1
 };
 
-/// @return the cost of sending one more request to the target; the unit is a
-///         request that runs there
+/// @return the cost of sending one more request to the target, in
+///         milliseconds that it or others wait for it
 double
 CostOf(const LoadedTarget& aTarget, const ChoiceInput& aInput);
 
+/// @return the longest pause of the target's streams that its work explains
+milliseconds
+ExplainedPause(const FleetTarget& aTarget, const TargetLoad& aLoad);
+
+/// Judges a target that is known to be at work for several nodes by what its
+/// work explains, and any other by the pauses that are usual there.
+/// @return whether all that it was given stands still
+bool
+IsStalled(const FleetTarget& aTarget, const TargetLoad& aLoad, TimePoint aNow);
+
 /// Chooses the target with the least cost; near ties fall by chance.
 /// @param aTried VMs that had the request already
 /// @return the target, or null when none takes it
--- a/src/fleet/config.cc
+++ b/src/fleet/config.cc
@@ -16,6 +16,15 @@
   return found == mModels.end() ? nullptr : &*found;
 }
 
+TargetTimes
+EngineSpec::TimesOf(const FleetModel& aModel) const
+{
+  const double pass = mStride * aModel.mPace;
+  return { mStepMillis * pass,
+           mStepMillisPerRequest * pass,
+           aModel.mPace / std::max(mPrefillTokensPerMilli, 1.0) };
+}
+
 const FleetRoute*
 FindRoute(const FleetConfig& aConfig,
           std::string_view aHost,
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -55,6 +55,14 @@
   milliseconds mWarm{}; ///< from the host's own copy
 };
 
+/// How long the parts of a target's work take.
+struct TargetTimes
+{
+  double mPassMillis = 0; ///< from one event of a stream to the next, alone
+  double mMillisPerRequest = 40; ///< that one more request costs the others
+  double mMillisPerToken = 0;    ///< reading of a prompt
+};
+
 /// What is known of a service's engines.
 struct EngineSpec
 {
@@ -73,6 +81,9 @@
 
   /// @return the model, or null
   const FleetModel* FindModel(std::string_view aName) const;
+
+  /// @return the times of a group that serves the model
+  TargetTimes TimesOf(const FleetModel& aModel) const;
 };
 
 /// A service: a pool of targets, of engines or of a plain program.
--- a/src/fleet/loads.cc
+++ b/src/fleet/loads.cc
@@ -20,6 +20,8 @@
 /// failure in a row up to the longest.
 constexpr auto kFirstAvoid = milliseconds(200);
 constexpr uint32_t kMostDoublings = 3;
+/// Others are told for so long that a target is idle, as a report may be lost.
+constexpr auto kToldAfterEnd = milliseconds(200);
 
 } // namespace
 
@@ -51,11 +53,31 @@
   const Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
   const auto it = shard.mLoads.find(aTarget);
-  return it == shard.mLoads.end() ? TargetLoad{} : it->second;
+  TargetLoad load = it == shard.mLoads.end() ? TargetLoad{} : it->second;
+  load.mOthers = mBoard.Others(aTarget);
+  return load;
+}
+
+Demands
+TargetLoads::Own(TimePoint aNow) const
+{
+  Demands own;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard guard(shard.mLock);
+    for (const auto& [vm, load] : shard.mLoads) {
+      if (load.mInFlight > 0 || aNow - load.mChangedAt < kToldAfterEnd) {
+        own[vm] = { load.mInFlight - load.mStreaming,
+                    load.mWaitingTokens,
+                    load.mStreaming,
+                    load.mLastProgress };
+      }
+    }
+  }
+  return own;
 }
 
 void
-TargetLoads::Begin(const std::string& aTarget, TimePoint aNow)
+TargetLoads::Begin(const std::string& aTarget, TimePoint aNow, uint64_t aTokens)
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
@@ -63,22 +85,30 @@
   if (load.mInFlight++ == 0) {
     load.mBusySince = aNow;
   }
+  load.mWaitingTokens += aTokens;
+  load.mChangedAt = aNow;
 }
 
 void
-TargetLoads::End(const std::string& aTarget, bool aStreaming)
+TargetLoads::End(const std::string& aTarget,
+                 bool aStreaming,
+                 TimePoint aNow,
+                 uint64_t aTokens)
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
   TargetLoad& load = shard.mLoads[aTarget];
   --load.mInFlight;
   load.mStreaming -= aStreaming ? 1 : 0;
+  load.mWaitingTokens -= aStreaming ? 0 : aTokens;
+  load.mChangedAt = std::max(load.mChangedAt, aNow);
 }
 
 void
 TargetLoads::NoteFirst(const std::string& aTarget,
                        Duration aFirstWait,
-                       TimePoint aNow)
+                       TimePoint aNow,
+                       uint64_t aTokens)
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
@@ -88,6 +118,8 @@
   load.mFirstAt = aNow;
   load.mLastProgress = aNow;
   ++load.mStreaming;
+  load.mWaitingTokens -= aTokens;
+  load.mChangedAt = aNow;
 }
 
 void
--- a/src/fleet/loads.h
+++ b/src/fleet/loads.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "fleet/demand.h"
 
 #include <array>
 #include <map>
@@ -9,9 +10,13 @@
 
 namespace hibiscushold {
 
-/// What this node knows of a target from its own requests.
+/// What this node knows of a target from its own requests, and what others
+/// ask of it.
 struct TargetLoad
 {
+  TargetDemand mOthers;
+  uint64_t mWaitingTokens = 0; ///< prompts of requests without an event yet
+  TimePoint mChangedAt;        ///< when a request began or ended last
   uint32_t mInFlight = 0;
   uint32_t mStreaming = 0; ///< of these, streams that have had an event
   TimePoint mBusySince;    ///< start of the oldest time without a pause
@@ -48,13 +53,27 @@
 public:
   TargetLoad Get(const std::string& aTarget) const;
 
-  void Begin(const std::string& aTarget, TimePoint aNow);
-  void End(const std::string& aTarget, bool aStreaming);
+  /// @return what this node's own requests ask of the targets; ones that they
+  ///         left lately are among them
+  Demands Own(TimePoint aNow) const;
+
+  /// The demands of other nodes.
+  DemandBoard& Board() { return mBoard; }
+
+  /// @param aTokens of the request's prompt
+  void Begin(const std::string& aTarget, TimePoint aNow, uint64_t aTokens = 0);
+  /// @param aTokens as given to Begin
+  void End(const std::string& aTarget,
+           bool aStreaming,
+           TimePoint aNow = {},
+           uint64_t aTokens = 0);
 
   /// @param aFirstWait time from the send to the first event
+  /// @param aTokens as given to Begin
   void NoteFirst(const std::string& aTarget,
                  Duration aFirstWait,
-                 TimePoint aNow);
+                 TimePoint aNow,
+                 uint64_t aTokens = 0);
   void NoteProgress(const std::string& aTarget, TimePoint aNow);
 
   /// Notes a failure; the target is avoided for longer with each in a row.
@@ -75,6 +94,7 @@
   const Shard& ShardOf(const std::string& aTarget) const;
 
   std::array<Shard, kShards> mShards;
+  DemandBoard mBoard;
 };
 
 } // namespace hibiscushold
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -13,7 +13,7 @@
 /// the configuration as of when it was sent, so short waits keep keys valid for
 /// longer when the store goes away.
 constexpr auto kConfigWait = milliseconds(600);
-constexpr auto kVmWait = milliseconds(1000);
+constexpr auto kVmWait = milliseconds(600);
 constexpr auto kRetryGap = milliseconds(250);
 /// The platform puts entries back within two seconds of the store's return.
 constexpr auto kReturnGrace = milliseconds(2300);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -28,14 +28,18 @@
 class LoadEntry
 {
 public:
-  LoadEntry(TargetLoads& aLoads, const std::string& aTarget, TimePoint aNow)
-    : mLoads(aLoads)
-    , mTarget(aTarget)
+  LoadEntry(const ExchangeParts& aParts, const ExchangeRequest& aRequest)
+    : mParts(aParts)
+    , mTarget(aRequest.mTarget.mVmId)
+    , mTokens(aRequest.mPromptTokens)
   {
-    mLoads.Begin(mTarget, aNow);
+    mParts.mLoads.Begin(mTarget, mParts.mClock.Now(), mTokens);
   }
 
-  ~LoadEntry() { mLoads.End(mTarget, mStreaming); }
+  ~LoadEntry()
+  {
+    mParts.mLoads.End(mTarget, mStreaming, mParts.mClock.Now(), mTokens);
+  }
 
   LoadEntry(const LoadEntry&) = delete;
   LoadEntry& operator=(const LoadEntry&) = delete;
@@ -43,8 +47,9 @@
   bool mStreaming = false;
 
 private:
-  TargetLoads& mLoads;
+  const ExchangeParts& mParts;
   const std::string mTarget;
+  const uint64_t mTokens;
 };
 
 /// Carries the parts of one exchange from step to step.
@@ -58,7 +63,7 @@
     , mRequest(aRequest)
     , mSink(aSink)
     , mSentAt(aParts.mClock.Now())
-    , mEntry(aParts.mLoads, aRequest.mTarget.mVmId, mSentAt)
+    , mEntry(aParts, aRequest)
   {
     mReport.mLastEvent = aRequest.mLastEvent;
   }
@@ -107,9 +112,9 @@
   bool IsTargetStalled() const
   {
     return mRequest.mStream &&
-           IsStalled(mParts.mLoads.Get(mRequest.mTarget.mVmId),
-                     mParts.mClock.Now(),
-                     mRequest.mStall);
+           IsStalled(mRequest.mTarget,
+                     mParts.mLoads.Get(mRequest.mTarget.mVmId),
+                     mParts.mClock.Now());
   }
 
   std::string MakeHead() const
@@ -246,7 +251,8 @@
       mParts.mLoads.NoteProgress(vm, now);
     } else {
       mReport.mFirstWait = now - mSentAt;
-      mParts.mLoads.NoteFirst(vm, mReport.mFirstWait, now);
+      mParts.mLoads.NoteFirst(
+        vm, mReport.mFirstWait, now, mRequest.mPromptTokens);
       mEntry.mStreaming = true;
       mSession->Guard().SetDeadline(mRequest.mDeadline);
       if (!mSink.OnHead(mReport.mReply.mStatus, mReport.mReply.mFields)) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -44,10 +44,10 @@
   TimePoint mDeadline; ///< of the whole request
   TimePoint mGiveUpAt; ///< a plain answer is waited for until here
   milliseconds mConnectLimit{ 150 };
-  StallLimits mStall;
   uint64_t mLastEvent = 0; ///< id of the last event that was passed on
   bool mFresh = false;     ///< takes no connection from the pool
   bool mStream = false;    ///< an event stream is expected
+  uint32_t mPromptTokens = 0;
 };
 
 /// A whole answer that is not a stream.
@@ -62,13 +62,13 @@
 struct ExchangeReport
 {
   ExchangeEnd mEnd = ExchangeEnd::ConnectFailed;
-  PlainReply mReply;        ///< for Answered, unless it was a stream
-  bool mStreamed = false;   ///< events were passed on
-  Duration mFirstWait{ 0 }; ///< from the send to the first event
+  PlainReply mReply;         ///< for Answered, unless it was a stream
+  bool mStreamed = false;    ///< events were passed on
+  Duration mFirstWait{ 0 };  ///< from the send to the first event
   Duration mLongestGap{ 0 }; ///< between events
-  bool mReused = false;     ///< the connection came from the pool
-  uint64_t mLastEvent = 0;  ///< id of the last event that was passed on
-  uint64_t mSentBytes = 0;  ///< zero: the target cannot have run the request
+  bool mReused = false;      ///< the connection came from the pool
+  uint64_t mLastEvent = 0;   ///< id of the last event that was passed on
+  uint64_t mSentBytes = 0;   ///< zero: the target cannot have run the request
   std::string mDetail;
 };
 
--- a/src/gateway/run.cc
+++ b/src/gateway/run.cc
@@ -161,10 +161,10 @@
                               mRequest.mDeadline,
                               mRequest.mDeadline,
                               kConnectLimit,
-                              StallLimits{},
                               mLastEvent,
                               !mRequest.MayRepeat(),
-                              stream };
+                              stream,
+                              mRequest.mPromptTokens };
     if (mLastEvent > 0) {
       exchange.mFields.push_back(
         { mParts.mDialect.mLastEvent, std::to_string(mLastEvent) });
--- a/src/relay/feedbook.cc
+++ b/src/relay/feedbook.cc
@@ -69,6 +69,7 @@
 Result<FeedAnswer>
 FeedBook::Wait(std::string_view aPrefix, uint64_t aSince, TimePoint aUntil)
 {
+  const TimePoint askedAt = mClock.Now();
   std::unique_lock guard(mLock);
   for (;;) {
     const auto it = mFeeds.find(aPrefix);
@@ -80,7 +81,8 @@
     const bool hasNews =
       !listing.mObjects.empty() || !listing.mDeleted.empty() || aSince == 0;
     if (hasNews || now >= aUntil) {
-      return FeedAnswer{ std::move(listing), now - it->second.mProvenAt };
+      return FeedAnswer{ std::move(listing),
+                         TimeLeft(askedAt, it->second.mProvenAt) };
     }
     mChanged.wait_for(guard, std::min<Duration>(aUntil - now, kLongestSleep));
   }
--- a/src/relay/feedbook.h
+++ b/src/relay/feedbook.h
@@ -13,7 +13,9 @@
 struct FeedAnswer
 {
   Listing mListing;
-  Duration mAge{}; ///< since the store was asked that had nothing newer
+  /// The store had nothing newer so long before the question came; zero when
+  /// it was asked after that.
+  Duration mAge{};
 };
 
 /// The feeds that this node follows, for others that follow it. Safe for
--- a/src/relay/registrar.cc
+++ b/src/relay/registrar.cc
@@ -8,7 +8,7 @@
 
 /// A new node is noticed within two of these; each costs a call for every node
 /// that asks the store itself.
-constexpr auto kRosterWait = milliseconds(1000);
+constexpr auto kRosterWait = milliseconds(300);
 
 void
 LogFailure(const char* aWhat, const Failure& aFailure)
@@ -19,26 +19,16 @@
 
 } // namespace
 
-Registrar::Registrar(RosterEntry aSelf, RelayedPlatform& aRelay)
+Registrar::Registrar(RosterEntry aSelf,
+                     TokenBook& aTokens,
+                     RelayedPlatform& aRelay)
   : mSelf(std::move(aSelf))
+  , mTokens(aTokens)
   , mRelay(aRelay)
   , mKey(std::string(kRosterPrefix) + mSelf.mId)
-  , mValue(SerializeRosterEntry(mSelf))
 {
 }
 
-void
-Registrar::Register()
-{
-  const Result<uint64_t> created =
-    mRelay.Create(mKey, mValue, CallClass::Status);
-  if (created) {
-    mOwnVersion = created.value();
-  } else if (created.error().mError != Error::StoreConflict) {
-    LogFailure("register", created.error());
-  }
-}
-
 Result<Listing>
 Registrar::Read()
 {
@@ -95,27 +85,45 @@
     return;
   }
   const auto own = mRoster.find(mSelf.mId);
+  // What this node wrote may be newer than what another one told it.
+  const uint64_t seen = own == mRoster.end() ? mRevision : own->second.mVersion;
+  if (seen < mOwnVersion) {
+    return;
+  }
   if (own == mRoster.end()) {
-    // What this node wrote may be newer than what another one told it.
-    if (mOwnVersion <= mRevision) {
-      Register();
-    }
+    NoteWrite("create", mRelay.Create(mKey, Value(), CallClass::Status));
     return;
   }
-  const bool right = own->second.mEntry.mToken == mSelf.mToken;
-  if (right || own->second.mVersion < mOwnVersion) {
-    mOwnVersion = std::max(mOwnVersion.load(), own->second.mVersion);
+  const RosterEntry& entry = own->second.mEntry;
+  if (entry.mAddress == mSelf.mAddress && entry.mZone == mSelf.mZone &&
+      entry.mCapacity == mSelf.mCapacity) {
+    // The entry of an earlier life holds on; others know its token.
+    mTokens.Replace(entry.mToken);
+    mOwnVersion = own->second.mVersion;
     return;
   }
-  const Result<uint64_t> updated =
-    mRelay.Update(mKey, mValue, own->second.mVersion, CallClass::Status);
-  if (updated) {
-    mOwnVersion = updated.value();
+  NoteWrite(
+    "update",
+    mRelay.Update(mKey, Value(), own->second.mVersion, CallClass::Status));
+}
+
+void
+Registrar::NoteWrite(const char* aAction, const Result<uint64_t>& aWritten)
+{
+  if (aWritten) {
+    mOwnVersion = aWritten.value();
   } else {
-    LogFailure("update", updated.error());
+    // The next look at the entries shows whether it was done.
+    LogFailure(aAction, aWritten.error());
   }
 }
 
+std::string
+Registrar::Value() const
+{
+  return SerializeRosterEntry(mSelf);
+}
+
 void
 Registrar::Leave()
 {
--- a/src/relay/registrar.h
+++ b/src/relay/registrar.h
@@ -11,12 +11,11 @@
 class Registrar
 {
 public:
-  Registrar(RosterEntry aSelf, RelayedPlatform& aRelay);
+  /// @param aSelf the entry as it should be; its token is for a new one
+  /// @param aTokens gets the token of the entry
+  Registrar(RosterEntry aSelf, TokenBook& aTokens, RelayedPlatform& aRelay);
 
-  /// Writes the own entry for the first time, before others are looked for.
-  void Register();
-
-  /// Waits for a change of the entries and takes it in.
+  /// Reads the entries, or waits for a change of them, and takes it in.
   void Step();
 
   /// Takes the own entry off, so that nobody asks this node any more.
@@ -29,12 +28,14 @@
   Result<Listing> Read();
   void Take(const Listing& aListing, bool aWhole);
   void Reconcile();
+  void NoteWrite(const char* aAction, const Result<uint64_t>& aWritten);
+  std::string Value() const;
 
   const RosterEntry mSelf;
+  TokenBook& mTokens;
   RelayedPlatform& mRelay;
   const std::string mKey;
-  const std::string mValue; ///< the own entry as it should be
-  uint64_t mRevision = 0;   ///< 0: has to be listed
+  uint64_t mRevision = 0; ///< 0: has to be listed
   Roster mRoster;
   std::atomic<uint64_t> mOwnVersion{ 0 };
   std::atomic<bool> mLooked{ false };
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -2,13 +2,17 @@
 
 #include "observe/events.h"
 
+#include <algorithm>
+
 namespace hibiscushold {
 
 namespace {
 
 /// A node that did not answer, or lost the store itself, is not asked again
-/// for so long: about the time in which a killed node is back.
-constexpr auto kAside = milliseconds(3000);
+/// for so long: about the time in which a killed node is back. It doubles with
+/// each failure in a row, up to half a minute for one that is gone for good.
+constexpr auto kAside = milliseconds(2000);
+constexpr uint32_t kMostDoublings = 4;
 /// A node whose own proof is older than this may have lost the store without
 /// knowing it yet. It asks every second and gives up after one more.
 constexpr auto kOldestAnswer = milliseconds(2600);
@@ -33,8 +37,8 @@
   const TimePoint now = mParts.mClock.Now();
   const std::lock_guard guard(mLock);
   for (const RosterEntry& it : mUpstreams) {
-    const auto aside = mAsideUntil.find(it.mId);
-    if (aside == mAsideUntil.end() || aside->second <= now) {
+    const auto aside = mAside.find(it.mId);
+    if (aside == mAside.end() || aside->second.mUntil <= now) {
       return it;
     }
   }
@@ -54,7 +58,17 @@
            { { "node", aPeer.mId }, { "reason", Describe(aFailure) } });
   mParts.mMetrics.CountRelay("peer_lost");
   const std::lock_guard guard(mLock);
-  mAsideUntil[aPeer.mId] = mParts.mClock.Now() + kAside;
+  Aside& aside = mAside[aPeer.mId];
+  const uint32_t doublings = std::min(aside.mFailures, kMostDoublings);
+  ++aside.mFailures;
+  aside.mUntil = mParts.mClock.Now() + kAside * (1U << doublings);
+}
+
+void
+RelayedPlatform::NoteAnswer(const RosterEntry& aPeer)
+{
+  const std::lock_guard guard(mLock);
+  mAside.erase(aPeer.mId);
 }
 
 Result<Listing>
@@ -67,12 +81,14 @@
   if (!answer) {
     return answer.error();
   }
-  if (answer.value().mAge > kOldestAnswer) {
+  // Nodes look at the roster seldom, and none of its entries ends in time.
+  if (aPrefix != kRosterPrefix && answer.value().mAge > kOldestAnswer) {
     return Failure{ Error::StoreUnavailable,
                     aPeer.mId + " last asked the store " +
                       std::to_string(ToMillis(answer.value().mAge)) + " ms ago",
                     "" };
   }
+  NoteAnswer(aPeer);
   Listing listing = std::move(answer.value().mListing);
   listing.mAge = answer.value().mAge;
   return listing;
--- a/src/relay/relayedplatform.h
+++ b/src/relay/relayedplatform.h
@@ -61,12 +61,22 @@
                       CallClass aClass) override;
   Result<VmListing> ListVms(uint64_t aSince) override;
 
-private:
+  /// @return the node that is asked now, or none
   std::optional<RosterEntry> Upstream() const;
+
+private:
+  /// A node that is not asked for a time.
+  struct Aside
+  {
+    TimePoint mUntil;
+    uint32_t mFailures = 0; ///< in a row
+  };
+
   Result<Listing> FromPeer(const RosterEntry& aPeer,
                            std::string_view aPrefix,
                            uint64_t aSince,
                            milliseconds aWait);
+  void NoteAnswer(const RosterEntry& aPeer);
   void SetAside(const RosterEntry& aPeer, const Failure& aFailure);
   void Note(std::string_view aPrefix,
             const Result<Listing>& aRead,
@@ -76,7 +86,7 @@
   const Parts mParts;
   mutable std::mutex mLock; ///< guards the two below
   std::vector<RosterEntry> mUpstreams;
-  std::map<std::string, TimePoint> mAsideUntil; ///< by node
+  std::map<std::string, Aside> mAside; ///< by node
 };
 
 } // namespace hibiscushold
