Pass demands along a tree only; leave full heads alone for longer

Change: what came from above is never told upwards, and is dropped when another node is asked; the node that gets the reports is chosen by whether it answers them, not by whether its feed is whole. A full head is left alone for longer with each refusal in a row. Tests of both fail without the change.

Ruled out: a circle in the roster's order (the order is the same everywhere), stale entries alone (they live 400 ms at each hop).

--- a/src/fleet/demand.cc
+++ b/src/fleet/demand.cc
@@ -79,53 +79,94 @@
 }
 
 void
-DemandBoard::Take(const std::string& aNeighbour,
-                  const Demands& aDemands,
-                  TimePoint aNow)
+DemandBoard::Take(ToldByVm& aInto, const Demands& aDemands, TimePoint aNow)
 {
-  const std::lock_guard guard(mLock);
-  std::map<std::string, Told>& told = mTold[aNeighbour];
   for (const auto& [vm, demand] : aDemands) {
-    told[vm] = { demand, aNow + kToldLife };
+    aInto[vm] = { demand, aNow + kToldLife };
+  }
+}
+
+void
+DemandBoard::Add(Demands& aSum, const ToldByVm& aTold)
+{
+  for (const auto& [vm, it] : aTold) {
+    aSum[vm] = aSum[vm] + it.mDemand;
   }
 }
 
+void
+DemandBoard::TakeBelow(const std::string& aNode,
+                       const Demands& aDemands,
+                       TimePoint aNow)
+{
+  const std::lock_guard guard(mLock);
+  Take(mBelow[aNode], aDemands, aNow);
+}
+
+void
+DemandBoard::TakeAbove(const Demands& aDemands, TimePoint aNow)
+{
+  const std::lock_guard guard(mLock);
+  Take(mAbove, aDemands, aNow);
+}
+
+void
+DemandBoard::ForgetAbove()
+{
+  const std::lock_guard guard(mLock);
+  mAbove.clear();
+}
+
 void
 DemandBoard::Forget(TimePoint aNow)
 {
+  const auto isOld = [&](const auto& aIt) { return aIt.second.mUntil <= aNow; };
   const std::lock_guard guard(mLock);
-  for (auto it = mTold.begin(); it != mTold.end();) {
-    std::erase_if(it->second,
-                  [&](const auto& aIt) { return aIt.second.mUntil <= aNow; });
-    it = it->second.empty() ? mTold.erase(it) : std::next(it);
+  std::erase_if(mAbove, isOld);
+  for (auto& [node, told] : mBelow) {
+    std::erase_if(told, isOld);
   }
+  std::erase_if(mBelow, [](const auto& it) { return it.second.empty(); });
 }
 
 TargetDemand
 DemandBoard::Others(const std::string& aVmId) const
 {
   TargetDemand sum;
-  const std::lock_guard guard(mLock);
-  for (const auto& [neighbour, told] : mTold) {
-    const auto it = told.find(aVmId);
-    if (it != told.end()) {
+  const auto add = [&](const ToldByVm& aTold) {
+    const auto it = aTold.find(aVmId);
+    if (it != aTold.end()) {
       sum = sum + it->second.mDemand;
     }
+  };
+  const std::lock_guard guard(mLock);
+  add(mAbove);
+  for (const auto& [node, told] : mBelow) {
+    add(told);
   }
   return sum;
 }
 
 Demands
-DemandBoard::SumFor(const std::string& aNeighbour, Demands aOwn) const
+DemandBoard::SumUp(Demands aOwn) const
 {
   Demands sum = std::move(aOwn);
   const std::lock_guard guard(mLock);
-  for (const auto& [neighbour, told] : mTold) {
-    if (neighbour == aNeighbour) {
-      continue;
-    }
-    for (const auto& [vm, it] : told) {
-      sum[vm] = sum[vm] + it.mDemand;
+  for (const auto& [node, told] : mBelow) {
+    Add(sum, told);
+  }
+  return sum;
+}
+
+Demands
+DemandBoard::SumDown(const std::string& aNode, Demands aOwn) const
+{
+  Demands sum = std::move(aOwn);
+  const std::lock_guard guard(mLock);
+  Add(sum, mAbove);
+  for (const auto& [node, told] : mBelow) {
+    if (node != aNode) {
+      Add(sum, told);
     }
   }
   return sum;
--- a/src/fleet/demand.h
+++ b/src/fleet/demand.h
@@ -50,16 +50,23 @@
 std::optional<DemandReport>
 DecodeReport(std::string_view aBytes, TimePoint aNow);
 
-/// The demands of other nodes, by the neighbour that told of them. Each hears
-/// the sum of all but what it told itself, so that in a tree of nodes every
-/// one learns the demand of all others. Safe for several threads.
+/// The demands of other nodes. Nodes form a tree: each tells the node above
+/// it what it and those below it ask, and each is told from above what all
+/// others ask. What came from above is never told upwards, so that demands
+/// cannot go round when nodes change places. Safe for several threads.
 class DemandBoard
 {
 public:
-  /// Takes in what a neighbour tells; it holds for a short time.
-  void Take(const std::string& aNeighbour,
-            const Demands& aDemands,
-            TimePoint aNow);
+  /// Takes in what a node below tells; it holds for a short time.
+  void TakeBelow(const std::string& aNode,
+                 const Demands& aDemands,
+                 TimePoint aNow);
+
+  /// Takes in what the node above tells; it holds for a short time.
+  void TakeAbove(const Demands& aDemands, TimePoint aNow);
+
+  /// Drops what the node above told, as another one is asked now.
+  void ForgetAbove();
 
   /// Drops what was told too long ago.
   void Forget(TimePoint aNow);
@@ -68,8 +75,13 @@
   TargetDemand Others(const std::string& aVmId) const;
 
   /// @param aOwn demands of this node
-  /// @return what the neighbour is to be told
-  Demands SumFor(const std::string& aNeighbour, Demands aOwn) const;
+  /// @return what the node above is to be told
+  Demands SumUp(Demands aOwn) const;
+
+  /// @param aNode a node below
+  /// @param aOwn demands of this node
+  /// @return what it is to be told: all but what it told itself
+  Demands SumDown(const std::string& aNode, Demands aOwn) const;
 
 private:
   struct Told
@@ -78,8 +90,14 @@
     TimePoint mUntil;
   };
 
-  mutable std::mutex mLock; ///< guards mTold
-  std::map<std::string, std::map<std::string, Told>> mTold;
+  using ToldByVm = std::map<std::string, Told>;
+
+  static void Take(ToldByVm& aInto, const Demands& aDemands, TimePoint aNow);
+  static void Add(Demands& aSum, const ToldByVm& aTold);
+
+  mutable std::mutex mLock; ///< guards the two below
+  std::map<std::string, ToldByVm> mBelow;
+  ToldByVm mAbove;
 };
 
 } // namespace hibiscushold
--- a/src/fleet/loads.cc
+++ b/src/fleet/loads.cc
@@ -20,6 +20,9 @@
 /// failure in a row up to the longest.
 constexpr auto kFirstAvoid = milliseconds(200);
 constexpr uint32_t kMostDoublings = 3;
+/// A full target has a place again after about a request's time; the first
+/// answer may have met a short peak.
+constexpr auto kFullAvoid = milliseconds(60);
 /// Others are told for so long that a target is idle, as a report may be lost.
 constexpr auto kToldAfterEnd = milliseconds(200);
 
@@ -149,12 +152,26 @@
     std::max(load.mAvoidUntil, aNow + kFirstAvoid * (1U << doublings));
 }
 
+void
+TargetLoads::NoteFull(const std::string& aTarget, TimePoint aNow)
+{
+  Shard& shard = ShardOf(aTarget);
+  const std::lock_guard guard(shard.mLock);
+  TargetLoad& load = shard.mLoads[aTarget];
+  const uint32_t doublings = std::min(load.mFullInRow, kMostDoublings);
+  ++load.mFullInRow;
+  load.mAvoidUntil =
+    std::max(load.mAvoidUntil, aNow + kFullAvoid * (1U << doublings));
+}
+
 void
 TargetLoads::NoteSuccess(const std::string& aTarget)
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
-  shard.mLoads[aTarget].mFailuresInRow = 0;
+  TargetLoad& load = shard.mLoads[aTarget];
+  load.mFailuresInRow = 0;
+  load.mFullInRow = 0;
 }
 
 void
--- a/src/fleet/loads.h
+++ b/src/fleet/loads.h
@@ -23,6 +23,7 @@
   TimePoint mLastProgress; ///< last byte of any answer
   TimePoint mAvoidUntil;   ///< takes no new request before this
   uint32_t mFailuresInRow = 0;
+  uint32_t mFullInRow = 0;
   double mGapMillis = 0;   ///< moving average of the times between events
   double mGapSpread = 0;   ///< moving average of their deviations
   double mFirstMillis = 0; ///< moving average of waits for a first event
@@ -78,6 +79,9 @@
 
   /// Notes a failure; the target is avoided for longer with each in a row.
   void NoteFailure(const std::string& aTarget, TimePoint aNow);
+  /// Notes that the target was full; it is left alone for longer with each
+  /// such answer in a row, as its quick refusals would draw requests.
+  void NoteFull(const std::string& aTarget, TimePoint aNow);
   void NoteSuccess(const std::string& aTarget);
   void Avoid(const std::string& aTarget, TimePoint aUntil);
 
--- a/src/gateway/run.cc
+++ b/src/gateway/run.cc
@@ -19,8 +19,6 @@
 constexpr double kPlainPatience = 0.6;
 /// A head that stood still takes no new request for so long.
 constexpr auto kStallAvoid = milliseconds(1500);
-/// A target that was full is left alone for so long.
-constexpr auto kFullAvoid = milliseconds(60);
 /// An address that another VM has taken is left alone for so long.
 constexpr auto kWrongVmAvoid = milliseconds(1000);
 /// A broken stream waits so long for a group that can go on with it; callers
@@ -190,7 +188,7 @@
         mParts.mLoads.NoteSuccess(aTarget.mVmId);
         return;
       case ExchangeEnd::NotRun:
-        mParts.mLoads.Avoid(aTarget.mVmId, now + kFullAvoid);
+        mParts.mLoads.NoteFull(aTarget.mVmId, now);
         return;
       case ExchangeEnd::WrongVm:
         mParts.mLoads.Avoid(aTarget.mVmId, now + kWrongVmAvoid);
--- a/src/relay/demandport.cc
+++ b/src/relay/demandport.cc
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/NetException.h>
 
+#include <algorithm>
 #include <array>
 
 namespace hibiscushold {
@@ -19,6 +20,9 @@
 constexpr auto kReportGapBeyond = milliseconds(60);
 /// A node without requests still wants to hear of the others, for its next.
 constexpr auto kIdleGap = milliseconds(200);
+/// A node that answers none of several reports is left.
+constexpr auto kSilence = milliseconds(500);
+constexpr auto kFirstAgain = milliseconds(3000);
 constexpr size_t kMostDatagramBytes = 4096;
 
 SocketAddress
@@ -59,25 +63,52 @@
   }
 }
 
+/// A node that lost the store still knows what its neighbours ask, so it is
+/// left only when it does not answer.
+void
+DemandPort::ChooseAbove(TimePoint aNow)
+{
+  const std::vector<RosterEntry> candidates = mParts.mRelay.Upstreams();
+  const auto found =
+    std::find_if(candidates.begin(), candidates.end(), [&](const auto& it) {
+      return mAbove && it.mId == mAbove->mId && it.mToken == mAbove->mToken;
+    });
+  const bool known = found != candidates.end();
+  const bool heard = known && aNow - mHeardAt < kSilence;
+  if (candidates.empty() || (heard && aNow < mFirstAgainAt)) {
+    return;
+  }
+  // The next one when this one is silent, else the first.
+  const bool next = known && !heard && found + 1 != candidates.end();
+  const RosterEntry& chosen = next ? *(found + 1) : candidates.front();
+  mFirstAgainAt = aNow + kFirstAgain;
+  if (known && chosen.mId == found->mId) {
+    return;
+  }
+  mAbove = chosen;
+  mHeardAt = aNow;
+  mParts.mLoads.Board().ForgetAbove();
+  mParts.mMetrics.CountRelay("report_elsewhere");
+}
+
 void
 DemandPort::Report()
 {
   const TimePoint now = mParts.mClock.Now();
   mParts.mLoads.Board().Forget(now);
-  const std::optional<RosterEntry> upstream = mParts.mRelay.Upstream();
-  const bool beyond = upstream && upstream->mZone != mSelf.mZone;
+  ChooseAbove(now);
+  const bool beyond = mAbove && mAbove->mZone != mSelf.mZone;
   mReportAt = now + (beyond ? kReportGapBeyond : kReportGap);
-  if (!upstream) {
+  if (!mAbove) {
     return;
   }
-  const SocketAddress to = AddressOf(upstream->mAddress);
-  const Demands demands =
-    mParts.mLoads.Board().SumFor(to.toString(), mParts.mLoads.Own(now));
+  const Demands demands = mParts.mLoads.Board().SumUp(mParts.mLoads.Own(now));
   if (demands.empty() && now < mIdleUntil) {
     return;
   }
   mIdleUntil = now + kIdleGap;
-  SendDemands(to, TokenBook(upstream->mToken).Field(), demands);
+  SendDemands(
+    AddressOf(mAbove->mAddress), TokenBook(mAbove->mToken).Field(), demands);
 }
 
 void
@@ -124,21 +155,18 @@
   const TimePoint now = mParts.mClock.Now();
   const std::optional<DemandReport> report =
     DecodeReport({ buf.data(), static_cast<size_t>(n) }, now);
-  const std::optional<RosterEntry> upstream = mParts.mRelay.Upstream();
-  const bool asked = report && mParts.mTokens.Accepts(report->mToken);
-  const bool answered = report && upstream &&
-                        TokenBook(upstream->mToken).Accepts(report->mToken) &&
-                        from == AddressOf(upstream->mAddress);
-  if (!asked && !answered) {
+  const std::string node = from.toString();
+  if (report && mAbove && from == AddressOf(mAbove->mAddress) &&
+      TokenBook(mAbove->mToken).Accepts(report->mToken)) {
+    mHeardAt = now;
+    mParts.mLoads.Board().TakeAbove(report->mDemands, now);
+  } else if (report && mParts.mTokens.Accepts(report->mToken)) {
+    mParts.mLoads.Board().TakeBelow(node, report->mDemands, now);
+    SendDemands(from,
+                mParts.mTokens.Field(),
+                mParts.mLoads.Board().SumDown(node, mParts.mLoads.Own(now)));
+  } else {
     mParts.mMetrics.CountRelay("report_refused");
-    return;
-  }
-  mParts.mLoads.Board().Take(from.toString(), report->mDemands, now);
-  if (asked) {
-    SendDemands(
-      from,
-      mParts.mTokens.Field(),
-      mParts.mLoads.Board().SumFor(from.toString(), mParts.mLoads.Own(now)));
   }
 }
 
--- a/src/relay/demandport.h
+++ b/src/relay/demandport.h
@@ -34,6 +34,7 @@
 private:
   void Report();
   void Receive();
+  void ChooseAbove(TimePoint aNow);
   void SendDemands(const Poco::Net::SocketAddress& aTo,
                    const std::string& aToken,
                    const Demands& aDemands);
@@ -41,6 +42,9 @@
   const RosterEntry mSelf;
   const Parts mParts;
   Poco::Net::DatagramSocket mSocket;
+  std::optional<RosterEntry> mAbove; ///< the node that is told
+  TimePoint mHeardAt;                ///< when mAbove answered or was chosen
+  TimePoint mFirstAgainAt;           ///< the first choice is tried again then
   TimePoint mReportAt;
   TimePoint mIdleUntil; ///< nothing was to be told; tell so again then
 };
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -31,6 +31,13 @@
   mUpstreams = std::move(aUpstreams);
 }
 
+std::vector<RosterEntry>
+RelayedPlatform::Upstreams() const
+{
+  const std::lock_guard guard(mLock);
+  return mUpstreams;
+}
+
 std::optional<RosterEntry>
 RelayedPlatform::Upstream() const
 {
--- a/src/relay/relayedplatform.h
+++ b/src/relay/relayedplatform.h
@@ -61,10 +61,11 @@
                       CallClass aClass) override;
   Result<VmListing> ListVms(uint64_t aSince) override;
 
-  /// @return the node that is asked now, or none
-  std::optional<RosterEntry> Upstream() const;
+  /// @return the nodes that may be asked, whether or not they are aside
+  std::vector<RosterEntry> Upstreams() const;
 
 private:
+  std::optional<RosterEntry> Upstream() const;
   /// A node that is not asked for a time.
   struct Aside
   {
--- /dev/null
+++ b/test/demand-test.cc
@@ -0,0 +1,88 @@
+#include "fleet/demand.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+namespace {
+
+constexpr TimePoint kNow{ std::chrono::hours(1) };
+
+TargetDemand
+Streams(uint32_t aNumber)
+{
+  return { 0, 0, aNumber, kNow };
+}
+
+} // namespace
+
+TEST_GROUP(DemandBoard)
+{
+  DemandBoard mBoard;
+};
+
+TEST(DemandBoard, TellsANodeBelowAllButItsOwn)
+{
+  mBoard.TakeBelow("n1", { { "h", Streams(1) } }, kNow);
+  mBoard.TakeBelow("n2", { { "h", Streams(2) } }, kNow);
+  mBoard.TakeAbove({ { "h", Streams(4) } }, kNow);
+  const Demands down = mBoard.SumDown("n1", { { "h", Streams(8) } });
+  CHECK_EQUAL(14U, down.at("h").mStreaming);
+  CHECK_EQUAL(7U, mBoard.Others("h").mStreaming);
+}
+
+// Nodes that change places may for a moment stand in a circle; what went round
+// in it grew without bounds.
+TEST(DemandBoard, NeverTellsUpwardsWhatCameFromAbove)
+{
+  mBoard.TakeAbove({ { "h", Streams(4) } }, kNow);
+  mBoard.TakeBelow("n1", { { "h", Streams(1) } }, kNow);
+  CHECK_EQUAL(1U, mBoard.SumUp({}).at("h").mStreaming);
+}
+
+TEST(DemandBoard, ForgetsWhatIsNotToldAgain)
+{
+  mBoard.TakeBelow("n1", { { "h", Streams(1) } }, kNow);
+  mBoard.TakeAbove({ { "h", Streams(4) } }, kNow);
+  mBoard.Forget(kNow + milliseconds(100));
+  CHECK_EQUAL(5U, mBoard.Others("h").mStreaming);
+  mBoard.Forget(kNow + milliseconds(500));
+  CHECK_EQUAL(0U, mBoard.Others("h").mStreaming);
+}
+
+TEST(DemandBoard, DropsWhatAnEarlierNodeAboveTold)
+{
+  mBoard.TakeAbove({ { "h", Streams(4) } }, kNow);
+  mBoard.ForgetAbove();
+  CHECK_EQUAL(0U, mBoard.Others("h").mStreaming);
+}
+
+TEST_GROUP(DemandReport){};
+
+TEST(DemandReport, SurvivesItsEncoding)
+{
+  const DemandReport sent{ "token",
+                           { { "h1", { 3, 70000, 9, kNow - milliseconds(40) } },
+                             { "h2", {} } } };
+  const auto got = DecodeReport(EncodeReport(sent, kNow), kNow + seconds(5));
+  CHECK(got.has_value());
+  STRCMP_EQUAL("token", got->mToken.c_str());
+  const TargetDemand& demand = got->mDemands.at("h1");
+  CHECK_EQUAL(3U, demand.mWaiting);
+  CHECK_EQUAL(70000U, demand.mWaitingTokens);
+  CHECK_EQUAL(9U, demand.mStreaming);
+  // Nodes share no clock, so the age is what is kept.
+  CHECK(kNow + seconds(5) - milliseconds(40) == demand.mProgressAt);
+  CHECK(TimePoint{} == got->mDemands.at("h2").mProgressAt);
+}
+
+TEST(DemandReport, RefusesBytesThatAreNone)
+{
+  const std::string whole =
+    EncodeReport({ "t", { { "h", Streams(1) } } }, kNow);
+  CHECK(!DecodeReport("", kNow).has_value());
+  CHECK(!DecodeReport("GET / HTTP/1.1", kNow).has_value());
+  for (size_t n = 0; n < whole.size(); ++n) {
+    CHECK(!DecodeReport(std::string_view(whole).substr(0, n), kNow));
+  }
+}
--- a/test/loadpatterns-test.cc
+++ b/test/loadpatterns-test.cc
@@ -152,3 +152,86 @@
   CHECK(budget.TakeRepeat("drafting", kStart));
   CHECK(!budget.TakeRepeat("drafting", kStart));
 }
+
+// Burst over many nodes: each node sends a head a request a second, so only
+// the demands of the others show where the queue is.
+TEST(LoadPatterns, QueuesOfOtherNodesAreSeen)
+{
+  mTargets[0].mTimes = mTargets[1].mTimes = { 42, 0.3, 0.02 };
+  mLoads.Board().TakeAbove({ { "h1", { 3, 6000, 10, kStart } } }, kStart);
+  STRCMP_EQUAL("h2", Choose(kStart));
+  mLoads.Board().TakeAbove({ { "h2", { 9, 18000, 2, kStart } } }, kStart);
+  STRCMP_EQUAL("h1", Choose(kStart));
+}
+
+// A group that opens while all others are loaded: nodes that choose at once
+// must not all send to it.
+TEST(LoadPatterns, ANewHeadDoesNotDrawEverything)
+{
+  for (int n = 0; n < 8; ++n) {
+    mLoads.Begin("h1", kStart);
+    mLoads.NoteFirst("h1", milliseconds(80), kStart);
+  }
+  mTargets[0].mTimes = mTargets[1].mTimes = { 42, 0.3, 0.02 };
+  int old = 0;
+  for (int n = 0; n < 100; ++n) {
+    const ChoiceInput input{ "a", "m", kStart, n / 100.0 };
+    old += ChooseTarget(mTargets, mLoads, input, mTried)->mVmId == "h1" ? 1 : 0;
+  }
+  CHECK(old >= 10);
+  CHECK(old <= 40);
+}
+
+// Overload: a full head answers sooner than any other, which must not make it
+// the first choice.
+TEST(LoadPatterns, AFullHeadIsLeftAloneForLonger)
+{
+  TimePoint now = kStart;
+  for (int n = 0; n < 4; ++n) {
+    mLoads.NoteFull("h1", now);
+    now = mLoads.Get("h1").mAvoidUntil;
+  }
+  CHECK(now - kStart >= milliseconds(800));
+  mLoads.NoteSuccess("h1");
+  mLoads.NoteFull("h1", now);
+  CHECK(mLoads.Get("h1").mAvoidUntil - now <= milliseconds(60));
+}
+
+// Domain dark: once other nodes' streams stand still as well, the silence of a
+// few passes is enough.
+TEST(LoadPatterns, SilenceForAllIsSeenSooner)
+{
+  FleetTarget target = MakeTarget("h1");
+  target.mTimes = { 42, 0.3, 0.02 };
+  mLoads.Begin("h1", kStart);
+  mLoads.NoteFirst("h1", milliseconds(50), kStart);
+  const TimePoint later = kStart + milliseconds(200);
+  CHECK(!IsStalled(target, mLoads.Get("h1"), later));
+  mLoads.Board().TakeAbove({ { "h1", { 0, 0, 5, kStart } } }, kStart);
+  CHECK(IsStalled(target, mLoads.Get("h1"), later));
+}
+
+// Lossy links: one stream may wait for a packet while the head works on.
+TEST(LoadPatterns, AHeadThatMovesForOthersIsNotLeft)
+{
+  FleetTarget target = MakeTarget("h1");
+  target.mTimes = { 42, 0.3, 0.02 };
+  mLoads.Begin("h1", kStart);
+  mLoads.NoteFirst("h1", milliseconds(50), kStart);
+  const TimePoint later = kStart + milliseconds(900);
+  mLoads.Board().TakeAbove({ { "h1", { 0, 0, 5, later - milliseconds(40) } } },
+                           later);
+  CHECK(!IsStalled(target, mLoads.Get("h1"), later));
+}
+
+// Hot prompt: long prompts that wait explain a long pass.
+TEST(LoadPatterns, ALongPassIsNotTakenForSilence)
+{
+  FleetTarget target = MakeTarget("h1");
+  target.mTimes = { 42, 0.3, 0.02 };
+  mLoads.Begin("h1", kStart);
+  mLoads.NoteFirst("h1", milliseconds(50), kStart);
+  const TimePoint later = kStart + milliseconds(200);
+  mLoads.Board().TakeAbove({ { "h1", { 3, 6000, 5, kStart } } }, kStart);
+  CHECK(!IsStalled(target, mLoads.Get("h1"), later));
+}
