Ask after the members of a head that is silent for all nodes, twice at once

Change: the planner judges heads by what all nodes see, asks each member two questions at once with 120 ms for an answer, and the first node of each zone watches the lease by readings that cost a tenth. The lease lasts 1.2 s.

Ruled out: fewer questions per suspicion (a lost packet would count as a loss).

--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -92,10 +92,9 @@
     requests * std::max(times.mMillisPerRequest, kLeastMillisPerRequest);
   cost += tokens * times.mMillisPerToken;
   // Waits that the target's work does not explain show that it is slow.
-  cost += std::max(
-    0.0,
-    ExpectedFirstMillis(load, aInput.mNow) -
-      static_cast<double>(ExplainedPause(*aTarget.mTarget, load).count()));
+  cost += std::max(0.0,
+                   ExpectedFirstMillis(load, aInput.mNow) -
+                     static_cast<double>(ExplainedPause(times, load).count()));
   const bool quiet =
     load.mStreaming > 0 && aInput.mNow - load.mLastProgress >
                              UsualPause(load, StallLimits{}) * kQuietPart;
@@ -104,25 +103,22 @@
 }
 
 milliseconds
-ExplainedPause(const FleetTarget& aTarget, const TargetLoad& aLoad)
+ExplainedPause(const TargetTimes& aTimes, const TargetLoad& aLoad)
 {
-  const TargetTimes& times = aTarget.mTimes;
   const uint32_t streams = aLoad.mStreaming + aLoad.mOthers.mStreaming;
   const auto tokens =
     static_cast<double>(aLoad.mWaitingTokens + aLoad.mOthers.mWaitingTokens);
-  const double pass = times.mPassMillis + streams * times.mMillisPerRequest +
-                      tokens * times.mMillisPerToken;
+  const double pass = aTimes.mPassMillis + streams * aTimes.mMillisPerRequest +
+                      tokens * aTimes.mMillisPerToken;
   return milliseconds(static_cast<int64_t>(pass * kPauseFactor + kPauseMargin));
 }
 
 bool
-IsStalled(const FleetTarget& aTarget, const TargetLoad& aLoad, TimePoint aNow)
+IsSilentForAll(const TargetTimes& aTimes,
+               const TargetLoad& aLoad,
+               TimePoint aNow)
 {
-  const StallLimits limits;
   if (aLoad.mOthers.mStreaming < kWitnesses) {
-    return IsStalled(aLoad, aNow, limits);
-  }
-  if (aLoad.mInFlight == 0) {
     return false;
   }
   const TimePoint since = std::max(
@@ -131,8 +127,17 @@
   const auto seen =
     static_cast<int64_t>(aLoad.mGapMillis * kPauseFactor + kPauseMargin);
   const milliseconds limit =
-    std::max(ExplainedPause(aTarget, aLoad), milliseconds(seen));
-  return aNow - since > std::clamp(limit, kLeastPause, limits.mMost);
+    std::max(ExplainedPause(aTimes, aLoad), milliseconds(seen));
+  return aNow - since > std::clamp(limit, kLeastPause, StallLimits{}.mMost);
+}
+
+bool
+IsStalled(const FleetTarget& aTarget, const TargetLoad& aLoad, TimePoint aNow)
+{
+  if (aLoad.mOthers.mStreaming < kWitnesses) {
+    return IsStalled(aLoad, aNow, StallLimits{});
+  }
+  return aLoad.mInFlight > 0 && IsSilentForAll(aTarget.mTimes, aLoad, aNow);
 }
 
 namespace {
--- a/src/fleet/choice.h
+++ b/src/fleet/choice.h
@@ -62,7 +62,14 @@
 
 /// @return the longest pause of the target's streams that its work explains
 milliseconds
-ExplainedPause(const FleetTarget& aTarget, const TargetLoad& aLoad);
+ExplainedPause(const TargetTimes& aTimes, const TargetLoad& aLoad);
+
+/// @return whether several nodes have streams at the target and none of them
+///         moved for longer than its work explains
+bool
+IsSilentForAll(const TargetTimes& aTimes,
+               const TargetLoad& aLoad,
+               TimePoint aNow);
 
 /// Judges a target that is known to be at work for several nodes by what its
 /// work explains, and any other by the pauses that are usual there.
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -1,6 +1,6 @@
 #include "fleet/planrunner.h"
 
-#include "core/random.h"
+#include "fleet/choice.h"
 #include "observe/events.h"
 
 namespace hibiscushold {
@@ -10,14 +10,18 @@
 constexpr const char* kLeaseName = "planner";
 /// A planner that died is replaced after this; each renewal and each look at
 /// the lease costs a call.
-constexpr auto kLeaseTerm = milliseconds(1400);
+constexpr auto kLeaseTerm = milliseconds(1200);
 /// Orders go to many VMs at once, and a dead VM holds a thread until the
 /// order's time is over.
-constexpr size_t kThreads = 12;
+constexpr size_t kThreads = 24;
 /// The use of VMs is logged at most this often.
 constexpr auto kCountsGap = milliseconds(1000);
-constexpr auto kAskLimit = milliseconds(150);
+/// A VM answers within milliseconds, whatever it does.
+constexpr auto kAskLimit = milliseconds(120);
 constexpr auto kAskGap = milliseconds(160);
+/// Questions at once, each on a connection of its own, as a packet may be lost;
+/// a VM that answers none of them counts as silent.
+constexpr int kQuestions = 2;
 /// The planner asks after members as early as requests give a head up.
 constexpr StallLimits kSuspicion{ milliseconds(200),
                                   milliseconds(250),
@@ -34,7 +38,7 @@
 }
 
 void
-PlanRunner::LeaseStep()
+PlanRunner::LeaseStep(bool aOldReadsDo)
 {
   LeaseState lease;
   {
@@ -43,6 +47,7 @@
   }
   const LeaseRole role =
     mParts.mStopping ? LeaseRole::Bystander : LeaseRole::Preferred;
+  lease.mOldReadsDo = aOldReadsDo && !lease.mHeld && !lease.mUnsettled;
   mLeases.Step(kLeaseName, role, 0, lease);
   const std::lock_guard guard(mLeaseLock);
   mLease = lease;
@@ -120,7 +125,7 @@
   if (isNew) {
     service.mState = StartPlanning(mFence);
   }
-  AskSuspects(service, *aVms);
+  AskSuspects(service, *aService.mEngine, *aVms);
   const PlannerView view{
     *aVms, aService.mName, *aService.mEngine, mParts.mIsBeforeTraffic()
   };
@@ -161,14 +166,18 @@
 }
 
 void
-PlanRunner::AskSuspects(Service& aService, const FleetVms& aVms)
+PlanRunner::AskSuspects(Service& aService,
+                        const EngineSpec& aEngine,
+                        const FleetVms& aVms)
 {
   const TimePoint now = mParts.mClock.Now();
   for (const auto& [key, group] : aService.mState.mGroups) {
     const std::string& head = group.mMembers[0];
     const TargetLoad load = mParts.mLoads.Get(head);
+    const FleetModel* model = aEngine.FindModel(group.mModel);
     const bool suspect =
-      IsStalled(load, now, kSuspicion) || load.mAvoidUntil > now + kAskGap;
+      IsStalled(load, now, kSuspicion) || load.mAvoidUntil > now + kAskGap ||
+      (model != nullptr && IsSilentForAll(aEngine.TimesOf(*model), load, now));
     if (group.mStage != GroupStage::Serving || !suspect) {
       continue;
     }
@@ -177,7 +186,9 @@
       TimePoint& askedAt = aService.mAskedAt[it];
       if (vm != aVms.end() && now - askedAt > kAskGap) {
         askedAt = now;
-        Ask(vm->second.mService, it, vm->second.mAddress);
+        for (int n = 0; n < kQuestions; ++n) {
+          Ask(vm->second.mService, it, vm->second.mAddress);
+        }
       }
     }
   }
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -33,7 +33,9 @@
   PlanRunner(std::string aNodeId, Parts aParts, PlannerBounds aBounds);
 
   /// Renews, takes or watches the lease.
-  void LeaseStep();
+  /// @param aOldReadsDo look at a lease of others by readings that may be some
+  ///        seconds old; only a conditional write takes it
+  void LeaseStep(bool aOldReadsDo);
 
   /// Plans once and gives the orders, if this node holds the lease.
   void PlanOnce();
@@ -55,7 +57,9 @@
   void LogCounts(const std::string& aName,
                  Service& aService,
                  const PlannerView& aView);
-  void AskSuspects(Service& aService, const FleetVms& aVms);
+  void AskSuspects(Service& aService,
+                   const EngineSpec& aEngine,
+                   const FleetVms& aVms);
   void Ask(const std::string& aService, const std::string& aVmId, Endpoint aTo);
   void Give(const std::string& aService, FleetOrder aOrder);
 
--- a/src/groups/lease.h
+++ b/src/groups/lease.h
@@ -47,6 +47,7 @@
   bool mDeputy = false; ///< took the place of a preferred member
   TimePoint mDeputyUntil;
   std::optional<LeaseWrite> mUnsettled;
+  bool mOldReadsDo = false; ///< a reading of the store may be some seconds old
 };
 
 /// How a node stands to a domain.
--- a/src/groups/leaseshell.cc
+++ b/src/groups/leaseshell.cc
@@ -58,7 +58,9 @@
                  LeaseState& aState)
 {
   aState.mReadAt = mClock.Now();
-  Result<Object> object = mPlatform.Get(LeaseKey(aDomain), CallClass::Lease);
+  const CallClass importance =
+    aState.mOldReadsDo ? CallClass::Status : CallClass::Lease;
+  Result<Object> object = mPlatform.Get(LeaseKey(aDomain), importance);
   if (!object && object.error().mError == Error::StoreMissing) {
     aState.mUnsettled.reset();
     aState.mHeld = false;
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -58,6 +58,15 @@
   return !Upstream().has_value();
 }
 
+bool
+RelayedPlatform::IsFirstInZone(std::string_view aZone) const
+{
+  const std::lock_guard guard(mLock);
+  return std::none_of(mUpstreams.begin(),
+                      mUpstreams.end(),
+                      [&](const RosterEntry& it) { return it.mZone == aZone; });
+}
+
 void
 RelayedPlatform::SetAside(const RosterEntry& aPeer, const Failure& aFailure)
 {
--- a/src/relay/relayedplatform.h
+++ b/src/relay/relayedplatform.h
@@ -42,6 +42,9 @@
   /// @return whether this node asks the store itself
   bool IsDirect() const;
 
+  /// @return whether no other node of the zone goes before this one
+  bool IsFirstInZone(std::string_view aZone) const;
+
   /// Of CallClass::Config, a list may come from another node.
   Result<Listing> List(std::string_view aPrefix, CallClass aClass) override;
   Result<Listing> Watch(std::string_view aPrefix,
