--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -11,6 +11,9 @@
 /// A planner that died is replaced after this; each renewal and each look at
 /// the lease costs a call.
 constexpr auto kLeaseTerm = milliseconds(1200);
+/// A process that has just begun cannot know that the store was away; the
+/// platform puts entries that lapsed back within two seconds.
+constexpr auto kReturnTime = milliseconds(2300);
 /// Orders go to many VMs at once, and a dead VM holds a thread until the
 /// order's time is over.
 constexpr size_t kThreads = 24;
@@ -32,6 +35,7 @@
 PlanRunner::PlanRunner(std::string aNodeId, Parts aParts, PlannerBounds aBounds)
   : mParts(std::move(aParts))
   , mBounds(aBounds)
+  , mPlansFrom(mParts.mClock.Now() + kReturnTime)
   , mLeases(std::move(aNodeId), mParts.mPlatform, mParts.mClock, kLeaseTerm)
   , mQueue(kThreads)
 {
@@ -100,7 +104,9 @@
 {
   // Entries that lapsed with the store are not yet back; without them, whole
   // groups would look broken.
-  if (mParts.mClock.Now() < mParts.mWatcher.SettledAt()) {
+  const bool hasSeenLittle =
+    mParts.mClock.Now() < mPlansFrom && !mParts.mIsBeforeTraffic();
+  if (!mParts.mWatcher.IsSettled() || hasSeenLittle) {
     return nullptr;
   }
   // What is followed may lack what an earlier planner ordered last.
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -65,6 +65,7 @@
 
   const Parts mParts;
   const PlannerBounds mBounds;
+  const TimePoint mPlansFrom; ///< VMs are taken as listed from here on
   LeaseShell mLeases;
   std::mutex mLeaseLock; ///< guards mLease
   LeaseState mLease;
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -73,9 +73,10 @@
     LogEvent(lost ? EventId::StoreLost : EventId::StoreBack,
              { { "objects", aFeed.mWhat },
                { "reason", lost ? Describe(aRead.error()) : "" } });
-    if (&aFeed == &mVmFeed && !lost) {
+    if (&aFeed == &mVmFeed) {
       const std::lock_guard guard(mLock);
-      mSettledAt = mClock.Now() + kReturnGrace;
+      mVmsLost = lost;
+      mSettledAt = lost ? mSettledAt : mClock.Now() + kReturnGrace;
     }
   }
   if (lost) {
@@ -231,6 +232,13 @@
   return vms;
 }
 
+bool
+FleetWatcher::IsSettled() const
+{
+  const std::lock_guard guard(mLock);
+  return !mVmsLost && mClock.Now() >= mSettledAt;
+}
+
 TimePoint
 FleetWatcher::SettledAt() const
 {
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -39,9 +39,9 @@
   /// Lists the VMs anew, apart from what is followed.
   Result<FleetVms> ReadVms() const;
 
-  /// @return when all VMs that lapsed while the store was away should be
-  ///         listed again
-  TimePoint SettledAt() const;
+  /// @return whether the list of VMs can be had, and all that lapsed while the
+  ///         store was away should be listed again
+  bool IsSettled() const;
 
   /// @return when the store last answered how the VMs stand
   TimePoint VmsReadAt() const;
@@ -70,6 +70,7 @@
   void NoteContact(Feed& aFeed, const Result<Listing>& aRead);
   void TakeVms(const Listing& aListing, bool aWhole);
   void DropLapsed(FleetVms& aVms);
+  TimePoint SettledAt() const;
   void TakeConfig(const Object& aObject);
 
   Platform& mPlatform;
@@ -86,6 +87,7 @@
   FleetVmsPtr mVms;
   TimePoint mVmsReadAt;
   TimePoint mSettledAt;
+  bool mVmsLost = false;
   FleetConfigPtr mConfig;
   TimePoint mProof;
 };
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -8,14 +8,27 @@
 
 namespace {
 
-/// A node that did not answer, or lost the store itself, is not asked again
-/// for so long: about the time in which a killed node is back. It doubles with
-/// each failure in a row, up to half a minute for one that is gone for good.
+/// A node that did not answer is not asked again for so long: about the time
+/// in which a killed node is back. It doubles with each failure in a row, up to
+/// half a minute for one that is gone for good.
 constexpr auto kAside = milliseconds(2000);
 constexpr uint32_t kMostDoublings = 4;
+/// A node that lost the store has it back sooner.
+constexpr auto kAsideWithoutStore = milliseconds(1000);
+/// A node that has others to ask tries the store again only after this, as all
+/// nodes do so while the store is away, and each try has its price.
+constexpr auto kDirectAgain = milliseconds(1500);
 /// A node whose own proof is older than this may have lost the store without
-/// knowing it yet. It asks every second and gives up after one more.
-constexpr auto kOldestAnswer = milliseconds(2600);
+/// knowing it yet. At the second node of a chain it is 1.5 s at most.
+constexpr auto kOldestAnswer = milliseconds(2000);
+
+Failure
+TriedLately(std::string_view aPrefix)
+{
+  return { Error::StoreUnavailable,
+           std::string(aPrefix) + ": the store failed a moment ago",
+           "" };
+}
 
 } // namespace
 
@@ -68,16 +81,23 @@
 }
 
 void
-RelayedPlatform::SetAside(const RosterEntry& aPeer, const Failure& aFailure)
+RelayedPlatform::SetAside(const RosterEntry& aPeer,
+                          std::string_view aPrefix,
+                          const Failure& aFailure)
 {
   LogEvent(EventId::UpstreamLost,
            { { "node", aPeer.mId }, { "reason", Describe(aFailure) } });
   mParts.mMetrics.CountRelay("peer_lost");
+  // Those that follow this node must not wait until the store is asked.
+  mParts.mBook.Lose(aPrefix);
+  const bool answered = aFailure.mError == Error::StoreUnavailable;
   const std::lock_guard guard(mLock);
   Aside& aside = mAside[aPeer.mId];
-  const uint32_t doublings = std::min(aside.mFailures, kMostDoublings);
-  ++aside.mFailures;
-  aside.mUntil = mParts.mClock.Now() + kAside * (1U << doublings);
+  const uint32_t doublings =
+    answered ? 0 : std::min(aside.mFailures, kMostDoublings);
+  aside.mFailures += answered ? 0 : 1;
+  aside.mUntil = mParts.mClock.Now() +
+                 (answered ? kAsideWithoutStore : kAside * (1U << doublings));
 }
 
 void
@@ -123,6 +143,26 @@
   }
 }
 
+bool
+RelayedPlatform::MayAskStore(std::string_view aPrefix) const
+{
+  const std::lock_guard guard(mLock);
+  const auto it = mStoreFailedAt.find(aPrefix);
+  return mUpstreams.empty() || it == mStoreFailedAt.end() ||
+         mParts.mClock.Now() >= it->second + kDirectAgain;
+}
+
+void
+RelayedPlatform::NoteStore(std::string_view aPrefix, bool aAnswered)
+{
+  const std::lock_guard guard(mLock);
+  if (aAnswered) {
+    mStoreFailedAt.erase(std::string(aPrefix));
+  } else {
+    mStoreFailedAt[std::string(aPrefix)] = mParts.mClock.Now();
+  }
+}
+
 Result<Listing>
 RelayedPlatform::List(std::string_view aPrefix, CallClass aClass)
 {
@@ -134,11 +174,15 @@
       Note(aPrefix, listing, true, askedAt - listing.value().mAge);
       return listing;
     }
-    SetAside(*peer, listing.error());
+    SetAside(*peer, aPrefix, listing.error());
+  }
+  if (!MayAskStore(aPrefix)) {
+    return TriedLately(aPrefix);
   }
   const TimePoint directAt = mParts.mClock.Now();
   Result<Listing> listing = mParts.mStore.List(aPrefix, aClass);
   Note(aPrefix, listing, true, directAt);
+  NoteStore(aPrefix, listing.has_value());
   return listing;
 }
 
@@ -158,11 +202,17 @@
     if (changes.error().mError == Error::StoreHistoryGone) {
       return changes;
     }
-    SetAside(*peer, changes.error());
+    SetAside(*peer, aPrefix, changes.error());
+  }
+  if (!MayAskStore(aPrefix)) {
+    return TriedLately(aPrefix);
   }
   const TimePoint directAt = mParts.mClock.Now();
   Result<Listing> changes = mParts.mStore.Watch(aPrefix, aSince, aWait);
   Note(aPrefix, changes, false, directAt);
+  NoteStore(aPrefix,
+            changes.has_value() ||
+              changes.error().mError == Error::StoreHistoryGone);
   if (changes) {
     // The question that was answered began when the peer was still asked.
     changes.value().mAge = askedAt - directAt;
--- a/src/relay/relayedplatform.h
+++ b/src/relay/relayedplatform.h
@@ -81,16 +81,22 @@
                            uint64_t aSince,
                            milliseconds aWait);
   void NoteAnswer(const RosterEntry& aPeer);
-  void SetAside(const RosterEntry& aPeer, const Failure& aFailure);
+  void SetAside(const RosterEntry& aPeer,
+                std::string_view aPrefix,
+                const Failure& aFailure);
+  bool MayAskStore(std::string_view aPrefix) const;
+  void NoteStore(std::string_view aPrefix, bool aAnswered);
   void Note(std::string_view aPrefix,
             const Result<Listing>& aRead,
             bool aWhole,
             TimePoint aProvenAt);
 
   const Parts mParts;
-  mutable std::mutex mLock; ///< guards the two below
+  mutable std::mutex mLock; ///< guards the three below
   std::vector<RosterEntry> mUpstreams;
   std::map<std::string, Aside> mAside; ///< by node
+  /// When the store last failed this node, by prefix.
+  std::map<std::string, TimePoint, std::less<>> mStoreFailedAt;
 };
 
 } // namespace hibiscushold
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -45,6 +45,42 @@
   return ids;
 }
 
+/// A store that is cut off; watches of it take long.
+class UnreachableStore final : public Platform
+{
+public:
+  Result<Object> Get(std::string_view, CallClass) override { return Down(); }
+  Result<Listing> List(std::string_view, CallClass) override { return Down(); }
+  Result<uint64_t> Create(std::string_view,
+                          std::string_view,
+                          CallClass) override
+  {
+    return Down();
+  }
+  Result<uint64_t> Update(std::string_view,
+                          std::string_view,
+                          uint64_t,
+                          CallClass) override
+  {
+    return Down();
+  }
+  Result<void> Delete(std::string_view, uint64_t, CallClass) override
+  {
+    return Down();
+  }
+  Result<Listing> Watch(std::string_view, uint64_t, milliseconds) override
+  {
+    mOnWatch();
+    return Down();
+  }
+  Result<VmListing> ListVms(uint64_t) override { return Down(); }
+
+  std::function<void()> mOnWatch; ///< called while a watch waits
+
+private:
+  static Failure Down() { return { Error::StoreUnavailable, "down", "" }; }
+};
+
 } // namespace
 
 TEST_GROUP(Feed)
@@ -225,6 +261,42 @@
   STRCMP_EQUAL("n1", mAsked.back().c_str());
 }
 
+// The second of two nodes that are cut off waited for the store before it told
+// the third, which then had a configuration that was over two seconds old.
+TEST(Relay, TellsItsFollowersBeforeItAsksTheStore)
+{
+  UnreachableStore store;
+  RelayedPlatform relay{
+    { store,
+      mBook,
+      [](const RosterEntry&, std::string_view, uint64_t, milliseconds) {
+        return Silence();
+      },
+      mMetrics,
+      mClock }
+  };
+  relay.SetUpstreams({ { "n1", "a", {}, "t", 1 } });
+  mBook.Take("a/", ListingOf(7, {}), true, mClock.Now());
+  bool told = false;
+  store.mOnWatch = [&] {
+    told = !mBook.Wait("a/", 7, mClock.Now()).has_value();
+  };
+  CHECK(!relay.Watch("a/", 7, milliseconds(100)).has_value());
+  CHECK(told);
+}
+
+// While the store is away, nodes with others to ask leave it alone.
+TEST(Relay, DoesNotPressAStoreThatFailed)
+{
+  Follow({ { "n1", "a", {}, "t", 1 } });
+  mPeers.emplace("n1", Silence());
+  mStore.mNextRead = StoreFault::Down;
+  CHECK(!mRelay.Watch("a/", 7, milliseconds(100)).has_value());
+  CHECK(!mRelay.Watch("a/", 7, milliseconds(100)).has_value());
+  mClock.Advance(milliseconds(1600));
+  CHECK(mRelay.Watch("a/", 7, milliseconds(100)).has_value());
+}
+
 TEST(Relay, LeavesANodeWhoseProofIsOld)
 {
   Follow({ { "n1", "a", {}, "t", 1 } });
--- a/test/watcher-test.cc
+++ b/test/watcher-test.cc
@@ -180,9 +180,9 @@
   StepVms();
   CHECK(Knows("1"));
   CHECK(!Knows("2"));
-  CHECK(mClock.Now() < mWatcher.SettledAt());
+  CHECK(!mWatcher.IsSettled());
   mClock.Advance(seconds(3));
-  CHECK(mClock.Now() > mWatcher.SettledAt());
+  CHECK(mWatcher.IsSettled());
   StepVms();
   CHECK(!Knows("1"));
 }
@@ -197,3 +197,17 @@
   StepVms();
   CHECK(!Knows("1"));
 }
+
+// A planner that got the lease before its list of VMs was back listed them by
+// itself, took those that had lapsed for gone and had their VMs join anew.
+TEST(Watcher, IsNotSettledWhileTheListCannotBeHad)
+{
+  mStore.mValues = { { "vms/1", "live" } };
+  StepVms();
+  CHECK(mWatcher.IsSettled());
+  mStore.mDown = true;
+  StepVms();
+  CHECK(!mWatcher.IsSettled());
+  mClock.Advance(seconds(60));
+  CHECK(!mWatcher.IsSettled());
+}
