Keep followers while the store answers at once; split the tests of feeds

Change: followers are told after 150 ms, unless the store answers first. A node that only lost the store is asked again after 1 s, and a failing store after 1 s by nodes with others to ask. One rule for avoiding a target longer.

--- a/src/fleet/loads.cc
+++ b/src/fleet/loads.cc
@@ -26,6 +26,19 @@
 /// Others are told for so long that a target is idle, as a report may be lost.
 constexpr auto kToldAfterEnd = milliseconds(200);
 
+/// @param aInRow times in a row before this one; counted up
+void
+AvoidLonger(TargetLoad& aLoad,
+            milliseconds aFirst,
+            uint32_t& aInRow,
+            TimePoint aNow)
+{
+  const uint32_t doublings = std::min(aInRow, kMostDoublings);
+  ++aInRow;
+  aLoad.mAvoidUntil =
+    std::max(aLoad.mAvoidUntil, aNow + aFirst * (1U << doublings));
+}
+
 } // namespace
 
 bool
@@ -146,10 +159,7 @@
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
   TargetLoad& load = shard.mLoads[aTarget];
-  const uint32_t doublings = std::min(load.mFailuresInRow, kMostDoublings);
-  ++load.mFailuresInRow;
-  load.mAvoidUntil =
-    std::max(load.mAvoidUntil, aNow + kFirstAvoid * (1U << doublings));
+  AvoidLonger(load, kFirstAvoid, load.mFailuresInRow, aNow);
 }
 
 void
@@ -158,10 +168,7 @@
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
   TargetLoad& load = shard.mLoads[aTarget];
-  const uint32_t doublings = std::min(load.mFullInRow, kMostDoublings);
-  ++load.mFullInRow;
-  load.mAvoidUntil =
-    std::max(load.mAvoidUntil, aNow + kFullAvoid * (1U << doublings));
+  AvoidLonger(load, kFullAvoid, load.mFullInRow, aNow);
 }
 
 void
--- a/src/relay/feed.cc
+++ b/src/relay/feed.cc
@@ -34,7 +34,7 @@
 {
   aFeed.mRevision = std::max(aFeed.mRevision, aRevision);
   aFeed.mProvenAt = std::max(aFeed.mProvenAt, aProvenAt);
-  aFeed.mLost = false;
+  aFeed.mLostFrom.reset();
 }
 
 } // namespace
--- a/src/relay/feed.h
+++ b/src/relay/feed.h
@@ -26,7 +26,8 @@
   std::map<std::string, Object> mObjects;
   std::deque<Deletion> mDeletions; ///< in order of their revisions
   TimePoint mProvenAt; ///< the store had nothing newer when it was asked then
-  bool mLost = false;  ///< the last question was not answered
+  /// The last question was not answered; it counts as lost from here on.
+  std::optional<TimePoint> mLostFrom;
 };
 
 /// Takes in a whole listing; what it lacks is deleted.
--- a/src/relay/feedbook.cc
+++ b/src/relay/feedbook.cc
@@ -44,11 +44,12 @@
 }
 
 void
-FeedBook::Lose(std::string_view aPrefix)
+FeedBook::Lose(std::string_view aPrefix, TimePoint aFrom)
 {
   {
     const std::lock_guard guard(mLock);
-    mFeeds[std::string(aPrefix)].mLost = true;
+    std::optional<TimePoint>& from = mFeeds[std::string(aPrefix)].mLostFrom;
+    from = std::min(from.value_or(aFrom), aFrom);
   }
   mChanged.notify_all();
 }
@@ -73,10 +74,11 @@
   std::unique_lock guard(mLock);
   for (;;) {
     const auto it = mFeeds.find(aPrefix);
-    if (it == mFeeds.end() || it->second.mLost || it->second.mRevision == 0) {
+    const TimePoint now = mClock.Now();
+    if (it == mFeeds.end() || it->second.mRevision == 0 ||
+        it->second.mLostFrom.value_or(TimePoint::max()) <= now) {
       return Unknown(aPrefix);
     }
-    const TimePoint now = mClock.Now();
     BOOST_OUTCOME_TRY(listing, Look(it->second, aSince));
     const bool hasNews =
       !listing.mObjects.empty() || !listing.mDeleted.empty() || aSince == 0;
@@ -84,7 +86,9 @@
       return FeedAnswer{ std::move(listing),
                          TimeLeft(askedAt, it->second.mProvenAt) };
     }
-    mChanged.wait_for(guard, std::min<Duration>(aUntil - now, kLongestSleep));
+    const TimePoint wake =
+      std::min(aUntil, it->second.mLostFrom.value_or(aUntil));
+    mChanged.wait_for(guard, std::min<Duration>(wake - now, kLongestSleep));
   }
 }
 
--- a/src/relay/feedbook.h
+++ b/src/relay/feedbook.h
@@ -33,7 +33,8 @@
             TimePoint aProvenAt);
 
   /// Notes that nobody answered this node's last question.
-  void Lose(std::string_view aPrefix);
+  /// @param aFrom when followers are to be told, unless an answer comes first
+  void Lose(std::string_view aPrefix, TimePoint aFrom);
 
   /// Waits until there are changes after aSince, or until aUntil.
   /// @param aSince 0 for all objects
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -17,7 +17,10 @@
 constexpr auto kAsideWithoutStore = milliseconds(1000);
 /// A node that has others to ask tries the store again only after this, as all
 /// nodes do so while the store is away, and each try has its price.
-constexpr auto kDirectAgain = milliseconds(1500);
+constexpr auto kDirectAgain = milliseconds(1000);
+/// The store answers within milliseconds. A node that lost the one above it
+/// tells those below when it takes longer than this.
+constexpr auto kStorePatience = milliseconds(150);
 /// A node whose own proof is older than this may have lost the store without
 /// knowing it yet. At the second node of a chain it is 1.5 s at most.
 constexpr auto kOldestAnswer = milliseconds(2000);
@@ -88,8 +91,8 @@
   LogEvent(EventId::UpstreamLost,
            { { "node", aPeer.mId }, { "reason", Describe(aFailure) } });
   mParts.mMetrics.CountRelay("peer_lost");
-  // Those that follow this node must not wait until the store is asked.
-  mParts.mBook.Lose(aPrefix);
+  // Those that follow this node must not wait for long until the store answers.
+  mParts.mBook.Lose(aPrefix, mParts.mClock.Now() + kStorePatience);
   const bool answered = aFailure.mError == Error::StoreUnavailable;
   const std::lock_guard guard(mLock);
   Aside& aside = mAside[aPeer.mId];
@@ -139,7 +142,7 @@
   if (aRead) {
     mParts.mBook.Take(aPrefix, aRead.value(), aWhole, aProvenAt);
   } else if (aRead.error().mError != Error::StoreHistoryGone) {
-    mParts.mBook.Lose(aPrefix);
+    mParts.mBook.Lose(aPrefix, mParts.mClock.Now());
   }
 }
 
--- /dev/null
+++ b/test/feed-test.cc
@@ -0,0 +1,91 @@
+#include "listing.h"
+#include "manualclock.h"
+#include "relay/feedbook.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+TEST_GROUP(Feed)
+{
+  const TimePoint mNow{ seconds(100) };
+  Feed mFeed;
+};
+
+TEST(Feed, TellsOnlyWhatChangedAfterARevision)
+{
+  TakeWhole(
+    mFeed, ListingOf(10, { { "a/1", 4, "x" }, { "a/2", 9, "y" } }), mNow);
+  TakeChanges(mFeed, ListingOf(12, { { "a/1", 12, "z" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 10);
+  CHECK(changes.has_value());
+  CHECK_EQUAL(1U, changes->mObjects.size());
+  STRCMP_EQUAL("z", changes->mObjects[0].mValue.c_str());
+  CHECK_EQUAL(12U, changes->mRevision);
+}
+
+TEST(Feed, TellsOfWhatAListingLacks)
+{
+  TakeWhole(
+    mFeed, ListingOf(10, { { "a/1", 4, "x" }, { "a/2", 9, "y" } }), mNow);
+  TakeWhole(mFeed, ListingOf(20, { { "a/2", 9, "y" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 10);
+  CHECK(changes.has_value());
+  CHECK_EQUAL(1U, changes->mDeleted.size());
+  STRCMP_EQUAL("a/1", changes->mDeleted[0].c_str());
+}
+
+TEST(Feed, DoesNotDeleteWhatCameBack)
+{
+  TakeWhole(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
+  Listing gone;
+  gone.mRevision = 11;
+  gone.mDeleted = { "a/1" };
+  TakeChanges(mFeed, gone, mNow);
+  TakeChanges(mFeed, ListingOf(12, { { "a/1", 12, "x" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 10);
+  CHECK(changes->mDeleted.empty());
+  CHECK_EQUAL(1U, changes->mObjects.size());
+}
+
+TEST(Feed, KnowsNothingOfWhatWasBeforeItBegan)
+{
+  TakeWhole(mFeed, ListingOf(10, {}), mNow);
+  CHECK(!ChangesSince(mFeed, 9).has_value());
+  CHECK(ChangesSince(mFeed, 10).has_value());
+}
+
+TEST(Feed, NeverTellsAFollowerALowerRevisionThanItsOwn)
+{
+  TakeWhole(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 15);
+  CHECK(changes->mObjects.empty());
+  CHECK_EQUAL(15U, changes->mRevision);
+}
+
+TEST_GROUP(FeedBook)
+{
+  ManualClock mClock;
+  FeedBook mBook{ mClock };
+};
+
+TEST(FeedBook, TellsTheAgeOfWhatItKnows)
+{
+  const TimePoint asked = mClock.Now();
+  mBook.Take("a/", ListingOf(10, {}), true, asked);
+  mClock.Advance(milliseconds(700));
+  const Result<FeedAnswer> answer = mBook.Wait("a/", 10, mClock.Now());
+  CHECK_EQUAL(700, ToMillis(answer.value().mAge));
+}
+
+TEST(FeedBook, RefusesWhatItLostOrNeverHad)
+{
+  CHECK(Error::StoreUnavailable ==
+        mBook.Wait("a/", 0, mClock.Now()).error().mError);
+  mBook.Take("a/", ListingOf(10, {}), true, mClock.Now());
+  mBook.Lose("a/", mClock.Now());
+  CHECK(Error::StoreUnavailable ==
+        mBook.Wait("a/", 10, mClock.Now()).error().mError);
+  mBook.Take("a/", ListingOf(11, {}), false, mClock.Now());
+  CHECK(mBook.Wait("a/", 10, mClock.Now()).has_value());
+}
