Lock members of a group whose head is not heard whenever they are listed

Ruled out: old answers from other nodes (the list was the store's own).

Change: groups whose head could not be told to leave are remembered, and whoever is found seated there is locked and told to leave, also when its first order got lost. Two tests failed before.

--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -116,6 +116,7 @@
     for (const std::string& it : group->second.mMembers) {
       aState.mVms[it].mLockedUntil = {};
     }
+    aState.mUnheard.erase(aOrder.mGroup);
     aState.mDissolved[aOrder.mGroup] = aNow + kOrderAgain;
     aState.mGroups.erase(group);
   }
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -69,6 +69,9 @@
   /// Groups that are no longer planned; not taken up again before the time
   /// given, and after it only where the head serves.
   std::map<GroupKey, TimePoint> mDissolved;
+  /// Groups whose head could not be told to leave, with the head's id, which
+  /// is empty when it was never seen. Whoever is seated there is not free.
+  std::map<GroupKey, std::string> mUnheard;
   std::deque<TimePoint> mLoads; ///< starts of loads
 };
 
--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -66,6 +66,9 @@
   void TakeUpGroups()
   {
     for (const SeatedGroup& it : SeatedGroups(mView.mVms, mView.mService)) {
+      if (mState.mUnheard.contains(it.mKey)) {
+        LockMembers(it);
+      }
       if (!mState.mGroups.contains(it.mKey) && !IsDoneWith(it)) {
         TakeUp(it);
       }
@@ -89,6 +92,7 @@
     const bool serves = IsServingHead(head);
     if (head == nullptr || (!serves && aGroup.mMembers.size() == 1)) {
       if (head == nullptr) {
+        mState.mUnheard.emplace(aGroup.mKey, "");
         LockMembers(aGroup);
       }
       mState.mDissolved[aGroup.mKey] = mNow;
@@ -116,12 +120,17 @@
     mState.mGroups.emplace(aGroup.mKey, std::move(group));
   }
 
-  /// The head may live on where nobody sees it.
+  /// The head may live on where nobody hears it. Members may be listed again
+  /// later than others; one whose order to leave got lost is still seated.
   void LockMembers(const SeatedGroup& aGroup)
   {
     for (const FleetVm* it : aGroup.mMembers) {
-      if (it != nullptr) {
-        Lock(it->mId, "", aGroup.mKey);
+      if (it == nullptr || it->mSeat->mRank == 0) {
+        continue;
+      }
+      const VmBelief& belief = mState.mVms[it->mId];
+      if (belief.mLockedIn != aGroup.mKey || belief.mLockedUntil <= mNow) {
+        Lock(it->mId, mState.mUnheard[aGroup.mKey], aGroup.mKey);
         Order(OrderKind::Leave, it->mId, aGroup.mKey);
       }
     }
@@ -309,6 +318,7 @@
   /// breaks down within the time of a stall.
   void FreeFromHead(const GroupKey& aKey, const PlannedGroup& aGroup)
   {
+    mState.mUnheard[aKey] = aGroup.mMembers[0];
     for (const std::string& it : aGroup.mMembers) {
       Lock(it, aGroup.mMembers[0], aKey);
       if (it != aGroup.mMembers[0] &&
@@ -326,10 +336,11 @@
     const FleetVm* head = FindVm(mView.mVms, headId);
     if (headId.empty() || (head != nullptr && !IsSeatedIn(head, aKey)) ||
         (head != nullptr && head->mSeat->mPhase == GroupPhase::Broken)) {
+      mState.mUnheard.erase(aKey);
       return Dissolve(aKey, aGroup, "dissolved", "");
     }
     if (mNow >= aGroup.mDeadline) {
-      if (mState.mVms[headId].mLockedIn != aKey) {
+      if (!mState.mUnheard.contains(aKey)) {
         FreeFromHead(aKey, aGroup);
       }
       mState.mDissolved[aKey] = mNow + mBounds.mStall + kLockMargin;
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -90,6 +90,45 @@
   CHECK(mWorld.FindOrder(orders, OrderKind::Leave, head) != nullptr);
 }
 
+// Head and member were cut off from the list; the member is listed again first,
+// when a new planner has filed the group already.
+TEST(Planner, AMemberThatComesBackBeforeItsHeadIsNotFree)
+{
+  const std::string head = FormOneOf("small", 4);
+  const std::string late = mWorld.MembersOf(head)[1];
+  const FleetVm hidden = mWorld.mVms[late];
+  mWorld.mVms.erase(head);
+  mWorld.mVms.erase(late);
+  mWorld.mState = StartPlanning(8);
+  mWorld.Settle();
+  mWorld.mVms[late] = hidden;
+  mWorld.Add("d0", 3, "small");
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Join, late) == nullptr);
+  CHECK(mWorld.FindOrder(orders, OrderKind::Leave, late) != nullptr);
+  // The head has certainly broken down by then.
+  mWorld.Step(mWorld.mBounds.mStall + seconds(1));
+  CHECK(!IsLocked(mWorld.mState, mWorld.mVms, late, mWorld.mNow));
+}
+
+TEST(Planner, AMemberThatComesBackToAnUnreachableHeadIsNotFree)
+{
+  const std::string head = FormOneOf("small", 4);
+  const std::string late = mWorld.MembersOf(head)[1];
+  const FleetVm hidden = mWorld.mVms[late];
+  mWorld.mSilent.insert(head);
+  mWorld.mVms.erase(late);
+  mWorld.mState = StartPlanning(8);
+  mWorld.Step();
+  mWorld.Step(seconds(1));
+  mWorld.Step();
+  mWorld.mVms[late] = hidden;
+  mWorld.Add("d0", 3, "small");
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Join, late) == nullptr);
+  CHECK(mWorld.FindOrder(orders, OrderKind::Leave, late) != nullptr);
+}
+
 TEST(Planner, ALeavingMemberLetsTheHeadEndItsWork)
 {
   const std::string head = FormOneOf("big", 5);
