Count what is known of the VMs from when it was asked; let no feed go back

Until then the planner lists the VMs itself, at most each 200 ms. - The planner lists the VMs beside the watch of the same node. A list that came after a newer answer replaced it in the node's feed, and followers were told that new VMs were gone. Both tests failed before.

--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -14,6 +14,9 @@
 /// A process that has just begun cannot know that the store was away; the
 /// platform puts entries that lapsed back within two seconds.
 constexpr auto kReturnTime = milliseconds(2300);
+/// A new planner lists the VMs itself until what it follows is as new as its
+/// lease, which takes one question; each list is a call a page.
+constexpr auto kListGap = milliseconds(200);
 /// Orders go to many VMs at once, and a dead VM holds a thread until the
 /// order's time is over.
 constexpr size_t kThreads = 24;
@@ -113,6 +116,11 @@
   if (mParts.mWatcher.VmsReadAt() > mFreshAt) {
     return mParts.mWatcher.Vms();
   }
+  const TimePoint now = mParts.mClock.Now();
+  if (now < mListAgainAt) {
+    return nullptr;
+  }
+  mListAgainAt = now + kListGap;
   Result<FleetVms> vms = mParts.mWatcher.ReadVms();
   if (!vms) {
     LogEvent(EventId::StoreLost,
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -71,6 +71,7 @@
   LeaseState mLease;
   uint64_t mFreshFence = 0; ///< the planning thread's; fence of mFreshAt
   TimePoint mFreshAt;       ///< VMs read before this are not planned with
+  TimePoint mListAgainAt;   ///< the planning thread's
   std::mutex mLock;         ///< guards what follows
   uint64_t mFence = 0;
   std::map<std::string, Service> mServices;
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -87,16 +87,17 @@
 void
 FleetWatcher::StepVms(Duration aGap)
 {
+  const TimePoint askedAt = mClock.Now();
   bool whole = false;
   const Result<Listing> read = Read(mVmFeed, kVmWait, whole);
   if (read) {
-    TakeVms(read.value(), whole);
+    TakeVms(read.value(), whole, askedAt - read.value().mAge);
     std::this_thread::sleep_for(aGap);
   }
 }
 
 void
-FleetWatcher::TakeVms(const Listing& aListing, bool aWhole)
+FleetWatcher::TakeVms(const Listing& aListing, bool aWhole, TimePoint aProvenAt)
 {
   FleetVms vms = *Vms();
   std::vector<std::string> gone;
@@ -142,7 +143,7 @@
   {
     const std::lock_guard guard(mLock);
     mVms = next;
-    mVmsReadAt = mClock.Now();
+    mVmsReadAt = std::max(mVmsReadAt, aProvenAt);
   }
   if (mListener) {
     mListener(next);
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -43,7 +43,7 @@
   ///         store was away should be listed again
   bool IsSettled() const;
 
-  /// @return when the store last answered how the VMs stand
+  /// @return the time as of which it is known how the VMs stand
   TimePoint VmsReadAt() const;
 
   /// @return the configuration in force, null while none is known
@@ -68,7 +68,7 @@
 
   Result<Listing> Read(Feed& aFeed, milliseconds aWait, bool& aWhole);
   void NoteContact(Feed& aFeed, const Result<Listing>& aRead);
-  void TakeVms(const Listing& aListing, bool aWhole);
+  void TakeVms(const Listing& aListing, bool aWhole, TimePoint aProvenAt);
   void DropLapsed(FleetVms& aVms);
   TimePoint SettledAt() const;
   void TakeConfig(const Object& aObject);
--- a/src/relay/feed.cc
+++ b/src/relay/feed.cc
@@ -42,6 +42,9 @@
 void
 TakeWhole(Feed& aFeed, const Listing& aListing, TimePoint aProvenAt)
 {
+  if (aListing.mRevision < aFeed.mRevision) {
+    return;
+  }
   if (aFeed.mRevision == 0) {
     aFeed.mFrom = aListing.mRevision;
   }
--- a/src/relay/feed.h
+++ b/src/relay/feed.h
@@ -30,7 +30,8 @@
   std::optional<TimePoint> mLostFrom;
 };
 
-/// Takes in a whole listing; what it lacks is deleted.
+/// Takes in a whole listing; what it lacks is deleted. One that is older than
+/// the feed changes nothing.
 void
 TakeWhole(Feed& aFeed, const Listing& aListing, TimePoint aProvenAt);
 
--- a/test/feed-test.cc
+++ b/test/feed-test.cc
@@ -63,6 +63,20 @@
   CHECK_EQUAL(15U, changes->mRevision);
 }
 
+// The planner lists the VMs beside the watch; its answer may come after a newer
+// one.
+TEST(Feed, NeverGoesBack)
+{
+  TakeWhole(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
+  TakeChanges(
+    mFeed, ListingOf(12, { { "a/1", 11, "y" }, { "a/2", 12, "z" } }), mNow);
+  TakeWhole(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
+  const std::optional<Listing> changes = ChangesSince(mFeed, 10);
+  CHECK(changes->mDeleted.empty());
+  CHECK_EQUAL(2U, changes->mObjects.size());
+  STRCMP_EQUAL("y", changes->mObjects[0].mValue.c_str());
+}
+
 TEST_GROUP(FeedBook)
 {
   ManualClock mClock;
--- a/test/watcher-test.cc
+++ b/test/watcher-test.cc
@@ -76,6 +76,7 @@
 
   std::map<std::string, std::string> mValues;
   std::vector<std::string> mDeleted;
+  Duration mAge{}; ///< of what is listed
   bool mDown = false;
   bool mHistoryGone = false;
   int mLists = 0;
@@ -87,6 +88,7 @@
   {
     Listing listing;
     listing.mRevision = 1;
+    listing.mAge = mAge;
     for (const auto& [key, value] : mValues) {
       if (key.starts_with(aPrefix)) {
         listing.mObjects.push_back({ key, 1, value });
@@ -211,3 +213,13 @@
   mClock.Advance(seconds(60));
   CHECK(!mWatcher.IsSettled());
 }
+
+// A planner that has just got its lease must not take an answer that another
+// node passed on for the state of the store at the time that it came.
+TEST(Watcher, TellsSinceWhenAPassedOnListIsOld)
+{
+  mClock.Advance(seconds(60));
+  mStore.mAge = milliseconds(900);
+  StepVms();
+  CHECK(mClock.Now() - milliseconds(900) == mWatcher.VmsReadAt());
+}
