--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -5,6 +5,7 @@
 #include "gateway/requestforwarder.h"
 #include "observe/events.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 
@@ -58,6 +59,20 @@
 
   void handleRequest(HTTPServerRequest& aRequest,
                      HTTPServerResponse& aResponse) override
+  {
+    try {
+      Handle(aRequest, aResponse);
+    } catch (const Poco::Exception& e) {
+      LogFailure(aRequest, e.displayText());
+      throw;
+    } catch (const std::exception& e) {
+      LogFailure(aRequest, e.what());
+      throw;
+    }
+  }
+
+private:
+  void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse)
   {
     // The end of a chunked body is not detected reliably enough to read another
     // request from the same connection.
@@ -85,7 +100,15 @@
     }
   }
 
-private:
+  void LogFailure(const HTTPServerRequest& aRequest,
+                  const std::string& aReason) const
+  {
+    LogEvent(
+      EventId::HandlerFailed,
+      { { "request", aRequest.get(mDependencies.mProtocol.mRequestId, "") },
+        { "reason", aReason } });
+  }
+
   ResultOrRefusal<GatewayRequest> Admit(const HTTPServerRequest& aRequest)
   {
     if (mDependencies.mRefusingRequests) {
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -63,13 +63,12 @@
         continue;
       }
       if (target == nullptr) {
-        return Fail(RefusalKind::NoTarget, kNoGroupRetryMillis);
+        return Fail(RefusalKind::NoTarget, kNoGroupRetryMillis, "no_target");
       }
       // On a busy node the caller may have disconnected while the request was
       // waiting to be handled.
       if (mWriter.IsCallerDisconnected()) {
-        mWriter.Abort();
-        return boost::outcome_v2::success();
+        return AbortForCaller();
       }
       if (mAttemptsSent == 0 &&
           mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream) {
@@ -79,7 +78,8 @@
           !mDependencies.mRetryBudget.TryTakeRetry(
             mRequest.mService, mDependencies.mClock.Now())) {
         mDependencies.mMetrics.CountDenial("repeat_budget");
-        return Fail(RefusalKind::TargetFailed, kOverloadRetryMillis);
+        return Fail(
+          RefusalKind::TargetFailed, kOverloadRetryMillis, "retry_budget");
       }
       ExchangeReport report = Attempt(*target);
       RecordOutcome(*target, report);
@@ -238,8 +238,7 @@
     LogAttempt(aTarget, aReport);
     switch (aReport.mOutcome) {
       case ExchangeOutcome::CallerDisconnected:
-        mWriter.Abort();
-        return boost::outcome_v2::success();
+        return AbortForCaller();
       case ExchangeOutcome::Answered:
         if (aReport.mStreamed) {
           return EndStream();
@@ -253,7 +252,8 @@
       (aReport.mSentBytes == 0 && aReport.mOutcome == ExchangeOutcome::Broken);
     if (notSent) {
       if (++mConnectFailures >= kMaxConnectFailures) {
-        return Fail(RefusalKind::NoTarget, kOverloadRetryMillis);
+        return Fail(
+          RefusalKind::NoTarget, kOverloadRetryMillis, "connect_failed");
       }
       // A failure of a stale pooled connection does not exclude its target.
       if (!aReport.mReused) {
@@ -291,24 +291,26 @@
       case ExchangeOutcome::Answered:
         return RelayResponse(aReport.mResponse);
       case ExchangeOutcome::Deadline:
-        return Fail(RefusalKind::DeadlinePassed, 0);
+        return Fail(RefusalKind::DeadlinePassed, 0, "deadline");
       case ExchangeOutcome::NotRun:
       case ExchangeOutcome::WrongVm:
-        return Fail(RefusalKind::Overloaded, kOverloadRetryMillis);
+        return Fail(RefusalKind::Overloaded,
+                    kOverloadRetryMillis,
+                    NameOf(aReport.mOutcome));
       default:
-        return Fail(RefusalKind::TargetFailed, 0);
+        return Fail(RefusalKind::TargetFailed, 0, NameOf(aReport.mOutcome));
     }
   }
 
   ResultOrRefusal<void> RelayResponse(const TargetResponse& aResponse)
   {
     if (mWriter.HasStarted()) {
-      return Fail(RefusalKind::TargetFailed, 0);
+      return Fail(RefusalKind::TargetFailed, 0, "not_a_stream");
     }
     // These status codes tell the caller that the request did not run, but it
     // may have.
     if (!mRequest.AllowsRetry() && ImpliesNotRun(aResponse.mStatus)) {
-      return Fail(RefusalKind::TargetFailed, 0);
+      return Fail(RefusalKind::TargetFailed, 0, "status_implies_not_run");
     }
     mDependencies.mMetrics.CountAnswer(aResponse.mStatus);
     mDependencies.mMetrics.ObserveLatency(
@@ -328,11 +330,16 @@
 
   /// Ends the request with a refusal. If the request may have run, a kind that
   /// guarantees the opposite (status 503) is replaced by TargetFailed.
-  ResultOrRefusal<void> Fail(RefusalKind aKind, uint32_t aRetryMillis)
+  /// @param aReason why no further attempt is made, for log and metrics
+  ResultOrRefusal<void> Fail(RefusalKind aKind,
+                             uint32_t aRetryMillis,
+                             std::string_view aReason)
   {
     if (mWriter.IsCallerDisconnected()) {
-      mWriter.Abort();
-      return boost::outcome_v2::success();
+      return AbortForCaller();
+    }
+    if (mWriter.HasStarted()) {
+      RecordCut(aReason);
     }
     if (!mMayHaveRun) {
       const RefusalKind kind =
@@ -347,6 +354,31 @@
     return Refusal{ kind, "the target did not answer", Ran::Unknown, 0 };
   }
 
+  /// Ends a request whose caller has disconnected.
+  ResultOrRefusal<void> AbortForCaller()
+  {
+    RecordCut("caller_disconnected");
+    mWriter.Abort();
+    return boost::outcome_v2::success();
+  }
+
+  void RecordCut(std::string_view aReason)
+  {
+    const TimePoint now = mDependencies.mClock.Now();
+    mDependencies.mMetrics.CountCut(aReason);
+    LogEvent(
+      EventId::ResponseCut,
+      { { "request", mRequest.mId },
+        { "route", mRequest.mRoute->mName },
+        { "reason", std::string(aReason) },
+        { "started", mWriter.HasStarted() ? "yes" : "no" },
+        { "attempts", std::to_string(mAttemptsSent) },
+        { "last_event", std::to_string(mLastEvent) },
+        { "ms", std::to_string(ToMillis(now - mRequest.mArrivedAt)) },
+        { "left_ms", std::to_string(ToMillis(mRequest.mDeadline - now)) },
+        { "version", std::to_string(mRequest.mConfig->mVersion) } });
+  }
+
   uint32_t ClampRetryMillis(uint32_t aMillis) const
   {
     return std::max(aMillis, kOverloadRetryMillis);
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -89,6 +89,10 @@
   EventType{ EventId::RequestTried,
              "request_tried",
              log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::ResponseCut, "response_cut", log4cplus::WARN_LOG_LEVEL },
+  EventType{ EventId::HandlerFailed,
+             "handler_failed",
+             log4cplus::ERROR_LOG_LEVEL },
 };
 
 std::atomic<bool> gIsJson{ false };
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -42,6 +42,8 @@
   RequestRetried = 5002,
   RequestAnswered = 5003,
   RequestTried = 5004,
+  ResponseCut = 5005,
+  HandlerFailed = 5006,
 };
 
 /// Name and value of a field of an event.
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -36,6 +36,9 @@
   , mRetries(AddCounterFamily(mRegistry,
                               "hibiscushold_retries_total",
                               "Attempts repeated, by reason"))
+  , mCuts(AddCounterFamily(mRegistry,
+                           "hibiscushold_cuts_total",
+                           "Responses ended by a reset, by reason"))
   , mAnswers(AddCounterFamily(mRegistry,
                               "hibiscushold_answers_total",
                               "Requests answered, by status"))
@@ -87,6 +90,12 @@
   mRetries.Add({ { "reason", std::string(aReason) } }).Increment();
 }
 
+void
+Metrics::CountCut(std::string_view aReason)
+{
+  mCuts.Add({ { "reason", std::string(aReason) } }).Increment();
+}
+
 void
 Metrics::CountAnswer(int aStatus)
 {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -29,6 +29,8 @@
   void CountEjection(std::string_view aReason);
   /// Counts a retried attempt.
   void CountRetry(std::string_view aReason);
+  /// Counts a response that the node ended by resetting the connection.
+  void CountCut(std::string_view aReason);
   /// Counts a request that was answered with an HTTP status.
   void CountAnswer(int aStatus);
   /// Counts a call to the platform.
@@ -56,6 +58,7 @@
   prometheus::Family<prometheus::Counter>& mDenials;
   prometheus::Family<prometheus::Counter>& mEjections;
   prometheus::Family<prometheus::Counter>& mRetries;
+  prometheus::Family<prometheus::Counter>& mCuts;
   prometheus::Family<prometheus::Counter>& mAnswers;
   prometheus::Family<prometheus::Counter>& mStoreCalls;
   prometheus::Family<prometheus::Counter>& mRelays;
