--- /dev/null
+++ b/test/gatewayfixture.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "fakeplatform.h"
+#include "fleet/watcher.h"
+#include "gateway/gateway.h"
+#include "scriptedserver.h"
+#include "serve/listen.h"
+
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/ThreadPool.h>
+
+#include <string>
+#include <vector>
+
+namespace hibiscushold {
+
+/// What a caller received before its connection ended or fell silent.
+struct ReceivedResponse
+{
+  std::string mBytes;
+  bool mReset = false; ///< the connection was reset
+  bool mEnded = false; ///< the server closed the connection
+};
+
+/// A callers' port on loopback with a fixed configuration. Its targets are
+/// scripted servers.
+class GatewayFixture
+{
+public:
+  GatewayFixture()
+    : mWatcher(
+        mPlatform,
+        { "vms/",
+          "config/",
+          "config/main",
+          [](const Object&) { return Result<FleetVm>(FleetVm{}); },
+          [this](const Object&) { return Result<FleetConfig>(mConfig); } },
+        mClock)
+    , mThreads(2, kThreads)
+  {
+    FleetRoute stream;
+    stream.mName = "stream";
+    stream.mHost = "h";
+    stream.mPathPrefix = "/stream/";
+    stream.mRetryPolicy = RetryPolicy::Stream;
+    stream.mResumable = true;
+    stream.mTimeout = milliseconds(5000);
+    stream.mLatencyTarget = milliseconds(300);
+    stream.mAttempts = 2;
+    stream.mShares = { { "engines", 1 } };
+    FleetRoute lookup = stream;
+    lookup.mName = "lookup";
+    lookup.mPathPrefix = "/lookup/";
+    lookup.mRetryPolicy = RetryPolicy::Idempotent;
+    lookup.mResumable = false;
+    mConfig.mVersion = 1;
+    mConfig.mRoutes = { stream, lookup };
+  }
+
+  ~GatewayFixture()
+  {
+    if (mServer) {
+      mServer->stopAll(true);
+    }
+    mThreads.joinAll();
+  }
+
+  GatewayFixture(const GatewayFixture&) = delete;
+  GatewayFixture& operator=(const GatewayFixture&) = delete;
+
+  /// Adds a target; the first one is preferred.
+  void AddTarget(const ScriptedServer& aServer)
+  {
+    const size_t n = ++mTargetCount;
+    mTargets.mByService["engines"].push_back({ "vm-" + std::to_string(n),
+                                               aServer.Address(),
+                                               n == 1 ? "a" : "b",
+                                               "",
+                                               {},
+                                               1 });
+  }
+
+  /// Opens the callers' port; the configuration and targets are fixed then.
+  void Start()
+  {
+    (void)mPlatform.Create("config/main", "{}", CallPriority::Config);
+    mWatcher.PollConfig(Duration::zero());
+    mRetryBudget.SetNodeCount(1);
+    const Poco::Net::ServerSocket socket =
+      ListenOn({ "127.0.0.1", 0 }, nullptr).value();
+    mAddress = socket.address();
+    mServer = std::make_unique<Poco::Net::HTTPServer>(
+      new GatewayHandlerFactory(Dependencies()),
+      mThreads,
+      socket,
+      MakeServerParams(kThreads));
+    mServer->start();
+  }
+
+  /// Sends bytes on a new connection and reads until the connection ends, the
+  /// received bytes end with aEnd, or nothing arrives for six seconds.
+  ReceivedResponse Ask(const std::string& aBytes, const std::string& aEnd) const
+  {
+    Poco::Net::StreamSocket socket(mAddress);
+    socket.setReceiveTimeout(Poco::Timespan(6, 0));
+    socket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    ReceivedResponse received;
+    char buf[4096];
+    try {
+      while (!received.mBytes.ends_with(aEnd)) {
+        const int n = socket.receiveBytes(buf, sizeof(buf));
+        if (n <= 0) {
+          received.mEnded = true;
+          break;
+        }
+        received.mBytes.append(buf, static_cast<size_t>(n));
+      }
+    } catch (const Poco::TimeoutException&) {
+      return received;
+    } catch (const Poco::Exception&) {
+      received.mReset = true;
+    }
+    return received;
+  }
+
+  static constexpr int kThreads = 8;
+
+  SystemClock mClock;
+  FakePlatform mPlatform;
+  FleetConfig mConfig;
+  FleetWatcher mWatcher;
+  FleetTargets mTargets;
+  size_t mTargetCount = 0;
+  SessionPool mSessions{ mClock };
+  TargetLoads mLoads;
+  ServiceRetryBudget mRetryBudget{ { 0.2, milliseconds(10000), 100 } };
+  const ProtocolNames mProtocol{ "Id",      "Wait", "Last",    "Proof",
+                                 "Account", "Vm",   "Not-Run", "Model",
+                                 "Tokens",  "Rank", 421 };
+  Metrics mMetrics;
+  std::atomic<bool> mStopping{ false };
+  std::atomic<bool> mRefusingRequests{ false };
+  std::atomic<uint32_t> mRunning{ 0 };
+  Poco::ThreadPool mThreads;
+  Poco::Net::SocketAddress mAddress;
+  std::unique_ptr<Poco::Net::HTTPServer> mServer;
+
+private:
+  GatewayDependencies Dependencies()
+  {
+    return { mWatcher,
+             [this] { return std::make_shared<const FleetTargets>(mTargets); },
+             mSessions,
+             mLoads,
+             mRetryBudget,
+             mProtocol,
+             mMetrics,
+             mClock,
+             "a",
+             milliseconds(5000),
+             mStopping,
+             mRefusingRequests,
+             mRunning };
+  }
+};
+
+} // namespace hibiscushold
--- a/test/scriptedserver.h
+++ b/test/scriptedserver.h
@@ -2,11 +2,13 @@
 
 #include "core/settings.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
+#include <chrono>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -26,6 +28,8 @@
     std::string mBytes;
     bool mClose = false; ///< closes the connection after the bytes
     bool mReset = false; ///< resets it after the bytes
+    std::string mRest{}; ///< sent after mPause, unless closed or reset
+    std::chrono::milliseconds mPause{ 0 };
   };
 
   explicit ScriptedServer(std::vector<Response> aScript)
@@ -46,6 +50,9 @@
 
   Endpoint Address() const { return { "127.0.0.1", mSocket.address().port() }; }
 
+  /// @return the number of connections that the client has not closed
+  size_t OpenConnections() const { return mOpenConnections; }
+
   /// @return head and body of each request received so far
   std::vector<std::string> Requests() const
   {
@@ -54,6 +61,15 @@
   }
 
 private:
+  using SteadyClock = std::chrono::steady_clock;
+
+  struct PendingRest
+  {
+    Poco::Net::StreamSocket mConnection;
+    std::string mBytes;
+    SteadyClock::time_point mDueAt;
+  };
+
   void Run()
   {
     const Poco::Timespan pollInterval(0, 5000);
@@ -69,9 +85,27 @@
                              static_cast<ptrdiff_t>(n--));
         }
       }
+      mOpenConnections = mConnections.size();
+      SendDueRests();
     }
   }
 
+  void SendDueRests()
+  {
+    std::erase_if(mPending, [](PendingRest& aIt) {
+      if (SteadyClock::now() < aIt.mDueAt) {
+        return false;
+      }
+      try {
+        aIt.mConnection.sendBytes(aIt.mBytes.data(),
+                                  static_cast<int>(aIt.mBytes.size()));
+      } catch (const Poco::Exception&) {
+        return true; // the client has closed the connection
+      }
+      return true;
+    });
+  }
+
   /// @return whether to keep the connection open
   bool Serve(Poco::Net::StreamSocket& aConnection)
   {
@@ -89,6 +123,10 @@
     const Response& response = mScript[index];
     aConnection.sendBytes(response.mBytes.data(),
                           static_cast<int>(response.mBytes.size()));
+    if (!response.mRest.empty()) {
+      mPending.push_back(
+        { aConnection, response.mRest, SteadyClock::now() + response.mPause });
+    }
     if (response.mReset) {
       aConnection.setLinger(true, 0);
     }
@@ -98,6 +136,8 @@
   const std::vector<Response> mScript;
   Poco::Net::ServerSocket mSocket;
   std::vector<Poco::Net::StreamSocket> mConnections;
+  std::vector<PendingRest> mPending;
+  std::atomic<size_t> mOpenConnections{ 0 };
   mutable std::mutex mLock;
   std::vector<std::string> mRequests;
   std::atomic<bool> mStopping{ false };
