--- /dev/null
+++ b/src/gateway/attemptrecord.cc
@@ -0,0 +1,92 @@
+#include "gateway/attemptrecord.h"
+
+#include "observe/events.h"
+
+namespace hibiscushold {
+
+namespace {
+
+/// How long a stalled target of a streaming route gets no new requests.
+constexpr auto kStalledTargetAvoidance = milliseconds(1500);
+/// How long a target gets no requests after another VM answered at its address.
+constexpr auto kWrongVmAvoidance = milliseconds(1000);
+
+} // namespace
+
+void
+RecordOutcome(const GatewayDependencies& aDependencies,
+              const FleetTarget& aTarget,
+              const ExchangeReport& aReport)
+{
+  const TimePoint now = aDependencies.mClock.Now();
+  TargetLoads& loads = aDependencies.mLoads;
+  switch (aReport.mOutcome) {
+    case ExchangeOutcome::Answered:
+      loads.RecordSuccess(aTarget.mVmId);
+      return;
+    case ExchangeOutcome::NotRun:
+      loads.RecordRejection(aTarget.mVmId, now);
+      return;
+    case ExchangeOutcome::WrongVm:
+      loads.AvoidUntil(aTarget.mVmId, now + kWrongVmAvoidance);
+      return;
+    case ExchangeOutcome::ConnectFailed:
+    case ExchangeOutcome::Broken:
+    case ExchangeOutcome::Invalid:
+      if (!aReport.mReused) {
+        loads.RecordFailure(aTarget.mVmId, now);
+      }
+      aDependencies.mSessions.DiscardCreatedBefore(aTarget.mAddress, now);
+      return;
+    case ExchangeOutcome::Stalled: // recorded when the stall began
+    case ExchangeOutcome::Superseded:
+    case ExchangeOutcome::Deadline:
+    case ExchangeOutcome::CallerDisconnected:
+      return;
+  }
+}
+
+void
+AvoidStalledTarget(const GatewayDependencies& aDependencies,
+                   const FleetRoute& aRoute,
+                   const FleetTarget& aTarget)
+{
+  const TimePoint now = aDependencies.mClock.Now();
+  if (aRoute.mRetryPolicy == RetryPolicy::Stream) {
+    aDependencies.mLoads.AvoidUntil(aTarget.mVmId,
+                                    now + kStalledTargetAvoidance);
+  } else {
+    aDependencies.mLoads.RecordFailure(aTarget.mVmId, now);
+  }
+}
+
+void
+LogAttempt(const GatewayDependencies& aDependencies,
+           const GatewayRequest& aRequest,
+           const FleetTarget& aTarget,
+           const ExchangeReport& aReport,
+           uint32_t aInFlight)
+{
+  if (aReport.mOutcome != ExchangeOutcome::Answered) {
+    aDependencies.mMetrics.CountRetry(NameOf(aReport.mOutcome));
+  }
+  const Duration elapsed = aDependencies.mClock.Now() - aRequest.mArrivedAt;
+  LogEvent(
+    EventId::RequestTried,
+    { { "request", aRequest.mId },
+      { "route", aRequest.mRoute->mName },
+      { "vm", aTarget.mVmId },
+      { "group", aTarget.mGroup.mName },
+      { "end", NameOf(aReport.mOutcome) },
+      { "status", std::to_string(aReport.mResponse.mStatus) },
+      { "last_event", std::to_string(aReport.mLastEvent) },
+      { "first_ms", std::to_string(ToMillis(aReport.mTimeToFirstEvent)) },
+      { "gap_ms", std::to_string(ToMillis(aReport.mLongestEventGap)) },
+      { "ms", std::to_string(ToMillis(elapsed)) },
+      { "prompt", std::to_string(aRequest.mPromptTokens) },
+      { "in_flight", std::to_string(aInFlight) },
+      { "version", std::to_string(aRequest.mConfig->mVersion) },
+      { "detail", aReport.mDetail } });
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/gateway/attemptrecord.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "gateway/callerrequest.h"
+#include "gateway/gateway.h"
+
+namespace hibiscushold {
+
+/// Updates the load and the pooled connections of a target with the outcome of
+/// an attempt.
+void
+RecordOutcome(const GatewayDependencies& aDependencies,
+              const FleetTarget& aTarget,
+              const ExchangeReport& aReport);
+
+/// Keeps new requests away from a target that is stalled, for a time.
+void
+AvoidStalledTarget(const GatewayDependencies& aDependencies,
+                   const FleetRoute& aRoute,
+                   const FleetTarget& aTarget);
+
+/// Logs an attempt and counts its outcome.
+/// @param aInFlight requests at the target when it was chosen
+void
+LogAttempt(const GatewayDependencies& aDependencies,
+           const GatewayRequest& aRequest,
+           const FleetTarget& aTarget,
+           const ExchangeReport& aReport,
+           uint32_t aInFlight);
+
+} // namespace hibiscushold
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -6,9 +6,12 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketImpl.h>
 #include <Poco/String.h>
+#include <sys/socket.h>
 
 #include <array>
+#include <optional>
 #include <sstream>
 
 namespace hibiscushold {
@@ -21,6 +24,10 @@
 
 constexpr size_t kMaxResponseBytes = 16000000;
 constexpr size_t kMaxEventBytes = 1000000;
+/// Bytes of a status line up to the first digit of the status, and its
+/// position.
+constexpr size_t kStatusLineStart = 10;
+constexpr size_t kStatusPosition = 9;
 /// Responses to earlier requests that are skipped before the expected one.
 constexpr int kMaxStaleResponses = 2;
 
@@ -55,7 +62,7 @@
 };
 
 /// State of one exchange.
-class Exchange
+class Exchange final : public WaitingExchange
 {
 public:
   Exchange(const ExchangeDependencies& aDependencies,
@@ -65,7 +72,7 @@
     , mRequest(aRequest)
     , mSink(aSink)
     , mStartedAt(aDependencies.mClock.Now())
-    , mInFlightEntry(aDependencies, aRequest)
+    , mInFlightEntry(std::in_place, aDependencies, aRequest)
   {
     mReport.mLastEvent = aRequest.mLastEvent;
   }
@@ -86,6 +93,26 @@
     return std::move(mReport);
   }
 
+  bool HasProgress() const override
+  {
+    std::array<char, kStatusLineStart> start{};
+    const ssize_t n = ::recv(mSession->socket().impl()->sockfd(),
+                             start.data(),
+                             start.size(),
+                             MSG_PEEK | MSG_DONTWAIT);
+    if (mHeadReceived) {
+      return n > 0 && mReport.mResponse.mStatus < 300;
+    }
+    return n == static_cast<ssize_t>(start.size()) &&
+           start[kStatusPosition] == '2';
+  }
+
+  void Close() override
+  {
+    mInFlightEntry.reset();
+    mSession->reset();
+  }
+
 private:
   bool OpenSession()
   {
@@ -109,20 +136,30 @@
     }
     TransferLimiter& limiter = mSession->Guard();
     limiter.ResetSent();
-    limiter.SetDeadline(
-      std::min(mRequest.mDeadline, mRequest.mAttemptDeadline));
+    limiter.SetDeadline(mRequest.mDeadline);
     limiter.SetMaxGap(Duration::zero());
     limiter.SetCallerCheck([this] { return mSink.IsCallerDisconnected(); });
-    limiter.SetAbandonCheck([this] { return IsTargetStalled(); });
+    limiter.SetAbandonCheck([this] { return IsAbandoned(); });
     return true;
   }
 
+  bool IsAbandoned()
+  {
+    if (!mReport.mStreamed && mSink.IsSuperseded()) {
+      mAbandonedAs = ExchangeOutcome::Superseded;
+      return true;
+    }
+    return IsTargetStalled() && mSink.OnStall(*this);
+  }
+
   bool IsTargetStalled() const
   {
-    return mRequest.mStream &&
-           IsStalled(mRequest.mTarget,
-                     mDependencies.mLoads.Get(mRequest.mTarget.mVmId),
-                     mDependencies.mClock.Now());
+    const TimePoint now = mDependencies.mClock.Now();
+    return now >= mRequest.mStalledAt ||
+           (mRequest.mStream &&
+            IsStalled(mRequest.mTarget,
+                      mDependencies.mLoads.Get(mRequest.mTarget.mVmId),
+                      now));
   }
 
   std::string MakeHead() const
@@ -181,6 +218,7 @@
       return;
     }
     CopyFields(aHead);
+    mHeadReceived = true;
     if (mRequest.mStream && success &&
         aHead.getContentType().starts_with("text/event-stream")) {
       ReceiveEvents(aHead, aBody);
@@ -261,7 +299,7 @@
     }
     const TimePoint now = mDependencies.mClock.Now();
     const std::string& vm = mRequest.mTarget.mVmId;
-    if (mInFlightEntry.mStreaming) {
+    if (mInFlightEntry->mStreaming) {
       mReport.mLongestEventGap =
         std::max(mReport.mLongestEventGap, now - mLastEventAt);
       mDependencies.mLoads.RecordProgress(vm, now);
@@ -269,8 +307,7 @@
       mReport.mTimeToFirstEvent = now - mStartedAt;
       mDependencies.mLoads.RecordFirstEvent(
         vm, mReport.mTimeToFirstEvent, now, mRequest.mPromptTokens);
-      mInFlightEntry.mStreaming = true;
-      mSession->Guard().SetDeadline(mRequest.mDeadline);
+      mInFlightEntry->mStreaming = true;
       if (!mSink.OnHead(mReport.mResponse.mStatus, mReport.mResponse.mFields)) {
         SetOutcome(ExchangeOutcome::CallerDisconnected, "");
         return false;
@@ -278,7 +315,7 @@
       mReport.mStreamed = true;
     }
     mLastEventAt = now;
-    if (!mSink.OnEvents(events)) {
+    if (!mSink.OnEvents(events, aSplitter.LastId())) {
       SetOutcome(ExchangeOutcome::CallerDisconnected, "");
       return false;
     }
@@ -306,12 +343,10 @@
       case TransferStop::CallerDisconnected:
         return ExchangeOutcome::CallerDisconnected;
       case TransferStop::Abandoned:
-        return ExchangeOutcome::Stalled;
+        return mAbandonedAs;
       case TransferStop::IdleTimeout:
       case TransferStop::Deadline:
-        return mDependencies.mClock.Now() >= mRequest.mDeadline
-                 ? ExchangeOutcome::Deadline
-                 : ExchangeOutcome::Stalled;
+        return ExchangeOutcome::Deadline;
       case TransferStop::None:
         break;
     }
@@ -331,10 +366,12 @@
   const ExchangeRequest& mRequest;
   StreamSink& mSink;
   const TimePoint mStartedAt;
-  InFlightEntry mInFlightEntry;
+  std::optional<InFlightEntry> mInFlightEntry; ///< none after Close
   SessionPool::Session mSession;
   ExchangeReport mReport;
   TimePoint mLastEventAt;
+  ExchangeOutcome mAbandonedAs = ExchangeOutcome::Stalled;
+  bool mHeadReceived = false; ///< of the response to this request
   bool mSentCompletely = false;
   bool mNoStaleResponse = true; ///< no response to another request was received
 };
@@ -359,6 +396,8 @@
       return "invalid";
     case ExchangeOutcome::Stalled:
       return "stalled";
+    case ExchangeOutcome::Superseded:
+      return "superseded";
     case ExchangeOutcome::Deadline:
       return "deadline";
     case ExchangeOutcome::CallerDisconnected:
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -23,7 +23,8 @@
   ConnectFailed, ///< no connection; nothing was sent
   Broken,        ///< the connection failed or the response was truncated
   Invalid,       ///< the response is malformed or belongs to another request
-  Stalled,       ///< abandoned because the target made no progress in time
+  Stalled,       ///< the target made no progress, and another one took over
+  Superseded,    ///< the target it was to replace made progress first
   Deadline,      ///< the deadline of the request passed
   CallerDisconnected,
 };
@@ -42,8 +43,8 @@
   std::string_view mBody;
   std::string mRequestId;
   TimePoint mDeadline; ///< of the whole request, over all attempts
-  /// Of this attempt; no longer applies after the first event.
-  TimePoint mAttemptDeadline;
+  /// From then on the target counts as stalled, whatever its load.
+  TimePoint mStalledAt;
   milliseconds mConnectTimeout{ 150 };
   uint64_t mLastEvent = 0; ///< id of the last event already forwarded
   bool mNewConnection =
@@ -74,7 +75,22 @@
   std::string mDetail;     ///< what went wrong, for the log
 };
 
-/// Receives the events of a stream as they arrive.
+/// An exchange that waits for its target while another attempt of the same
+/// request runs.
+class WaitingExchange
+{
+public:
+  virtual ~WaitingExchange() = default;
+
+  /// @return whether unread bytes of a successful response have arrived
+  virtual bool HasProgress() const = 0;
+
+  /// Closes the connection to the target.
+  virtual void Close() = 0;
+};
+
+/// Receives the events of a stream as they arrive, and decides how long an
+/// exchange waits for its target.
 class StreamSink
 {
 public:
@@ -85,10 +101,20 @@
   virtual bool OnHead(int aStatus, const std::vector<HttpField>& aFields) = 0;
 
   /// @param aEvents one or more complete events
+  /// @param aLastId id of the last of them
   /// @return false if the caller has disconnected
-  virtual bool OnEvents(std::string_view aEvents) = 0;
+  virtual bool OnEvents(std::string_view aEvents, uint64_t aLastId) = 0;
 
   virtual bool IsCallerDisconnected() = 0;
+
+  /// Called at intervals while the target is stalled; may run another attempt.
+  /// @return whether another target has taken over, which ends this exchange
+  virtual bool OnStall(WaitingExchange& aExchange) = 0;
+
+  /// Called at intervals until the first event.
+  /// @return whether the target that this attempt was to replace has made
+  ///         progress, which ends this exchange
+  virtual bool IsSuperseded() = 0;
 };
 
 /// Dependencies of an exchange.
@@ -102,7 +128,8 @@
 
 /// Sends a request to its target and receives the response. The connection goes
 /// back to the pool only after a complete response to this request; otherwise
-/// it is closed.
+/// it is closed. A silent target doesn't end the exchange by itself; only the
+/// deadline, the caller or the sink does.
 ExchangeReport
 RunExchange(const ExchangeDependencies& aDependencies,
             const ExchangeRequest& aRequest,
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 #include "fleet/shedding.h"
+#include "gateway/attemptrecord.h"
 #include "observe/events.h"
 
 #include <thread>
@@ -16,16 +17,14 @@
 /// Connecting takes one round trip between zones and a few milliseconds.
 constexpr auto kConnectTimeout = milliseconds(150);
 /// Fraction of the route's latency target that a non-streaming response may
-/// take before the request is sent to another target.
+/// take before the request is sent to another target as well.
 constexpr double kAttemptLatencyFraction = 0.6;
-/// How long a stalled target of a streaming route gets no new requests.
-constexpr auto kStalledTargetAvoidance = milliseconds(1500);
-/// How long a target gets no requests after another VM answered at its address.
-constexpr auto kWrongVmAvoidance = milliseconds(1000);
 /// How long a broken stream waits for a group that can resume it; callers
 /// abandon a stream that pauses for two seconds.
 constexpr auto kResumeTimeout = milliseconds(1300);
 constexpr auto kResumePollInterval = milliseconds(50);
+/// How often a request with a stalled target looks for another one.
+constexpr auto kTakeoverInterval = milliseconds(50);
 /// A group that lost a VM is formed again in about a second.
 constexpr uint32_t kNoGroupRetryMillis = 900;
 constexpr uint32_t kOverloadRetryMillis = 250;
@@ -37,8 +36,58 @@
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
 }
 
+/// @return whether a byte of the request may have reached the target
+bool
+WasSent(const ExchangeReport& aReport)
+{
+  return aReport.mOutcome != ExchangeOutcome::ConnectFailed &&
+         (aReport.mSentBytes > 0 ||
+          aReport.mOutcome != ExchangeOutcome::Broken);
+}
+
+class RequestForwarder;
+
+/// One attempt of a request. An attempt that is started because the target of
+/// another one is stalled runs within it; that one ends once a response to the
+/// new attempt has begun, and goes on if the new attempt fails.
+class Attempt final : public StreamSink
+{
+public:
+  /// @param aOuter the attempt with the stalled target, or null
+  Attempt(RequestForwarder& aForwarder,
+          const FleetTarget& aTarget,
+          uint32_t aInFlight,
+          Attempt* aOuter)
+    : mTarget(aTarget)
+    , mInFlight(aInFlight)
+    , mForwarder(aForwarder)
+    , mOuter(aOuter)
+  {
+  }
+
+  bool OnHead(int aStatus, const std::vector<HttpField>& aFields) override;
+  bool OnEvents(std::string_view aEvents, uint64_t aLastId) override;
+  bool IsCallerDisconnected() override;
+  bool OnStall(WaitingExchange& aExchange) override;
+  bool IsSuperseded() override;
+
+  /// Closes the exchanges of the attempts that this one replaces.
+  void TakeOver();
+
+  const FleetTarget& mTarget;
+  const uint32_t mInFlight; ///< requests at the target when it was chosen
+  bool mCounted = false;    ///< in the attempts that were sent
+  bool mStallSeen = false;  ///< the target has been stalled before
+  bool mReplaced = false;   ///< its exchange was closed by another attempt
+
+private:
+  RequestForwarder& mForwarder;
+  Attempt* const mOuter;
+  WaitingExchange* mWaiting = nullptr; ///< set while an inner attempt runs
+};
+
 /// State of one request over all its attempts.
-class RequestForwarder final : public StreamSink
+class RequestForwarder
 {
 public:
   RequestForwarder(const GatewayDependencies& aDependencies,
@@ -74,22 +123,22 @@
           mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream) {
         BOOST_OUTCOME_TRY(AdmitOrShed(*target));
       }
-      if (mAttemptsSent > 0 &&
-          !mDependencies.mRetryBudget.TryTakeRetry(
-            mRequest.mService, mDependencies.mClock.Now())) {
-        mDependencies.mMetrics.CountDenial("repeat_budget");
+      if (mAttemptsSent > 0 && !TakeRetry()) {
         return Fail(
           RefusalKind::TargetFailed, kOverloadRetryMillis, "retry_budget");
       }
-      ExchangeReport report = Attempt(*target);
-      RecordOutcome(*target, report);
-      if (const auto end = HandleOutcome(*target, report)) {
+      ExchangeReport report = RunAttempt(*target, nullptr);
+      if (mTakeover) {
+        report = std::move(*mTakeover);
+        mTakeover.reset();
+      }
+      if (const auto end = HandleOutcome(report)) {
         return *end;
       }
     }
   }
 
-  bool OnHead(int aStatus, const std::vector<HttpField>& aFields) override
+  bool OnHead(int aStatus, const std::vector<HttpField>& aFields)
   {
     if (mWriter.HasStarted()) {
       return true; // resumed at another target
@@ -99,14 +148,47 @@
     return mWriter.StartStream(aStatus, aFields);
   }
 
-  bool OnEvents(std::string_view aEvents) override
+  bool OnEvents(std::string_view aEvents, uint64_t aLastId)
   {
+    mLastEvent = aLastId;
     return mWriter.SendChunk(aEvents);
   }
 
-  bool IsCallerDisconnected() override
+  bool IsCallerDisconnected() const { return mWriter.IsCallerDisconnected(); }
+
+  /// Tries to have another target take over from a stalled one. The stalled
+  /// target keeps the request until a response of the other one has begun, as
+  /// its silence alone doesn't mean that it won't answer.
+  /// @return whether another target has taken over
+  bool TryTakeover(Attempt& aStalled)
   {
-    return mWriter.IsCallerDisconnected();
+    if (!aStalled.mStallSeen) {
+      aStalled.mStallSeen = true;
+      AvoidStalledTarget(mDependencies, *mRequest.mRoute, aStalled.mTarget);
+    }
+    const TimePoint now = mDependencies.mClock.Now();
+    if (now < mNextTakeoverAt || !mRequest.AllowsRetry()) {
+      return false;
+    }
+    mNextTakeoverAt = now + kTakeoverInterval;
+    CountAttempt(aStalled);
+    if (mAttemptsSent >= mRequest.mRoute->mAttempts ||
+        mConnectFailures >= kMaxConnectFailures || now >= mRequest.mDeadline) {
+      return false;
+    }
+    mExcluded.insert(aStalled.mTarget.mVmId);
+    const FleetTargetsPtr targets = mDependencies.mTargets();
+    const FleetTarget* target = Choose(*targets);
+    if (target == nullptr || !TakeRetry()) {
+      return false;
+    }
+    ExchangeReport report = RunAttempt(*target, &aStalled);
+    const bool answered = report.mOutcome == ExchangeOutcome::Answered &&
+                          report.mResponse.mStatus < 500;
+    if (!mTakeover && (answered || aStalled.mReplaced)) {
+      mTakeover = std::move(report);
+    }
+    return mTakeover.has_value();
   }
 
 private:
@@ -156,10 +238,23 @@
            !mWriter.IsCallerDisconnected();
   }
 
-  ExchangeReport Attempt(const FleetTarget& aTarget)
+  /// Takes one retry from the budget.
+  /// @return whether there was one
+  bool TakeRetry()
+  {
+    if (mDependencies.mRetryBudget.TryTakeRetry(mRequest.mService,
+                                                mDependencies.mClock.Now())) {
+      return true;
+    }
+    if (!mBudgetDenied) {
+      mBudgetDenied = true;
+      mDependencies.mMetrics.CountDenial("repeat_budget");
+    }
+    return false;
+  }
+
+  ExchangeRequest MakeExchange(const FleetTarget& aTarget) const
   {
-    mInFlight = mDependencies.mLoads.Get(aTarget.mVmId).mInFlight;
-    const TimePoint now = mDependencies.mClock.Now();
     const bool stream = mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream;
     // A request that must not run twice gets a new connection, as a pooled one
     // may be stale.
@@ -170,7 +265,7 @@
                               mRequest.mBody,
                               mRequest.mId,
                               mRequest.mDeadline,
-                              mRequest.mDeadline,
+                              TimePoint::max(),
                               kConnectTimeout,
                               mLastEvent,
                               !mRequest.AllowsRetry(),
@@ -180,93 +275,71 @@
       exchange.mFields.push_back(
         { mDependencies.mProtocol.mLastEvent, std::to_string(mLastEvent) });
     }
-    if (mRequest.mRoute->mRetryPolicy == RetryPolicy::Idempotent &&
-        mAttemptsSent + 1 < mRequest.mRoute->mAttempts) {
-      exchange.mAttemptDeadline =
-        now + std::chrono::duration_cast<Duration>(
-                mRequest.mRoute->mLatencyTarget * kAttemptLatencyFraction);
+    if (mRequest.mRoute->mRetryPolicy == RetryPolicy::Idempotent) {
+      exchange.mStalledAt =
+        mDependencies.mClock.Now() +
+        std::chrono::duration_cast<Duration>(mRequest.mRoute->mLatencyTarget *
+                                             kAttemptLatencyFraction);
     }
-    return RunExchange({ mDependencies.mSessions,
-                         mDependencies.mLoads,
-                         mDependencies.mProtocol,
-                         mDependencies.mClock },
-                       exchange,
-                       *this);
+    return exchange;
   }
 
-  void RecordOutcome(const FleetTarget& aTarget, const ExchangeReport& aReport)
+  /// Runs an attempt and records its outcome.
+  /// @param aOuter the attempt with the stalled target, or null
+  ExchangeReport RunAttempt(const FleetTarget& aTarget, Attempt* aOuter)
   {
-    const TimePoint now = mDependencies.mClock.Now();
-    mLastEvent = aReport.mLastEvent;
-    switch (aReport.mOutcome) {
-      case ExchangeOutcome::Answered:
-        mDependencies.mLoads.RecordSuccess(aTarget.mVmId);
-        return;
-      case ExchangeOutcome::NotRun:
-        mDependencies.mLoads.RecordRejection(aTarget.mVmId, now);
-        return;
-      case ExchangeOutcome::WrongVm:
-        mDependencies.mLoads.AvoidUntil(aTarget.mVmId, now + kWrongVmAvoidance);
-        return;
-      case ExchangeOutcome::Stalled:
-        if (mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream) {
-          mDependencies.mLoads.AvoidUntil(aTarget.mVmId,
-                                          now + kStalledTargetAvoidance);
-        } else {
-          mDependencies.mLoads.RecordFailure(aTarget.mVmId, now);
-        }
-        return;
-      case ExchangeOutcome::ConnectFailed:
-      case ExchangeOutcome::Broken:
-      case ExchangeOutcome::Invalid:
-        if (!aReport.mReused) {
-          mDependencies.mLoads.RecordFailure(aTarget.mVmId, now);
-        }
-        mDependencies.mSessions.DiscardCreatedBefore(aTarget.mAddress, now);
-        return;
-      case ExchangeOutcome::Deadline:
-      case ExchangeOutcome::CallerDisconnected:
-        return;
+    Attempt attempt(*this,
+                    aTarget,
+                    mDependencies.mLoads.Get(aTarget.mVmId).mInFlight,
+                    aOuter);
+    ExchangeReport report = RunExchange({ mDependencies.mSessions,
+                                          mDependencies.mLoads,
+                                          mDependencies.mProtocol,
+                                          mDependencies.mClock },
+                                        MakeExchange(aTarget),
+                                        attempt);
+    RecordOutcome(mDependencies, aTarget, report);
+    LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mInFlight);
+    if (WasSent(report)) {
+      CountAttempt(attempt);
+      const bool notRun = report.mOutcome == ExchangeOutcome::NotRun ||
+                          report.mOutcome == ExchangeOutcome::WrongVm;
+      mMayHaveRun = mMayHaveRun || !notRun;
+      mExcluded.insert(aTarget.mVmId);
+      return report;
     }
+    ++mConnectFailures;
+    // A failure of a stale pooled connection does not exclude its target.
+    if (!report.mReused) {
+      mExcluded.insert(aTarget.mVmId);
+    }
+    return report;
+  }
+
+  void CountAttempt(Attempt& aAttempt)
+  {
+    mAttemptsSent += aAttempt.mCounted ? 0 : 1;
+    aAttempt.mCounted = true;
   }
 
   /// Decides how to continue after an attempt.
   /// @return the final result of the request, or nothing to try another target
-  std::optional<ResultOrRefusal<void>> HandleOutcome(const FleetTarget& aTarget,
-                                                     ExchangeReport& aReport)
+  std::optional<ResultOrRefusal<void>> HandleOutcome(ExchangeReport& aReport)
   {
-    LogAttempt(aTarget, aReport);
-    switch (aReport.mOutcome) {
-      case ExchangeOutcome::CallerDisconnected:
-        return AbortForCaller();
-      case ExchangeOutcome::Answered:
-        if (aReport.mStreamed) {
-          return EndStream();
-        }
-        break;
-      default:
-        break;
+    if (aReport.mOutcome == ExchangeOutcome::CallerDisconnected) {
+      return AbortForCaller();
+    }
+    if (aReport.mOutcome == ExchangeOutcome::Answered && aReport.mStreamed) {
+      return EndStream();
     }
-    const bool notSent =
-      aReport.mOutcome == ExchangeOutcome::ConnectFailed ||
-      (aReport.mSentBytes == 0 && aReport.mOutcome == ExchangeOutcome::Broken);
-    if (notSent) {
-      if (++mConnectFailures >= kMaxConnectFailures) {
+    if (!WasSent(aReport)) {
+      if (mConnectFailures >= kMaxConnectFailures) {
         return Fail(
           RefusalKind::NoTarget, kOverloadRetryMillis, "connect_failed");
       }
-      // A failure of a stale pooled connection does not exclude its target.
-      if (!aReport.mReused) {
-        mExcluded.insert(aTarget.mVmId);
-      }
       return std::nullopt;
     }
-    ++mAttemptsSent;
-    const bool notRun = aReport.mOutcome == ExchangeOutcome::NotRun ||
-                        aReport.mOutcome == ExchangeOutcome::WrongVm;
-    mMayHaveRun = mMayHaveRun || !notRun;
     if (MayRetry(aReport)) {
-      mExcluded.insert(aTarget.mVmId);
       return std::nullopt;
     }
     return EndWith(aReport);
@@ -384,42 +457,72 @@
     return std::max(aMillis, kOverloadRetryMillis);
   }
 
-  void LogAttempt(const FleetTarget& aTarget, const ExchangeReport& aReport)
-  {
-    if (aReport.mOutcome != ExchangeOutcome::Answered) {
-      mDependencies.mMetrics.CountRetry(NameOf(aReport.mOutcome));
-    }
-    const Duration elapsed = mDependencies.mClock.Now() - mRequest.mArrivedAt;
-    LogEvent(
-      EventId::RequestTried,
-      { { "request", mRequest.mId },
-        { "route", mRequest.mRoute->mName },
-        { "vm", aTarget.mVmId },
-        { "group", aTarget.mGroup.mName },
-        { "end", NameOf(aReport.mOutcome) },
-        { "status", std::to_string(aReport.mResponse.mStatus) },
-        { "last_event", std::to_string(aReport.mLastEvent) },
-        { "first_ms", std::to_string(ToMillis(aReport.mTimeToFirstEvent)) },
-        { "gap_ms", std::to_string(ToMillis(aReport.mLongestEventGap)) },
-        { "ms", std::to_string(ToMillis(elapsed)) },
-        { "prompt", std::to_string(mRequest.mPromptTokens) },
-        { "in_flight", std::to_string(mInFlight) },
-        { "version", std::to_string(mRequest.mConfig->mVersion) },
-        { "detail", aReport.mDetail } });
-  }
-
   const GatewayDependencies& mDependencies;
   const GatewayRequest& mRequest;
   ResponseWriter& mWriter;
   std::set<std::string> mExcluded;
   std::optional<TimePoint> mResumeDeadline;
-  uint64_t mLastEvent;
-  uint32_t mInFlight = 0;     ///< requests at the target when it was chosen
+  uint64_t mLastEvent;        ///< id of the last event sent to the caller
   uint32_t mAttemptsSent = 0; ///< those that sent part of the request
   int mConnectFailures = 0;
   bool mMayHaveRun = false;
+  bool mBudgetDenied = false;
+  TimePoint mNextTakeoverAt;
+  /// Of the attempt that has taken over from the outermost one.
+  std::optional<ExchangeReport> mTakeover;
 };
 
+bool
+Attempt::OnHead(int aStatus, const std::vector<HttpField>& aFields)
+{
+  TakeOver();
+  return mForwarder.OnHead(aStatus, aFields);
+}
+
+bool
+Attempt::OnEvents(std::string_view aEvents, uint64_t aLastId)
+{
+  return mForwarder.OnEvents(aEvents, aLastId);
+}
+
+bool
+Attempt::IsCallerDisconnected()
+{
+  return mForwarder.IsCallerDisconnected();
+}
+
+bool
+Attempt::OnStall(WaitingExchange& aExchange)
+{
+  mWaiting = &aExchange;
+  const bool takenOver = mForwarder.TryTakeover(*this);
+  mWaiting = nullptr;
+  if (takenOver) {
+    aExchange.Close();
+  }
+  return takenOver;
+}
+
+bool
+Attempt::IsSuperseded()
+{
+  for (const Attempt* it = mOuter; it != nullptr; it = it->mOuter) {
+    if (it->mWaiting->HasProgress()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+Attempt::TakeOver()
+{
+  for (Attempt* it = mOuter; it != nullptr; it = it->mOuter) {
+    it->mWaiting->Close();
+    it->mReplaced = true;
+  }
+}
+
 } // namespace
 
 ResultOrRefusal<void>
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -45,13 +45,15 @@
     return true;
   }
 
-  bool OnEvents(std::string_view aEvents) override
+  bool OnEvents(std::string_view aEvents, uint64_t) override
   {
     mEvents += aEvents;
     return true;
   }
 
   bool IsCallerDisconnected() override { return mDisconnected; }
+  bool OnStall(WaitingExchange&) override { return false; }
+  bool IsSuperseded() override { return false; }
 
   int mStatus = 0;
   bool mDisconnected = false;
--- a/test/silence-test.cc
+++ b/test/silence-test.cc
@@ -49,6 +49,14 @@
 {
   GatewayFixture mGateway;
 
+  static void WaitUntilClosed(const ScriptedServer& aServer)
+  {
+    for (int n = 0; n < 100 && aServer.OpenConnections() > 0; ++n) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK_EQUAL(0U, aServer.OpenConnections());
+  }
+
   void CheckEvents(int aLast)
   {
     const ReceivedResponse got = mGateway.Ask(kStreamRequest, kEnd);
@@ -162,4 +170,72 @@
   CheckEvents(2);
   STRCMP_CONTAINS("Last: 1\r\n", second.Requests()[0].c_str());
   CHECK_EQUAL(1U, dead.Requests().size());
+  WaitUntilClosed(dead);
+}
+
+// Guards against a dead target that keeps a request although others have not
+// been tried.
+TEST(SilentTarget, StreamOfTwoDeadTargetsIsResumedAtTheThird)
+{
+  ScriptedServer first({ { StreamHead() + Event(1) } });
+  ScriptedServer second({ { StreamHead() } });
+  ScriptedServer third({ { StreamHead() + Event(2) + kEnd } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.AddTarget(third);
+  mGateway.mConfig.mRoutes[0].mAttempts = 3;
+  mGateway.Start();
+  CheckEvents(2);
+  WaitUntilClosed(first);
+  WaitUntilClosed(second);
+}
+
+// Guards against a target that goes on working on a request after another has
+// answered it.
+TEST(SilentTarget, IdempotentRequestIsAnsweredOnceAndTheSlowTargetIsReleased)
+{
+  ScriptedServer first({ { "" } });
+  ScriptedServer second({ { Reply("second") } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.Start();
+  const ReceivedResponse got = mGateway.Ask(kLookupRequest, "second");
+  CHECK(got.mBytes.ends_with("second"));
+  WaitUntilClosed(first);
+}
+
+// Guards against a retry of a request that must not run twice.
+TEST(SilentTarget, RequestThatMustNotRunTwiceStaysWithItsTarget)
+{
+  ScriptedServer first({ { "", false, false, Reply("late"), kSilence } });
+  ScriptedServer second({ { Reply("second") } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.mConfig.mRoutes[1].mRetryPolicy = RetryPolicy::AtMostOnce;
+  mGateway.Start();
+  const ReceivedResponse got = mGateway.Ask(kLookupRequest, "late");
+  CHECK(got.mBytes.ends_with("late"));
+  CHECK_EQUAL(0U, second.Requests().size());
+}
+
+// Guards against a target that works for a caller who left while another
+// target was tried.
+TEST(SilentTarget, BothTargetsAreReleasedWhenTheCallerLeaves)
+{
+  ScriptedServer first({ { StreamHead() + Event(1) } });
+  ScriptedServer second({ { "" } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.Start();
+  {
+    Poco::Net::StreamSocket caller(mGateway.mAddress);
+    caller.sendBytes(kStreamRequest.data(),
+                     static_cast<int>(kStreamRequest.size()));
+    for (int n = 0; n < 400 && second.Requests().empty(); ++n) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK_EQUAL(1U, second.Requests().size());
+  }
+  WaitUntilClosed(first);
+  WaitUntilClosed(second);
 }
