--- /dev/null
+++ b/test/review-test.cc
@@ -0,0 +1,346 @@
+#include "gatewayfixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+namespace {
+
+/// Silence of a target that goes on afterwards; longer than any time after
+/// which a target counts as stalled.
+constexpr auto kSilence = milliseconds(1200);
+
+constexpr const char* kEnd = "0\r\n\r\n";
+
+std::string
+StreamHead()
+{
+  return "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n"
+         "Content-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+/// @return one chunk with the event of this id, which must have one digit
+std::string
+Event(int aId)
+{
+  return "7\r\nid: " + std::to_string(aId) + "\n\n\r\n";
+}
+
+std::string
+Reply(const std::string& aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nId: r1\r\nProof: p\r\nContent-Length: " +
+         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+const std::string kStreamRequest =
+  "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 0\r\n\r\n";
+const std::string kLookupRequest =
+  "GET /lookup/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n";
+
+} // namespace
+
+TEST_GROUP(TakeoverReview)
+{
+  GatewayFixture mGateway;
+  /// Stays open until the servers of a test have ended: their threads don't
+  /// handle a connection that the gateway resets.
+  Poco::Net::StreamSocket mCaller;
+
+  /// @return what a caller receives within aTime, or until aEnd
+  std::string AskFor(
+    const std::string& aRequest, const std::string& aEnd, milliseconds aTime)
+  {
+    const TimePoint end = mGateway.mClock.Now() + aTime;
+    mCaller.connect(mGateway.mAddress);
+    mCaller.sendBytes(aRequest.data(), static_cast<int>(aRequest.size()));
+    std::string got;
+    char buf[4096];
+    while (!got.ends_with(aEnd) && mGateway.mClock.Now() < end) {
+      if (mCaller.poll(Poco::Timespan(0, 50000),
+                       Poco::Net::Socket::SELECT_READ)) {
+        const int n = mCaller.receiveBytes(buf, sizeof(buf));
+        if (n <= 0) {
+          break;
+        }
+        got.append(buf, static_cast<size_t>(n));
+      }
+    }
+    return got;
+  }
+
+  /// Checks that the response is a complete stream of the events 1 to aLast.
+  void CheckEvents(int aLast)
+  {
+    const ReceivedResponse got = mGateway.Ask(kStreamRequest, kEnd);
+    std::string expected;
+    for (int n = 1; n <= aLast; ++n) {
+      expected += Event(n);
+    }
+    const size_t body = got.mBytes.find("\r\n\r\n");
+    CHECK(body != std::string::npos);
+    STRCMP_EQUAL((expected + kEnd).c_str(),
+                 got.mBytes.substr(body + 4).c_str());
+    CHECK(!got.mReset);
+  }
+
+  void Avoid(const std::string& aVm, milliseconds aTime)
+  {
+    mGateway.mLoads.AvoidUntil(aVm, mGateway.mClock.Now() + aTime);
+  }
+};
+
+// Guards against a started stream that is reset because the target chosen
+// beside a silent one answers with a failure.
+TEST(TakeoverReview, StreamSurvivesAFailureStatusOfTheSecondTarget)
+{
+  ScriptedServer first(
+    { { StreamHead() + Event(1), false, false, Event(2) + kEnd, kSilence } });
+  ScriptedServer second({ { Reply("404 Not Found", "") } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.Start();
+  CheckEvents(2);
+}
+
+// Guards against a final failure status that is held back until the deadline
+// because the second target is silent.
+TEST(TakeoverReview, FailureStatusOfASilentTargetIsForwarded)
+{
+  ScriptedServer first(
+    { { "", false, false, Reply("404 Not Found", "none"), kSilence } });
+  ScriptedServer second({ { "" } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.mConfig.mRoutes[1].mTimeout = milliseconds(20000);
+  mGateway.Start();
+  const std::string got = AskFor(kLookupRequest, "none", milliseconds(3000));
+  STRCMP_CONTAINS("HTTP/1.1 404", got.c_str());
+}
+
+// Guards against a complete answer that is held back until the deadline because
+// its head was cut in two by the silence.
+TEST(TakeoverReview, AnswerIsForwardedIfItsHeadWasReadInPart)
+{
+  const std::string reply = Reply("200 OK", "late");
+  ScriptedServer first(
+    { { reply.substr(0, 20), false, false, reply.substr(20), kSilence } });
+  ScriptedServer second({ { "" } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.mConfig.mRoutes[1].mTimeout = milliseconds(20000);
+  mGateway.Start();
+  const std::string got = AskFor(kLookupRequest, "late", milliseconds(3000));
+  STRCMP_CONTAINS("HTTP/1.1 200", got.c_str());
+}
+
+// Guards against a complete answer that is held back until the deadline because
+// an interim response precedes it.
+TEST(TakeoverReview, AnswerIsForwardedAfterAnInterimResponse)
+{
+  ScriptedServer first(
+    { { "",
+        false,
+        false,
+        "HTTP/1.1 100 Continue\r\n\r\n" + Reply("200 OK", "late"),
+        kSilence } });
+  ScriptedServer second({ { "" } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.mConfig.mRoutes[1].mTimeout = milliseconds(20000);
+  mGateway.Start();
+  const std::string got = AskFor(kLookupRequest, "late", milliseconds(3000));
+  STRCMP_CONTAINS("HTTP/1.1 200", got.c_str());
+}
+
+// Guards against a second target that is given up for a part of an event, after
+// which the first one is silent again.
+TEST(TakeoverReview, StreamSurvivesAPartOfAnEvent)
+{
+  ScriptedServer first(
+    { { StreamHead() + Event(1), false, false, "7\r\nid", kSilence } });
+  ScriptedServer second(
+    { { StreamHead(), false, false, Event(2) + kEnd, milliseconds(1500) } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.Start();
+  CheckEvents(2);
+}
+
+// Guards against a target that gets no requests because its answers, although
+// sound, take over 0.6 of the latency target; the request could not have been
+// sent to another target.
+TEST(TakeoverReview, SlowAnswerOfTheOnlyTargetDoesNotRefuseTheNextRequest)
+{
+  const ScriptedServer::Response slow{
+    "", false, false, Reply("200 OK", "slow"), milliseconds(250)
+  };
+  ScriptedServer only({ slow, slow });
+  mGateway.AddTarget(only);
+  mGateway.mConfig.mRoutes[1].mAttempts = 1;
+  mGateway.Start();
+  (void)mGateway.Ask(kLookupRequest, "slow");
+  const ReceivedResponse got = mGateway.Ask(kLookupRequest, "slow");
+  STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
+}
+
+// Guards against a started stream that is reset at once when it breaks for the
+// second time, although another target is available soon.
+TEST(TakeoverReview, StreamMayWaitForATargetAfterEachBreak)
+{
+  ScriptedServer first({ { StreamHead() + Event(1), false, true } });
+  ScriptedServer second({ { StreamHead() + Event(2),
+                            false,
+                            false,
+                            "zz\r\n", // no length of a chunk
+                            milliseconds(1500) } });
+  ScriptedServer third({ { StreamHead() + Event(3) + kEnd } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.AddTarget(third);
+  mGateway.mConfig.mRoutes[0].mAttempts = 3;
+  Avoid("vm-2", milliseconds(300));
+  Avoid("vm-3", milliseconds(2200));
+  mGateway.Start();
+  CheckEvents(3);
+}
+
+// Guards against a started stream that is reset because three targets refuse
+// connections within milliseconds.
+TEST(TakeoverReview, StreamSurvivesThreeTargetsThatAreGone)
+{
+  ScriptedServer first({ { StreamHead() + Event(1), false, true } });
+  ScriptedServer last({ { StreamHead() + Event(2) + kEnd } });
+  mGateway.AddTarget(first);
+  {
+    ScriptedServer gone[3]{ ScriptedServer({}),
+                            ScriptedServer({}),
+                            ScriptedServer({}) };
+    for (const ScriptedServer& it : gone) {
+      mGateway.AddTarget(it);
+    }
+  }
+  mGateway.AddTarget(last);
+  Avoid("vm-5", milliseconds(200));
+  mGateway.Start();
+  CheckEvents(2);
+}
+
+// Guards against a started stream that is reset because the retry budget is
+// used up for a moment.
+TEST(TakeoverReview, StreamWaitsForTheRetryBudget)
+{
+  ScriptedServer first({ { StreamHead() + Event(1), false, true } });
+  ScriptedServer second({ { StreamHead() + Event(2) + kEnd } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.Start();
+  // All retries but those of the last moment of the window expire soon.
+  const TimePoint old = mGateway.mClock.Now() - milliseconds(9800);
+  while (mGateway.mRetryBudget.TryTakeRetry("engines", old)) {
+  }
+  CheckEvents(2);
+}
+
+// Guards against a sound target that gets no requests for a second after it has
+// gone on, so that callers are refused.
+TEST(TakeoverReview, TargetThatWentOnTakesNewRequests)
+{
+  const std::string stream = StreamHead() + Event(1) + kEnd;
+  ScriptedServer only({ { "", false, false, stream, kSilence }, { stream } });
+  mGateway.AddTarget(only);
+  mGateway.Start();
+  CheckEvents(1);
+  CheckEvents(1);
+}
+
+// Guards against a call that fails, and a VM that counts as unresponsive,
+// because the pooled connection was closed while it was idle.
+TEST(TakeoverReview, CallDoesNotFailForAClosedIdleConnection)
+{
+  const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  ScriptedServer server({ { reply, true }, { reply } });
+  HttpClient client(mGateway.mClock);
+  for (int n = 0; n < 2; ++n) {
+    const Result<HttpReply> got =
+      client.Call(server.Address(),
+                  { "GET", "/v1/report", {}, {} },
+                  mGateway.mClock.Now() + milliseconds(1000));
+    CHECK(got.has_value());
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+}
+
+// Guards against a second target that is given up for a late response to an
+// earlier request, although the first one stays silent.
+TEST(TakeoverReview, SecondTargetSurvivesALateResponseToAnEarlierRequest)
+{
+  std::string stale = Reply("200 OK", "stale");
+  stale.replace(stale.find("r1"), 2, "r0");
+  ScriptedServer first(
+    { { Reply("200 OK", "one") }, { "", false, false, stale, kSilence } });
+  ScriptedServer second(
+    { { "", false, false, Reply("200 OK", "two"), milliseconds(1500) } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.mConfig.mRoutes[1].mTimeout = milliseconds(20000);
+  mGateway.Start();
+  (void)mGateway.Ask(kLookupRequest, "one");
+  const std::string got = AskFor(kLookupRequest, "two", milliseconds(3000));
+  CHECK_EQUAL(2U, first.Requests().size());
+  STRCMP_CONTAINS("HTTP/1.1 200", got.c_str());
+}
+
+// Guards against a second target that counts as stalled at once because of the
+// requests that it had before, so that a third one is used up as well.
+TEST(TakeoverReview, SecondTargetGetsItsOwnTimeToRespond)
+{
+  ScriptedServer first({ { "" } });
+  ScriptedServer second({ { "",
+                            false,
+                            false,
+                            StreamHead() + Event(1) + kEnd,
+                            milliseconds(600) } });
+  ScriptedServer third({ { "" } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.AddTarget(third);
+  mGateway.mConfig.mRoutes[0].mAttempts = 3;
+  mGateway.mLoads.Begin("vm-2", mGateway.mClock.Now() - milliseconds(2000));
+  Avoid("vm-3", milliseconds(1000));
+  mGateway.Start();
+  CheckEvents(1);
+  CHECK_EQUAL(0U, third.Requests().size());
+}
+
+// Guards against a takeover that uses more targets than the route allows, hands
+// on more time than is left, or leaves requests in the load of a target.
+TEST(TakeoverReview, TakeoverKeepsTheLimitsOfTheRequest)
+{
+  ScriptedServer first({ { StreamHead() + Event(1) } });
+  ScriptedServer second({ { "",
+                            false,
+                            false,
+                            StreamHead() + Event(2) + kEnd,
+                            milliseconds(2000) } });
+  ScriptedServer third({ { "" } });
+  mGateway.AddTarget(first);
+  mGateway.AddTarget(second);
+  mGateway.AddTarget(third);
+  Avoid("vm-3", milliseconds(700));
+  mGateway.Start();
+  CheckEvents(2);
+  CHECK_EQUAL(1U, first.Requests().size());
+  CHECK_EQUAL(1U, second.Requests().size());
+  CHECK_EQUAL(0U, third.Requests().size());
+  const std::string head = second.Requests()[0];
+  const size_t at = head.find("Wait: ");
+  CHECK(at != std::string::npos);
+  CHECK(std::stoi(head.substr(at + 6)) <= 4600);
+  for (const char* it : { "vm-1", "vm-2", "vm-3" }) {
+    CHECK_EQUAL(0U, mGateway.mLoads.Get(it).mInFlight);
+    CHECK_EQUAL(0U, mGateway.mLoads.Get(it).mStreaming);
+    CHECK_EQUAL(0U, mGateway.mLoads.Get(it).mWaitingTokens);
+  }
+}
