--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -201,7 +201,7 @@
     const FleetModel* model = aEngine.FindModel(group.mModel);
     const bool suspect =
       IsStalled(load, now, kSuspicionLimits) ||
-      load.mAvoidUntil > now + kProbeInterval ||
+      EndOfAvoidance(load) > now + kProbeInterval ||
       (model != nullptr &&
        IsSilentToAllNodes(aEngine.TimesOf(*model), load, now));
     if (group.mStage != GroupStage::Serving || !suspect) {
--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -193,7 +193,7 @@
     const LoadedTarget loaded{ &it,
                                aLoads.Get(it.mVmId),
                                it.mZone == aInput.mZone };
-    if (loaded.mLoad.mAvoidUntil <= aInput.mNow) {
+    if (EndOfAvoidance(loaded.mLoad) <= aInput.mNow) {
       costs.push_back({ RequestCost(loaded, aInput), &it });
     }
   }
--- a/src/fleet/targetloads.cc
+++ b/src/fleet/targetloads.cc
@@ -43,6 +43,12 @@
 
 } // namespace
 
+TimePoint
+EndOfAvoidance(const TargetLoad& aLoad)
+{
+  return std::max(aLoad.mAvoidUntil, aLoad.mAvoidStalledUntil);
+}
+
 bool
 IsStalled(const TargetLoad& aLoad, TimePoint aNow, const StallLimits& aLimits)
 {
@@ -124,18 +130,21 @@
 
 void
 TargetLoads::RecordFirstEvent(const std::string& aTarget,
-                              Duration aFirstWait,
+                              std::optional<Duration> aFirstWait,
                               TimePoint aNow,
                               uint64_t aTokens)
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
   TargetLoad& load = shard.mLoads[aTarget];
-  const auto wait = static_cast<double>(ToMillis(aFirstWait));
-  load.mFirstEventMillis +=
-    kWaitAverageWeight * (wait - load.mFirstEventMillis);
-  load.mFirstEventAt = aNow;
+  if (aFirstWait) {
+    const auto wait = static_cast<double>(ToMillis(*aFirstWait));
+    load.mFirstEventMillis +=
+      kWaitAverageWeight * (wait - load.mFirstEventMillis);
+    load.mFirstEventAt = aNow;
+  }
   load.mLastProgress = aNow;
+  load.mAvoidStalledUntil = {};
   ++load.mStreaming;
   load.mWaitingTokens -= aTokens;
   load.mChangedAt = aNow;
@@ -155,6 +164,7 @@
       kGapAverageWeight * (std::abs(deviation) - load.mGapDeviation);
   }
   load.mLastProgress = aNow;
+  load.mAvoidStalledUntil = {};
 }
 
 void
@@ -194,6 +204,15 @@
   load.mAvoidUntil = std::max(load.mAvoidUntil, aUntil);
 }
 
+void
+TargetLoads::AvoidStalledUntil(const std::string& aTarget, TimePoint aUntil)
+{
+  Shard& shard = ShardOf(aTarget);
+  const std::lock_guard guard(shard.mLock);
+  TargetLoad& load = shard.mLoads[aTarget];
+  load.mAvoidStalledUntil = std::max(load.mAvoidStalledUntil, aUntil);
+}
+
 TargetLoads::Shard&
 TargetLoads::ShardOf(const std::string& aTarget)
 {
--- a/src/fleet/targetloads.h
+++ b/src/fleet/targetloads.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace hibiscushold {
@@ -18,11 +19,12 @@
   uint64_t mWaitingTokens = 0; ///< of prompts of requests without an event yet
   TimePoint mChangedAt;        ///< last start, first event or end of a request
   uint32_t mInFlight = 0;
-  uint32_t mStreaming = 0;     ///< of mInFlight, streams that have had an event
-  TimePoint mBusySince;        ///< when the target last went from idle to busy
-  TimePoint mLastProgress;     ///< when a response byte last arrived
-  TimePoint mAvoidUntil;       ///< not chosen for new requests before this
-  uint32_t mFailuresInRow = 0; ///< consecutive failures
+  uint32_t mStreaming = 0; ///< of mInFlight, streams that have had an event
+  TimePoint mBusySince;    ///< when the target last went from idle to busy
+  TimePoint mLastProgress; ///< when a response byte last arrived
+  TimePoint mAvoidUntil;   ///< not chosen for new requests before this
+  TimePoint mAvoidStalledUntil;  ///< likewise, unless a response byte arrives
+  uint32_t mFailuresInRow = 0;   ///< consecutive failures
   uint32_t mRejectionsInRow = 0; ///< consecutive rejections as full
   double mGapMillis = 0;         ///< moving average of times between events
   double mGapDeviation = 0; ///< moving average of deviations from mGapMillis
@@ -30,6 +32,10 @@
   TimePoint mFirstEventAt;      ///< when mFirstEventMillis was last updated
 };
 
+/// @return when the target is chosen for new requests again
+TimePoint
+EndOfAvoidance(const TargetLoad& aLoad);
+
 /// Limits of the time without any response byte after which a target that has
 /// requests counts as stalled.
 struct StallLimits
@@ -73,10 +79,11 @@
            uint64_t aTokens = 0);
 
   /// Records the first event of a request.
-  /// @param aFirstWait time from sending the request to its first event
+  /// @param aFirstWait time from sending the request to its first event; none
+  ///                   if it is not to change the average
   /// @param aTokens as passed to Begin
   void RecordFirstEvent(const std::string& aTarget,
-                        Duration aFirstWait,
+                        std::optional<Duration> aFirstWait,
                         TimePoint aNow,
                         uint64_t aTokens = 0);
   void RecordProgress(const std::string& aTarget, TimePoint aNow);
@@ -90,6 +97,8 @@
   void RecordRejection(const std::string& aTarget, TimePoint aNow);
   void RecordSuccess(const std::string& aTarget);
   void AvoidUntil(const std::string& aTarget, TimePoint aUntil);
+  /// Like AvoidUntil, but ends as soon as the target makes progress.
+  void AvoidStalledUntil(const std::string& aTarget, TimePoint aUntil);
 
 private:
   static constexpr size_t kShards = 16;
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -53,8 +53,8 @@
 {
   const TimePoint now = aDependencies.mClock.Now();
   if (aRoute.mRetryPolicy == RetryPolicy::Stream) {
-    aDependencies.mLoads.AvoidUntil(aTarget.mVmId,
-                                    now + kStalledTargetAvoidance);
+    aDependencies.mLoads.AvoidStalledUntil(aTarget.mVmId,
+                                           now + kStalledTargetAvoidance);
   } else {
     aDependencies.mLoads.RecordFailure(aTarget.mVmId, now);
   }
