--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/bodyreader.h"
 #include "gateway/eventsplitter.h"
+#include "gateway/progress.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -24,10 +25,8 @@
 
 constexpr size_t kMaxResponseBytes = 16000000;
 constexpr size_t kMaxEventBytes = 1000000;
-/// Bytes of a status line up to the first digit of the status, and its
-/// position.
-constexpr size_t kStatusLineStart = 10;
-constexpr size_t kStatusPosition = 9;
+/// Unread bytes of a response that are examined for progress.
+constexpr size_t kMaxPeekedBytes = 4096;
 /// Responses to earlier requests that are skipped before the expected one.
 constexpr int kMaxStaleResponses = 2;
 
@@ -75,6 +74,9 @@
     , mInFlightEntry(std::in_place, aDependencies, aRequest)
   {
     mReport.mLastEvent = aRequest.mLastEvent;
+    mAwaited.mIdField = aDependencies.mProtocol.mRequestId;
+    mAwaited.mRequestId = aRequest.mRequestId;
+    mAwaited.mStream = aRequest.mStream;
   }
 
   ExchangeReport Run()
@@ -95,16 +97,17 @@
 
   bool HasProgress() const override
   {
-    std::array<char, kStatusLineStart> start{};
+    std::array<char, kMaxPeekedBytes> buf;
     const ssize_t n = ::recv(mSession->socket().impl()->sockfd(),
-                             start.data(),
-                             start.size(),
+                             buf.data(),
+                             buf.size(),
                              MSG_PEEK | MSG_DONTWAIT);
-    if (mHeadReceived) {
-      return n > 0 && mReport.mResponse.mStatus < 300;
+    if (n == 0) {
+      return mAwaited.mEndsWithConnection;
     }
-    return n == static_cast<ssize_t>(start.size()) &&
-           start[kStatusPosition] == '2';
+    return n > 0 && IsProgress({ buf.data(), static_cast<size_t>(n) },
+                               static_cast<size_t>(n) == buf.size(),
+                               mAwaited);
   }
 
   void Close() override
@@ -152,14 +155,19 @@
     return IsTargetStalled() && mSink.OnStall(*this);
   }
 
-  bool IsTargetStalled() const
+  bool IsTargetStalled()
   {
     const TimePoint now = mDependencies.mClock.Now();
-    return now >= mRequest.mStalledAt ||
-           (mRequest.mStream &&
-            IsStalled(mRequest.mTarget,
-                      mDependencies.mLoads.Get(mRequest.mTarget.mVmId),
-                      now));
+    bool stalled = now >= mRequest.mStalledAt;
+    if (mRequest.mStream) {
+      TargetLoad load = mDependencies.mLoads.Get(mRequest.mTarget.mVmId);
+      if (mRequest.mIgnoresEarlierSilence) {
+        load.mBusySince = std::max(load.mBusySince, mStartedAt);
+      }
+      stalled = stalled || IsStalled(mRequest.mTarget, load, now);
+    }
+    mStallSeen = mStallSeen || stalled;
+    return stalled;
   }
 
   std::string MakeHead() const
@@ -218,7 +226,8 @@
       return;
     }
     CopyFields(aHead);
-    mHeadReceived = true;
+    mAwaited.mStatus = status;
+    mAwaited.mEndsWithConnection = !aBody.KeepsConnectionOpen();
     if (mRequest.mStream && success &&
         aHead.getContentType().starts_with("text/event-stream")) {
       ReceiveEvents(aHead, aBody);
@@ -305,8 +314,11 @@
       mDependencies.mLoads.RecordProgress(vm, now);
     } else {
       mReport.mTimeToFirstEvent = now - mStartedAt;
+      // The silence of a stalled target says nothing about its queue.
+      const auto wait =
+        mStallSeen ? std::optional<Duration>() : mReport.mTimeToFirstEvent;
       mDependencies.mLoads.RecordFirstEvent(
-        vm, mReport.mTimeToFirstEvent, now, mRequest.mPromptTokens);
+        vm, wait, now, mRequest.mPromptTokens);
       mInFlightEntry->mStreaming = true;
       if (!mSink.OnHead(mReport.mResponse.mStatus, mReport.mResponse.mFields)) {
         SetOutcome(ExchangeOutcome::CallerDisconnected, "");
@@ -371,7 +383,8 @@
   ExchangeReport mReport;
   TimePoint mLastEventAt;
   ExchangeOutcome mAbandonedAs = ExchangeOutcome::Stalled;
-  bool mHeadReceived = false; ///< of the response to this request
+  AwaitedResponse mAwaited;
+  bool mStallSeen = false; ///< the target has been stalled
   bool mSentCompletely = false;
   bool mNoStaleResponse = true; ///< no response to another request was received
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,6 +51,8 @@
     false;              ///< opens a new connection instead of a pooled one
   bool mStream = false; ///< an event stream is expected
   uint32_t mPromptTokens = 0;
+  /// Silence of the target before the start of the exchange doesn't count.
+  bool mIgnoresEarlierSilence = false;
 };
 
 /// A complete response that is not an event stream.
@@ -82,7 +84,7 @@
 public:
   virtual ~WaitingExchange() = default;
 
-  /// @return whether unread bytes of a successful response have arrived
+  /// @return whether unread bytes have arrived that can serve the caller
   virtual bool HasProgress() const = 0;
 
   /// Closes the connection to the target.
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -25,6 +25,8 @@
 constexpr auto kResumePollInterval = milliseconds(50);
 /// How often a request with a stalled target looks for another one.
 constexpr auto kTakeoverInterval = milliseconds(50);
+/// Bounds the stack, as each attempt beside a stalled one runs within it.
+constexpr uint32_t kMaxNestedAttempts = 8;
 /// A group that lost a VM is formed again in about a second.
 constexpr uint32_t kNoGroupRetryMillis = 900;
 constexpr uint32_t kOverloadRetryMillis = 250;
@@ -77,7 +79,7 @@
   const FleetTarget& mTarget;
   const uint32_t mInFlight; ///< requests at the target when it was chosen
   bool mCounted = false;    ///< in the attempts that were sent
-  bool mStallSeen = false;  ///< the target has been stalled before
+  bool mAvoided = false;    ///< new requests are kept away from the target
   bool mReplaced = false;   ///< its exchange was closed by another attempt
 
 private:
@@ -162,10 +164,6 @@
   /// @return whether another target has taken over
   bool TryTakeover(Attempt& aStalled)
   {
-    if (!aStalled.mStallSeen) {
-      aStalled.mStallSeen = true;
-      AvoidStalledTarget(mDependencies, *mRequest.mRoute, aStalled.mTarget);
-    }
     const TimePoint now = mDependencies.mClock.Now();
     if (now < mNextTakeoverAt || !mRequest.AllowsRetry()) {
       return false;
@@ -173,6 +171,7 @@
     mNextTakeoverAt = now + kTakeoverInterval;
     CountAttempt(aStalled);
     if (mAttemptsSent >= mRequest.mRoute->mAttempts ||
+        mAttemptsSent >= kMaxNestedAttempts ||
         mConnectFailures >= kMaxConnectFailures || now >= mRequest.mDeadline) {
       return false;
     }
@@ -182,9 +181,14 @@
     if (target == nullptr || !TakeRetry()) {
       return false;
     }
+    if (!aStalled.mAvoided) {
+      aStalled.mAvoided = true;
+      AvoidStalledTarget(mDependencies, *mRequest.mRoute, aStalled.mTarget);
+    }
     ExchangeReport report = RunAttempt(*target, &aStalled);
     const bool answered = report.mOutcome == ExchangeOutcome::Answered &&
-                          report.mResponse.mStatus < 500;
+                          report.mResponse.mStatus < 500 &&
+                          !mWriter.HasStarted();
     if (!mTakeover && (answered || aStalled.mReplaced)) {
       mTakeover = std::move(report);
     }
@@ -253,7 +257,9 @@
     return false;
   }
 
-  ExchangeRequest MakeExchange(const FleetTarget& aTarget) const
+  /// @param aOuter the attempt with the stalled target, or null
+  ExchangeRequest MakeExchange(const FleetTarget& aTarget,
+                               const Attempt* aOuter) const
   {
     const bool stream = mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream;
     // A request that must not run twice gets a new connection, as a pooled one
@@ -270,7 +276,8 @@
                               mLastEvent,
                               !mRequest.AllowsRetry(),
                               stream,
-                              mRequest.mPromptTokens };
+                              mRequest.mPromptTokens,
+                              aOuter != nullptr };
     if (mLastEvent > 0) {
       exchange.mFields.push_back(
         { mDependencies.mProtocol.mLastEvent, std::to_string(mLastEvent) });
@@ -296,7 +303,7 @@
                                           mDependencies.mLoads,
                                           mDependencies.mProtocol,
                                           mDependencies.mClock },
-                                        MakeExchange(aTarget),
+                                        MakeExchange(aTarget, aOuter),
                                         attempt);
     RecordOutcome(mDependencies, aTarget, report);
     LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mInFlight);
@@ -461,7 +468,7 @@
   const GatewayRequest& mRequest;
   ResponseWriter& mWriter;
   std::set<std::string> mExcluded;
-  std::optional<TimePoint> mResumeDeadline;
+  std::optional<TimePoint> mResumeDeadline; ///< of the wait after a break
   uint64_t mLastEvent;        ///< id of the last event sent to the caller
   uint32_t mAttemptsSent = 0; ///< those that sent part of the request
   int mConnectFailures = 0;
