--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -109,8 +109,7 @@
     for (;;) {
       const FleetTargetsPtr targets = mDependencies.mTargets();
       const FleetTarget* target = Choose(*targets);
-      if (target == nullptr && mWriter.HasStarted() && MayWaitToResume()) {
-        std::this_thread::sleep_for(kResumePollInterval);
+      if (target == nullptr && WaitToResume()) {
         continue;
       }
       if (target == nullptr) {
@@ -126,6 +125,9 @@
         BOOST_OUTCOME_TRY(AdmitOrShed(*target));
       }
       if (mAttemptsSent > 0 && !TakeRetry()) {
+        if (WaitToResume()) {
+          continue;
+        }
         return Fail(
           RefusalKind::TargetFailed, kOverloadRetryMillis, "retry_budget");
       }
@@ -153,6 +155,7 @@
   bool OnEvents(std::string_view aEvents, uint64_t aLastId)
   {
     mLastEvent = aLastId;
+    mResumeDeadline.reset();
     return mWriter.SendChunk(aEvents);
   }
 
@@ -232,14 +235,23 @@
                     static_cast<uint32_t>(retryAfter.count()) };
   }
 
-  bool MayWaitToResume()
+  /// Waits a short time for a target or a retry if a started stream may still
+  /// be resumed.
+  /// @return whether to try again
+  bool WaitToResume()
   {
+    if (!mWriter.HasStarted() || mWriter.IsCallerDisconnected()) {
+      return false;
+    }
     const TimePoint now = mDependencies.mClock.Now();
     if (!mResumeDeadline) {
       mResumeDeadline = now + kResumeTimeout;
     }
-    return now < std::min(*mResumeDeadline, mRequest.mDeadline) &&
-           !mWriter.IsCallerDisconnected();
+    if (now >= std::min(*mResumeDeadline, mRequest.mDeadline)) {
+      return false;
+    }
+    std::this_thread::sleep_for(kResumePollInterval);
+    return true;
   }
 
   /// Takes one retry from the budget.
@@ -340,7 +352,7 @@
       return EndStream();
     }
     if (!WasSent(aReport)) {
-      if (mConnectFailures >= kMaxConnectFailures) {
+      if (mConnectFailures >= kMaxConnectFailures && !mWriter.HasStarted()) {
         return Fail(
           RefusalKind::NoTarget, kOverloadRetryMillis, "connect_failed");
       }
