--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -53,7 +53,8 @@
         it.mModel,
         it.mKey,
         aService.mEngine->mSlots,
-        aService.mEngine->TimesOf(*model) });
+        aService.mEngine->TimesOf(*model),
+        head.mStartedMillis });
   }
 }
 
@@ -73,8 +74,14 @@
     const bool plain =
       service != aConfig.mServices.end() && !service->second.mEngine;
     if (plain && vm.mState == VmState::Live) {
-      targets.mByService[vm.mService].push_back(
-        { id, vm.mAddress, vm.mZone, "", {}, vm.mSlots, {} });
+      targets.mByService[vm.mService].push_back({ id,
+                                                  vm.mAddress,
+                                                  vm.mZone,
+                                                  "",
+                                                  {},
+                                                  vm.mSlots,
+                                                  {},
+                                                  vm.mStartedMillis });
     }
   }
   return targets;
@@ -179,6 +186,31 @@
 
 } // namespace
 
+bool
+IsLeaving(const FleetTarget& aTarget, const TargetLoad& aLoad)
+{
+  return aLoad.mLeavingStart == aTarget.mStartedMillis;
+}
+
+std::optional<TimePoint>
+EndOfQuiet(std::span<const FleetTarget> aTargets,
+           const TargetLoads& aLoads,
+           const ChoiceInput& aInput)
+{
+  std::optional<TimePoint> earliest;
+  for (const FleetTarget& it : aTargets) {
+    const TargetLoad load = aLoads.Get(it.mVmId);
+    if (it.mModel != aInput.mModel || IsLeaving(it, load)) {
+      continue;
+    }
+    if (load.mQuietUntil <= aInput.mNow) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(TimePoint::max()), load.mQuietUntil);
+  }
+  return earliest;
+}
+
 const FleetTarget*
 ChooseTarget(std::span<const FleetTarget> aTargets,
              const TargetLoads& aLoads,
@@ -193,7 +225,9 @@
     const LoadedTarget loaded{ &it,
                                aLoads.Get(it.mVmId),
                                it.mZone == aInput.mZone };
-    if (EndOfAvoidance(loaded.mLoad) <= aInput.mNow) {
+    const TimePoint freeAt =
+      std::max(EndOfAvoidance(loaded.mLoad), loaded.mLoad.mQuietUntil);
+    if (freeAt <= aInput.mNow && !IsLeaving(it, loaded.mLoad)) {
       costs.push_back({ RequestCost(loaded, aInput), &it });
     }
   }
--- a/src/fleet/targetchoice.h
+++ b/src/fleet/targetchoice.h
@@ -4,6 +4,7 @@
 #include "fleet/targetloads.h"
 #include "fleet/vm.h"
 
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -22,6 +23,7 @@
   GroupKey mGroup;
   uint32_t mSlots = 1;
   TargetTimes mTimes{};
+  uint64_t mStartedMillis = 0; ///< start of the VM, Unix time
 };
 
 /// The targets that accept new requests, by service. Immutable; rebuilt from
@@ -80,8 +82,20 @@
 bool
 IsStalled(const FleetTarget& aTarget, const TargetLoad& aLoad, TimePoint aNow);
 
+/// @return whether this start of the target's VM has announced its leaving
+bool
+IsLeaving(const FleetTarget& aTarget, const TargetLoad& aLoad);
+
+/// @return when the first of the model's targets accepts requests again; none
+///         if one of them has not asked for quiet, or there is none
+std::optional<TimePoint>
+EndOfQuiet(std::span<const FleetTarget> aTargets,
+           const TargetLoads& aLoads,
+           const ChoiceInput& aInput);
+
 /// Chooses a target at random, preferring low costs; targets that cost much
-/// more than the cheapest are never chosen.
+/// more than the cheapest are never chosen, nor are those that announced their
+/// leaving or asked for quiet.
 /// @param aTried VMs that the request has been sent to before
 /// @return the target, or null when none is available
 const FleetTarget*
--- a/src/fleet/targetloads.cc
+++ b/src/fleet/targetloads.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hibiscushold {
 
@@ -213,6 +214,31 @@
   load.mAvoidStalledUntil = std::max(load.mAvoidStalledUntil, aUntil);
 }
 
+void
+TargetLoads::RecordQuiet(const std::string& aTarget, TimePoint aUntil)
+{
+  Shard& shard = ShardOf(aTarget);
+  const std::lock_guard guard(shard.mLock);
+  TargetLoad& load = shard.mLoads[aTarget];
+  load.mQuietUntil = std::max(load.mQuietUntil, aUntil);
+}
+
+void
+TargetLoads::RecordLeaving(const std::string& aTarget, uint64_t aStartedMillis)
+{
+  Shard& shard = ShardOf(aTarget);
+  const std::lock_guard guard(shard.mLock);
+  shard.mLoads[aTarget].mLeavingStart = aStartedMillis;
+}
+
+bool
+TargetLoads::RecordBadHeader(const std::string& aTarget)
+{
+  Shard& shard = ShardOf(aTarget);
+  const std::lock_guard guard(shard.mLock);
+  return !std::exchange(shard.mLoads[aTarget].mSentBadHeader, true);
+}
+
 TargetLoads::Shard&
 TargetLoads::ShardOf(const std::string& aTarget)
 {
--- a/src/fleet/targetloads.h
+++ b/src/fleet/targetloads.h
@@ -23,7 +23,11 @@
   TimePoint mBusySince;    ///< when the target last went from idle to busy
   TimePoint mLastProgress; ///< when a response byte last arrived
   TimePoint mAvoidUntil;   ///< not chosen for new requests before this
-  TimePoint mAvoidStalledUntil;  ///< likewise, unless a response byte arrives
+  TimePoint mAvoidStalledUntil; ///< likewise, unless a response byte arrives
+  TimePoint mQuietUntil; ///< the target asked for no requests before this
+  /// Start of the VM that announced its leaving, Unix time in milliseconds.
+  std::optional<uint64_t> mLeavingStart;
+  bool mSentBadHeader = false;
   uint32_t mFailuresInRow = 0;   ///< consecutive failures
   uint32_t mRejectionsInRow = 0; ///< consecutive rejections as full
   double mGapMillis = 0;         ///< moving average of times between events
@@ -100,6 +104,16 @@
   /// Like AvoidUntil, but ends as soon as the target makes progress.
   void AvoidStalledUntil(const std::string& aTarget, TimePoint aUntil);
 
+  /// Records that the target asked for no requests before aUntil.
+  void RecordQuiet(const std::string& aTarget, TimePoint aUntil);
+  /// Records that the target announced its leaving. A later start of the VM
+  /// under the same id is not affected.
+  /// @param aStartedMillis start of the VM, Unix time in milliseconds
+  void RecordLeaving(const std::string& aTarget, uint64_t aStartedMillis);
+  /// Records that the target sent an invalid header.
+  /// @return whether it is the first one, which is to be logged
+  bool RecordBadHeader(const std::string& aTarget);
+
 private:
   static constexpr size_t kShards = 16;
 
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -205,13 +205,20 @@
     if (found == aTargets.mByService.end() || found->second.empty()) {
       return nullptr;
     }
-    const bool servesModels = !found->second.front().mModel.empty();
-    const ChoiceInput input{ mDependencies.mZone,
-                             servesModels ? std::string_view(mRequest.mModel)
-                                          : "",
-                             mDependencies.mClock.Now(),
-                             NextFraction() };
-    return ChooseTarget(found->second, mDependencies.mLoads, input, mExcluded);
+    return ChooseTarget(found->second,
+                        mDependencies.mLoads,
+                        MakeChoiceInput(found->second),
+                        mExcluded);
+  }
+
+  /// @param aTargets of the request's service, at least one
+  ChoiceInput MakeChoiceInput(std::span<const FleetTarget> aTargets) const
+  {
+    const bool servesModels = !aTargets.front().mModel.empty();
+    return { mDependencies.mZone,
+             servesModels ? std::string_view(mRequest.mModel) : "",
+             mDependencies.mClock.Now(),
+             NextFraction() };
   }
 
   /// Sheds load: refuses the request with a probability that depends on how its
@@ -439,7 +446,7 @@
       return Refusal{ kind,
                       "no target took the request",
                       Ran::No,
-                      ClampRetryMillis(aRetryMillis) };
+                      RetryAfterMillis(aRetryMillis) };
     }
     const RefusalKind kind =
       StatusOf(aKind) == 503 ? RefusalKind::TargetFailed : aKind;
@@ -471,9 +478,20 @@
         { "version", std::to_string(mRequest.mConfig->mVersion) } });
   }
 
-  uint32_t ClampRetryMillis(uint32_t aMillis) const
+  /// @return at least aMillis; longer while all targets ask for quiet
+  uint32_t RetryAfterMillis(uint32_t aMillis) const
   {
-    return std::max(aMillis, kOverloadRetryMillis);
+    const FleetTargetsPtr targets = mDependencies.mTargets();
+    const auto found = targets->mByService.find(mRequest.mService);
+    Duration quiet{ 0 };
+    if (found != targets->mByService.end() && !found->second.empty()) {
+      const ChoiceInput input = MakeChoiceInput(found->second);
+      const std::optional<TimePoint> end =
+        EndOfQuiet(found->second, mDependencies.mLoads, input);
+      quiet = end ? *end - input.mNow : quiet;
+    }
+    const auto quietMillis = static_cast<uint32_t>(ToMillis(quiet));
+    return std::max({ aMillis, kOverloadRetryMillis, quietMillis });
   }
 
   const GatewayDependencies& mDependencies;
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -93,6 +93,9 @@
   EventType{ EventId::HandlerFailed,
              "handler_failed",
              log4cplus::ERROR_LOG_LEVEL },
+  EventType{ EventId::HeaderInvalid,
+             "header_invalid",
+             log4cplus::WARN_LOG_LEVEL },
 };
 
 std::atomic<bool> gIsJson{ false };
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -80,6 +80,13 @@
                                                1 });
   }
 
+  /// Sets the start time of a target's VM; aIndex counts from 0.
+  void SetTargetStart(size_t aIndex, uint64_t aStartedMillis)
+  {
+    const std::lock_guard guard(mTargetsLock);
+    mTargets.mByService["engines"][aIndex].mStartedMillis = aStartedMillis;
+  }
+
   /// Opens the callers' port; the configuration and targets are fixed then.
   void Start()
   {
@@ -129,14 +136,16 @@
   FakePlatform mPlatform;
   FleetConfig mConfig;
   FleetWatcher mWatcher;
+  std::mutex mTargetsLock; ///< guards mTargets
   FleetTargets mTargets;
   size_t mTargetCount = 0;
   SessionPool mSessions{ mClock };
   TargetLoads mLoads;
   ServiceRetryBudget mRetryBudget{ { 0.2, milliseconds(10000), 100 } };
-  const ProtocolNames mProtocol{ "Id",      "Wait", "Last",    "Proof",
-                                 "Account", "Vm",   "Not-Run", "Model",
-                                 "Tokens",  "Rank", 421 };
+  const ProtocolNames mProtocol{ "Id",         "Wait", "Last",    "Proof",
+                                 "Account",    "Vm",   "Not-Run", "Model",
+                                 "Tokens",     "Rank", 421,       "Leaving",
+                                 "Retry-After" };
   Metrics mMetrics;
   std::atomic<bool> mStopping{ false };
   std::atomic<bool> mRefusingRequests{ false };
@@ -149,7 +158,10 @@
   GatewayDependencies Dependencies()
   {
     return { mWatcher,
-             [this] { return std::make_shared<const FleetTargets>(mTargets); },
+             [this] {
+               const std::lock_guard guard(mTargetsLock);
+               return std::make_shared<const FleetTargets>(mTargets);
+             },
              mSessions,
              mLoads,
              mRetryBudget,
