--- a/src/fleet/formationcontext.cc
+++ b/src/fleet/formationcontext.cc
@@ -67,11 +67,12 @@
       continue;
     }
     const PlannedVm& planned = aContext.mState.mVms[id];
-    if (planned.mUnresponsiveUntil > aContext.mNow) {
+    if (IsUnresponsive(planned.mSilence, aContext.mNow)) {
       continue;
     }
     ++aContext.mLive;
     if (!unavailable.contains(id) && !IsServingHead(&vm) &&
+        !IsInDoubt(planned.mSilence, aContext.mNow) &&
         !IsLocked(aContext.mState, aContext.mView.mVms, id, aContext.mNow)) {
       aContext.mFree[vm.mDomain].push_back(&vm);
     }
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -4,24 +4,10 @@
 
 namespace {
 
-/// Number of consecutive probes and orders without response after which a VM
-/// counts as unresponsive.
-constexpr uint32_t kMissedResponsesLimit = 2;
-/// An unresponsive VM is not used for this time. The platform removes a dead VM
-/// from its list within three of its intervals.
-constexpr auto kUnresponsiveTime = milliseconds(5000);
 /// Number of low bits of an epoch that count the groups of one lease; the bits
 /// above hold its fencing number.
 constexpr unsigned kEpochBitsPerLease = 10;
 
-void
-RecordNoResponse(PlannedVm& aVm, TimePoint aNow)
-{
-  if (++aVm.mFailures >= kMissedResponsesLimit) {
-    aVm.mUnresponsiveUntil = aNow + kUnresponsiveTime;
-  }
-}
-
 /// Updates the state with the outcome of a join. Joins of groups that are no
 /// longer planned are ignored.
 void
@@ -77,7 +63,7 @@
     ++counts.mListed;
     if (vm.mState == VmState::Leaving) {
       ++counts.mLeaving;
-    } else if (planned->second.mUnresponsiveUntil > aNow) {
+    } else if (IsUnresponsive(planned->second.mSilence, aNow)) {
       ++counts.mUnresponsive;
     } else if (stage != stages.end()) {
       const bool loading = planned->second.mLoadingUntil > aNow;
@@ -99,17 +85,12 @@
 RecordOutcome(PlannerState& aState,
               const FleetOrder& aOrder,
               OrderOutcome aOutcome,
-              TimePoint aNow)
+              const CallTimes& aTimes)
 {
-  PlannedVm& planned = aState.mVms[aOrder.mVmId];
-  if (aOutcome == OrderOutcome::NoResponse) {
-    RecordNoResponse(planned, aNow);
-  } else {
-    planned.mFailures = 0;
-    planned.mUnresponsiveUntil = {};
-  }
+  RecordProbe(
+    aState, aOrder.mVmId, aOutcome != OrderOutcome::NoResponse, aTimes);
   if (aOrder.mKind == OrderKind::Join) {
-    RecordJoin(aState, aOrder, aOutcome, aNow);
+    RecordJoin(aState, aOrder, aOutcome, aTimes.mEndedAt);
     return;
   }
   const auto group = aState.mGroups.find(aOrder.mGroup);
@@ -123,7 +104,7 @@
       aState.mVms[it].mLockedUntil = {};
     }
     aState.mUnreachableHeads.erase(aOrder.mGroup);
-    aState.mDissolved[aOrder.mGroup] = aNow + kOrderRepeatInterval;
+    aState.mDissolved[aOrder.mGroup] = aTimes.mEndedAt + kOrderRepeatInterval;
     aState.mGroups.erase(group);
   }
 }
@@ -132,14 +113,13 @@
 RecordProbe(PlannerState& aState,
             const std::string& aVmId,
             bool aResponded,
-            TimePoint aNow)
+            const CallTimes& aTimes)
 {
-  PlannedVm& planned = aState.mVms[aVmId];
+  VmSilence& silence = aState.mVms[aVmId].mSilence;
   if (aResponded) {
-    planned.mFailures = 0;
-    planned.mUnresponsiveUntil = {};
+    RecordResponse(silence, aTimes);
   } else {
-    RecordNoResponse(planned, aNow);
+    RecordMiss(silence, aTimes);
   }
 }
 
@@ -163,7 +143,7 @@
     return IsMemberOf(vm, planned.mLockedGroup);
   }
   // The head is not listed; it counts as gone if it does not respond either.
-  return head->second.mFailures < kMissedResponsesLimit;
+  return !ExceedsTolerance(head->second.mSilence);
 }
 
 std::vector<std::string>
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -2,6 +2,7 @@
 
 #include "fleet/config.h"
 #include "fleet/orders.h"
+#include "fleet/silence.h"
 #include "fleet/vm.h"
 
 #include <deque>
@@ -33,9 +34,8 @@
   TimePoint mLockedUntil;  ///< its previous group may still serve before then
   std::string mLockedHead; ///< head of that group, empty if unknown
   GroupKey mLockedGroup;   ///< that group
-  TimePoint mUnresponsiveUntil; ///< it did not respond; not used before then
   TimePoint mLoadingUntil; ///< estimated end of its load from the weight store
-  uint32_t mFailures = 0;  ///< consecutive probes and orders without response
+  VmSilence mSilence;
   std::string mLastStartedModel; ///< in its last group since its start
 };
 
@@ -135,14 +135,14 @@
 RecordOutcome(PlannerState& aState,
               const FleetOrder& aOrder,
               OrderOutcome aOutcome,
-              TimePoint aNow);
+              const CallTimes& aTimes);
 
 /// Updates the state with the result of a probe.
 void
 RecordProbe(PlannerState& aState,
             const std::string& aVmId,
             bool aResponded,
-            TimePoint aNow);
+            const CallTimes& aTimes);
 
 /// @return whether the VM's previous group may still serve: its head could not
 ///         be made to leave, and is either still listed as a member of the
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -22,14 +22,16 @@
 /// Orders go to many VMs at once, and an order to a dead VM occupies its thread
 /// until the timeout.
 constexpr size_t kOrderThreads = 24;
+/// Probes of a domain that is cut off must not delay orders.
+constexpr size_t kProbeThreads = 24;
 /// Shortest interval between log events with the counts of a service's VMs.
 constexpr auto kCountsLogInterval = milliseconds(1000);
 /// A live VM responds within milliseconds, however busy it is.
 constexpr auto kProbeTimeout = milliseconds(120);
+/// Interval of the probes of a suspected VM that does not respond.
 constexpr auto kProbeInterval = milliseconds(160);
-/// Probes sent to a VM at once, each on its own connection, as a packet may be
-/// lost. A VM that responds to none of them counts as unresponsive.
-constexpr int kProbesPerVm = 2;
+/// Interval of the probes of a suspected VM that responds. Probes are priced.
+constexpr auto kResponsiveProbeInterval = milliseconds(480);
 /// The planner probes the members of a group once its head shows no progress
 /// for these times.
 constexpr StallLimits kSuspicionLimits{ milliseconds(200),
@@ -48,7 +50,8 @@
             mDependencies.mPlatform,
             mDependencies.mClock,
             kLeaseDuration)
-  , mQueue(kOrderThreads)
+  , mOrderQueue(kOrderThreads)
+  , mProbeQueue(kProbeThreads)
 {
 }
 
@@ -149,7 +152,7 @@
   if (isNew) {
     service.mState = MakePlannerState(mFence);
   }
-  ProbeSuspects(service, *aService.mEngine, *aVms);
+  ProbeSuspects(aService, service);
   const PlannerView view{
     *aVms, aService.mName, *aService.mEngine, mDependencies.mIsBeforeTraffic()
   };
@@ -189,33 +192,48 @@
              { "spares", spares } });
 }
 
+std::set<std::string>
+PlanRunner::FindSuspects(const FleetService& aService,
+                         const PlannerState& aState,
+                         TimePoint aNow) const
+{
+  std::set<std::string> suspects;
+  for (const auto& [key, group] : aState.mGroups) {
+    const TargetLoad load = mDependencies.mLoads.Get(group.mMembers[0]);
+    const FleetModel* model = aService.mEngine->FindModel(group.mModel);
+    const bool stalled =
+      IsStalled(load, aNow, kSuspicionLimits) ||
+      load.mAvoidUntil > aNow + kProbeInterval ||
+      (model != nullptr &&
+       IsSilentToAllNodes(aService.mEngine->TimesOf(*model), load, aNow));
+    if (group.mStage == GroupStage::Serving && stalled) {
+      suspects.insert(group.mMembers.begin(), group.mMembers.end());
+    }
+  }
+  for (const auto& [id, vm] : aState.mVms) {
+    if (IsInDoubt(vm.mSilence, aNow)) {
+      suspects.insert(id);
+    }
+  }
+  return suspects;
+}
+
 void
-PlanRunner::ProbeSuspects(Service& aService,
-                          const EngineSpec& aEngine,
-                          const FleetVms& aVms)
+PlanRunner::ProbeSuspects(const FleetService& aService, Service& aState)
 {
   const TimePoint now = mDependencies.mClock.Now();
-  for (const auto& [key, group] : aService.mState.mGroups) {
-    const std::string& head = group.mMembers[0];
-    const TargetLoad load = mDependencies.mLoads.Get(head);
-    const FleetModel* model = aEngine.FindModel(group.mModel);
-    const bool suspect =
-      IsStalled(load, now, kSuspicionLimits) ||
-      load.mAvoidUntil > now + kProbeInterval ||
-      (model != nullptr &&
-       IsSilentToAllNodes(aEngine.TimesOf(*model), load, now));
-    if (group.mStage != GroupStage::Serving || !suspect) {
+  for (const std::string& it : FindSuspects(aService, aState.mState, now)) {
+    const auto vm = aState.mState.mVms.find(it);
+    if (vm == aState.mState.mVms.end() || vm->second.mAddress.mHost.empty()) {
       continue;
     }
-    for (const std::string& it : group.mMembers) {
-      const auto vm = aVms.find(it);
-      TimePoint& probedAt = aService.mProbedAt[it];
-      if (vm != aVms.end() && now - probedAt > kProbeInterval) {
-        probedAt = now;
-        for (int n = 0; n < kProbesPerVm; ++n) {
-          Probe(vm->second.mService, it, vm->second.mAddress);
-        }
-      }
+    const auto interval = IsInDoubt(vm->second.mSilence, now)
+                            ? kProbeInterval
+                            : kResponsiveProbeInterval;
+    TimePoint& probedAt = aState.mProbedAt[it];
+    if (now - probedAt > interval && aState.mProbing.insert(it).second) {
+      probedAt = now;
+      Probe(aService.mName, it, vm->second.mAddress);
     }
   }
 }
@@ -225,7 +243,8 @@
                   const std::string& aVmId,
                   Endpoint aTo)
 {
-  mQueue.Add([this, aService, aVmId, to = std::move(aTo)] {
+  mProbeQueue.Add([this, aService, aVmId, to = std::move(aTo)] {
+    const TimePoint sentAt = mDependencies.mClock.Now();
     const Result<EngineReport> report =
       mDependencies.mEngines.GetReport(to, kProbeTimeout);
     LogEvent(EventId::VmAsked,
@@ -234,10 +253,11 @@
     const std::lock_guard guard(mLock);
     const auto it = mServices.find(aService);
     if (it != mServices.end()) {
+      it->second.mProbing.erase(aVmId);
       RecordProbe(it->second.mState,
                   aVmId,
                   report.has_value(),
-                  mDependencies.mClock.Now());
+                  { sentAt, mDependencies.mClock.Now() });
     }
   });
 }
@@ -245,10 +265,11 @@
 void
 PlanRunner::SendOrder(const std::string& aService, FleetOrder aOrder)
 {
-  mQueue.Add([this, aService, order = std::move(aOrder)] {
+  mOrderQueue.Add([this, aService, order = std::move(aOrder)] {
     if (!IsLeaseHolder()) {
       return;
     }
+    const TimePoint sentAt = mDependencies.mClock.Now();
     const OrderOutcome outcome = mDependencies.mEngines.SendOrder(order);
     mDependencies.mMetrics.CountOrder(NameOf(outcome));
     LogEvent(EventId::OrderGiven,
@@ -260,8 +281,10 @@
     const std::lock_guard guard(mLock);
     const auto it = mServices.find(aService);
     if (it != mServices.end() && order.mFence == mFence) {
-      RecordOutcome(
-        it->second.mState, order, outcome, mDependencies.mClock.Now());
+      RecordOutcome(it->second.mState,
+                    order,
+                    outcome,
+                    { sentAt, mDependencies.mClock.Now() });
     }
   });
 }
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <set>
 
 namespace hibiscushold {
 
@@ -52,6 +53,7 @@
   {
     PlannerState mState;
     std::map<std::string, TimePoint> mProbedAt; ///< last probe, by VM
+    std::set<std::string> mProbing;             ///< VMs with an open probe
     PlannerCounts mCounts;                      ///< last logged
     TimePoint mNextLogAt;
   };
@@ -62,10 +64,13 @@
   void LogCounts(const std::string& aName,
                  Service& aService,
                  const PlannerView& aView);
-  /// Probes the members of groups whose head shows no progress.
-  void ProbeSuspects(Service& aService,
-                     const EngineSpec& aEngine,
-                     const FleetVms& aVms);
+  /// @return the members of the groups whose head shows no progress, and the
+  ///         VMs that did not respond to recent calls
+  std::set<std::string> FindSuspects(const FleetService& aService,
+                                     const PlannerState& aState,
+                                     TimePoint aNow) const;
+  /// Probes the VMs that are suspected to be unresponsive.
+  void ProbeSuspects(const FleetService& aService, Service& aState);
   void Probe(const std::string& aService,
              const std::string& aVmId,
              Endpoint aTo);
@@ -84,7 +89,9 @@
   std::mutex mLock;              ///< guards the members below
   uint64_t mFence = 0;           ///< of the lease that mServices belongs to
   std::map<std::string, Service> mServices;
-  WorkQueue mQueue; ///< declared last, so that its threads stop first
+  // Declared last, so that their threads stop first:
+  WorkQueue mOrderQueue;
+  WorkQueue mProbeQueue;
 };
 
 } // namespace hibiscushold
--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -170,10 +170,10 @@
     return mStep.mOrders.back();
   }
 
-  bool IsUnresponsive(const std::string& aVmId) const
+  bool IsLost(const std::string& aVmId) const
   {
     const auto it = mState.mVms.find(aVmId);
-    return it != mState.mVms.end() && it->second.mUnresponsiveUntil > mNow;
+    return it != mState.mVms.end() && IsUnresponsive(it->second.mSilence, mNow);
   }
 
   /// Orders what the group's stage requires and moves the group to its next
@@ -199,7 +199,7 @@
     size_t ready = 0;
     for (const std::string& it : aGroup.mMembers) {
       const FleetVm* vm = FindVm(mView.mVms, it);
-      if (vm == nullptr || vm->mState != VmState::Live || IsUnresponsive(it)) {
+      if (vm == nullptr || vm->mState != VmState::Live || IsLost(it)) {
         return Dissolve(aKey, aGroup, "lost_while_forming", it);
       }
       const bool isMember = IsMemberOf(vm, aKey);
@@ -272,8 +272,7 @@
     for (const std::string& it : aGroup.mMembers) {
       const FleetVm* vm = FindVm(mView.mVms, it);
       if (!IsMemberOf(vm, aKey) ||
-          vm->mMembership->mPhase == MembershipPhase::Broken ||
-          IsUnresponsive(it)) {
+          vm->mMembership->mPhase == MembershipPhase::Broken || IsLost(it)) {
         return StartLeaving(aKey, aGroup, "lost_vm", it);
       }
       leaving = leaving || vm->mState == VmState::Leaving;
@@ -299,7 +298,7 @@
     const std::string& headId = aGroup.mMembers[0];
     const FleetVm* head = FindVm(mView.mVms, headId);
     const bool isMember = IsMemberOf(head, aKey);
-    if (!isMember || IsUnresponsive(headId) || mNow >= aGroup.mDeadline) {
+    if (!isMember || IsLost(headId) || mNow >= aGroup.mDeadline) {
       return StartLeaving(aKey, aGroup, "not_closed", headId);
     }
     if (head->mMembership->mPhase == MembershipPhase::Ready) {
--- a/test/plannerworld.h
+++ b/test/plannerworld.h
@@ -54,7 +54,7 @@
     PlannerStep step = PlanStep(
       mState, { mVms, kService, mEngine, mBeforeTraffic }, mLimits, mNow);
     for (const FleetOrder& it : step.mOrders) {
-      RecordOutcome(mState, it, CarryOut(it), mNow);
+      RecordOutcome(mState, it, CarryOut(it), { mNow, mNow });
     }
     return std::move(step.mOrders);
   }
@@ -67,13 +67,25 @@
     }
   }
 
-  /// Makes a VM stop responding and records two probes without response, after
-  /// which the planner treats it as unresponsive. It stays in the list.
+  /// Makes a VM stop responding and probes it for long enough that the planner
+  /// treats it as unresponsive. It stays in the list.
   void MakeUnresponsive(const std::string& aVmId)
   {
     mUnresponsive.insert(aVmId);
-    RecordProbe(mState, aVmId, false, mNow);
-    RecordProbe(mState, aVmId, false, mNow);
+    const TimePoint until = mNow + kSilenceTolerance;
+    while (mNow <= until) {
+      mNow += kProbeInterval;
+      Probe(aVmId);
+    }
+  }
+
+  /// Records a probe of the VM that has just ended.
+  void Probe(const std::string& aVmId)
+  {
+    RecordProbe(mState,
+                aVmId,
+                !mUnresponsive.contains(aVmId),
+                { mNow - kProbeTimeout, mNow });
   }
 
   size_t CountIn(const std::string& aDomain) const
@@ -114,6 +126,8 @@
   }
 
   static constexpr const char* kService = "drafting";
+  static constexpr auto kProbeTimeout = milliseconds(120);
+  static constexpr auto kProbeInterval = milliseconds(160);
 
   FleetVms mVms;
   EngineSpec mEngine;
--- /dev/null
+++ b/test/planrunner-test.cc
@@ -0,0 +1,177 @@
+#include "fakeplatform.h"
+#include "fleet/planrunner.h"
+#include "fleet/silence.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+
+using namespace hibiscushold;
+
+namespace {
+
+/// Silence of a sound VM.
+constexpr auto kSilence = milliseconds(1000);
+/// A VM that is silent for good must be given up within this time, of which a
+/// busy machine may take a part.
+constexpr auto kGivenUpWithin = seconds(8);
+constexpr const char* kService = "drafting";
+
+/// Engines that respond at once, except one that may be silent.
+class ScriptedEngines final : public EngineControl
+{
+public:
+  OrderOutcome SendOrder(const FleetOrder& aOrder) override
+  {
+    const std::lock_guard guard(mLock);
+    mOrders.push_back(aOrder);
+    return OrderOutcome::AlreadyDone;
+  }
+
+  Result<EngineReport> GetReport(const Endpoint& aTo,
+                                 milliseconds aTimeout) override
+  {
+    {
+      const std::lock_guard guard(mLock);
+      if (aTo != mSilent) {
+        return EngineReport{};
+      }
+      ++mProbes;
+      mMaxOpenProbes = std::max(mMaxOpenProbes, ++mOpenProbes);
+    }
+    std::this_thread::sleep_for(aTimeout);
+    const std::lock_guard guard(mLock);
+    --mOpenProbes;
+    return Failure{ Error::TimedOut, "scripted", "" };
+  }
+
+  void SetSilent(const Endpoint& aVm)
+  {
+    const std::lock_guard guard(mLock);
+    mSilent = aVm;
+  }
+
+  size_t CountOrders() const
+  {
+    const std::lock_guard guard(mLock);
+    return mOrders.size();
+  }
+
+  mutable std::mutex mLock; ///< guards the members below
+  Endpoint mSilent;
+  std::vector<FleetOrder> mOrders;
+  int mProbes = 0; ///< of the silent VM
+  int mOpenProbes = 0;
+  int mMaxOpenProbes = 0;
+};
+
+} // namespace
+
+TEST_GROUP(PlanRunner)
+{
+  SystemClock mClock;
+  FakePlatform mStore;
+  FleetVms mVms;
+  TargetLoads mLoads;
+  Metrics mMetrics;
+  std::atomic<bool> mStopping{ false };
+  ScriptedEngines mEngines;
+  FleetWatcher mWatcher{ mStore,
+                         { "vm/",
+                           "config/",
+                           "config/main",
+                           [this](const Object& aObject) -> Result<FleetVm> {
+                             return mVms.at(aObject.mKey.substr(3));
+                           },
+                           [](const Object&) -> Result<FleetConfig> {
+                             return MakeConfig();
+                           } },
+                         mClock };
+  std::unique_ptr<PlanRunner> mRunner;
+
+  static FleetConfig MakeConfig()
+  {
+    EngineSpec engine;
+    engine.mModels = { { "small", 3, 1, 1, seconds(12), milliseconds(1100) } };
+    FleetConfig config;
+    config.mVersion = 1;
+    config.mServices[kService] = { kService, engine };
+    return config;
+  }
+
+  /// Lists an open group of three VMs, whose head has a request without any
+  /// progress, and makes the node under test the planner.
+  void setup() override
+  {
+    for (uint32_t rank = 0; rank < 3; ++rank) {
+      FleetVm vm;
+      vm.mId = "v" + std::to_string(rank);
+      vm.mStartedMillis = 1;
+      vm.mService = kService;
+      vm.mAddress = { "10.0.0.1", static_cast<uint16_t>(1000 + rank) };
+      vm.mDomain = "d0";
+      vm.mStaged = { "small" };
+      const MembershipPhase phase =
+        rank == 0 ? MembershipPhase::Open : MembershipPhase::Ready;
+      vm.mMembership = GroupMembership{ { "g1", 1 }, rank, phase, "small" };
+      mVms[vm.mId] = vm;
+      mStore.mObjects["vm/" + vm.mId] = { "vm/" + vm.mId, 1, "" };
+    }
+    mStore.mObjects["config/main"] = { "config/main", 1, "" };
+    mRunner = std::make_unique<PlanRunner>(
+      "n1",
+      PlanRunner::Dependencies{ mStore,
+                                mWatcher,
+                                mEngines,
+                                mLoads,
+                                mMetrics,
+                                mClock,
+                                [] { return true; },
+                                mStopping },
+      PlannerLimits{});
+    mLoads.Begin("v0", mClock.Now() - seconds(1));
+    mWatcher.PollConfig(Duration::zero());
+    RunFor(milliseconds(50));
+  }
+
+  /// Runs the planner for a time, or until it has sent an order.
+  void RunFor(Duration aTime)
+  {
+    const TimePoint end = mClock.Now() + aTime;
+    while (mClock.Now() < end && mEngines.CountOrders() == 0) {
+      mRunner->UpdateLease(false);
+      mWatcher.PollVms(Duration::zero());
+      mRunner->PlanOnce();
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+};
+
+// Guards against giving up a group, with its streams, because a sound member
+// responds to no probe for about a second.
+TEST(PlanRunner, AMemberThatIsSilentForASecondCostsNothing)
+{
+  CHECK(mRunner->IsLeaseHolder());
+  mEngines.SetSilent(mVms["v1"].mAddress);
+  RunFor(kSilence);
+  mEngines.SetSilent({});
+  RunFor(kSilence);
+  mRunner.reset();
+  CHECK_EQUAL(0U, mEngines.CountOrders());
+  CHECK(mEngines.mProbes > 0);
+}
+
+// Guards against a silent VM that is probed once and then forgotten, and
+// against probes of it that pile up.
+TEST(PlanRunner, AMemberThatIsSilentForGoodIsProbedUntilItIsGivenUp)
+{
+  const TimePoint start = mClock.Now();
+  mEngines.SetSilent(mVms["v1"].mAddress);
+  RunFor(kGivenUpWithin);
+  mRunner.reset();
+  CHECK_EQUAL(1U, mEngines.CountOrders());
+  CHECK(mClock.Now() - start > kSilenceTolerance);
+  CHECK(OrderKind::Leave == mEngines.mOrders.front().mKind);
+  STRCMP_EQUAL("v0", mEngines.mOrders.front().mVmId.c_str());
+  CHECK_EQUAL(1, mEngines.mMaxOpenProbes);
+}
