--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -224,7 +224,8 @@
   const TimePoint now = mDependencies.mClock.Now();
   for (const std::string& it : FindSuspects(aService, aState.mState, now)) {
     const auto vm = aState.mState.mVms.find(it);
-    if (vm == aState.mState.mVms.end() || vm->second.mAddress.mHost.empty()) {
+    if (vm == aState.mState.mVms.end() || vm->second.mAddress.mHost.empty() ||
+        mDependencies.mLoads.Get(it).mQuietUntil > now) {
       continue;
     }
     const auto interval = IsInDoubt(vm->second.mSilence, now)
--- a/test/planrunner-test.cc
+++ b/test/planrunner-test.cc
@@ -175,3 +175,13 @@
   STRCMP_EQUAL("v0", mEngines.mOrders.front().mVmId.c_str());
   CHECK_EQUAL(1, mEngines.mMaxOpenProbes);
 }
+
+// Guards against probes that reach a VM which asked for no requests.
+TEST(PlanRunner, AVmThatAskedForQuietIsNotProbed)
+{
+  mLoads.RecordQuiet("v1", mClock.Now() + seconds(5));
+  mEngines.SetSilent(mVms["v1"].mAddress);
+  RunFor(milliseconds(600));
+  mRunner.reset();
+  CHECK_EQUAL(0, mEngines.mProbes);
+}
