--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -60,26 +60,26 @@
   void handleRequest(HTTPServerRequest& aRequest,
                      HTTPServerResponse& aResponse) override
   {
+    ResponseWriter writer(aRequest, aResponse);
     try {
-      Handle(aRequest, aResponse);
+      Handle(aRequest, aResponse, writer);
     } catch (const Poco::Exception& e) {
-      LogFailure(aRequest, e.displayText());
-      throw;
+      EndFailed(aRequest, aResponse, writer, e.displayText());
     } catch (const std::exception& e) {
-      LogFailure(aRequest, e.what());
-      throw;
+      EndFailed(aRequest, aResponse, writer, e.what());
     }
   }
 
 private:
-  void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse)
+  void Handle(HTTPServerRequest& aRequest,
+              HTTPServerResponse& aResponse,
+              ResponseWriter& aWriter)
   {
     // The end of a chunked body is not detected reliably enough to read another
     // request from the same connection.
     aResponse.setKeepAlive(aRequest.getKeepAlive() &&
                            !mDependencies.mStopping &&
                            !aRequest.getChunkedTransferEncoding());
-    ResponseWriter writer(aRequest, aResponse);
     ResultOrRefusal<GatewayRequest> request = Admit(aRequest);
     if (request) {
       const ResultOrRefusal<void> body = ReadBody(aRequest, request.value());
@@ -90,23 +90,38 @@
     if (!request) {
       // Unread bytes of the body must not be parsed as the next request.
       aResponse.setKeepAlive(false);
-      SendRefusal(aRequest, writer, request.error());
+      SendRefusal(aRequest, aWriter, request.error());
       return;
     }
     const ResultOrRefusal<void> forwarded =
-      ForwardRequest(mDependencies, request.value(), writer);
+      ForwardRequest(mDependencies, request.value(), aWriter);
     if (!forwarded) {
-      SendRefusal(aRequest, writer, forwarded.error());
+      SendRefusal(aRequest, aWriter, forwarded.error());
     }
   }
 
-  void LogFailure(const HTTPServerRequest& aRequest,
-                  const std::string& aReason) const
+  /// Ends a request whose handling failed; it may have run by then. A response
+  /// that has started is cut.
+  void EndFailed(const HTTPServerRequest& aRequest,
+                 HTTPServerResponse& aResponse,
+                 ResponseWriter& aWriter,
+                 const std::string& aReason)
   {
     LogEvent(
       EventId::HandlerFailed,
       { { "request", aRequest.get(mDependencies.mProtocol.mRequestId, "") },
         { "reason", aReason } });
+    if (aWriter.HasStarted()) {
+      mDependencies.mMetrics.CountCut("handler_failed");
+      aWriter.Abort();
+      return;
+    }
+    aResponse.setKeepAlive(false);
+    SendRefusal(aRequest,
+                aWriter,
+                { RefusalKind::TargetFailed,
+                  "the node failed to handle the request",
+                  Ran::Unknown });
   }
 
   ResultOrRefusal<GatewayRequest> Admit(const HTTPServerRequest& aRequest)
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/ThreadPool.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -97,18 +98,35 @@
     mServer->start();
   }
 
-  /// Sends bytes on a new connection and reads until the connection ends, the
-  /// received bytes end with aEnd, or nothing arrives for six seconds.
-  ReceivedResponse Ask(const std::string& aBytes, const std::string& aEnd) const
+  /// Puts mConfig, with its new version, into force.
+  void ChangeConfig()
+  {
+    ++mConfig.mVersion;
+    (void)mPlatform.Update("config/main",
+                           "{}",
+                           mPlatform.VersionOf("config/main"),
+                           CallPriority::Config);
+    mWatcher.PollConfig(Duration::zero());
+  }
+
+  /// @return a new connection of a caller
+  Poco::Net::StreamSocket Connect() const
   {
     Poco::Net::StreamSocket socket(mAddress);
     socket.setReceiveTimeout(Poco::Timespan(6, 0));
-    socket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    return socket;
+  }
+
+  /// Reads until the connection ends, the received bytes end with aEnd, or
+  /// nothing arrives for six seconds.
+  static ReceivedResponse Receive(Poco::Net::StreamSocket& aSocket,
+                                  const std::string& aEnd)
+  {
     ReceivedResponse received;
     char buf[4096];
     try {
       while (!received.mBytes.ends_with(aEnd)) {
-        const int n = socket.receiveBytes(buf, sizeof(buf));
+        const int n = aSocket.receiveBytes(buf, sizeof(buf));
         if (n <= 0) {
           received.mEnded = true;
           break;
@@ -123,6 +141,14 @@
     return received;
   }
 
+  /// Sends bytes on a new connection and receives the response.
+  ReceivedResponse Ask(const std::string& aBytes, const std::string& aEnd) const
+  {
+    Poco::Net::StreamSocket socket = Connect();
+    socket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    return Receive(socket, aEnd);
+  }
+
   static constexpr int kThreads = 8;
 
   SystemClock mClock;
@@ -130,6 +156,7 @@
   FleetConfig mConfig;
   FleetWatcher mWatcher;
   FleetTargets mTargets;
+  std::function<void()> mBeforeTargets; ///< called before each look-up
   size_t mTargetCount = 0;
   SessionPool mSessions{ mClock };
   TargetLoads mLoads;
@@ -149,7 +176,12 @@
   GatewayDependencies Dependencies()
   {
     return { mWatcher,
-             [this] { return std::make_shared<const FleetTargets>(mTargets); },
+             [this] {
+               if (mBeforeTargets) {
+                 mBeforeTargets();
+               }
+               return std::make_shared<const FleetTargets>(mTargets);
+             },
              mSessions,
              mLoads,
              mRetryBudget,
