--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -91,6 +91,7 @@
       // Unread bytes of the body must not be parsed as the next request.
       aResponse.setKeepAlive(false);
       SendRefusal(aRequest, aWriter, request.error());
+      aWriter.DiscardRest(mDependencies.mClock);
       return;
     }
     const ResultOrRefusal<void> forwarded =
--- a/src/gateway/responsewriter.cc
+++ b/src/gateway/responsewriter.cc
@@ -1,9 +1,11 @@
 #include "gateway/responsewriter.h"
 
 #include "core/guardedsocket.h"
+#include "core/sessionpool.h"
 
 #include <Poco/Exception.h>
 
+#include <array>
 #include <cstdio>
 #include <sstream>
 
@@ -13,8 +15,39 @@
 
 using Poco::Net::HTTPServerResponse;
 
+/// Limits for callers that go on sending after their request was refused.
+constexpr auto kMaxDiscardTime = milliseconds(2000);
+constexpr size_t kMaxDiscardedBytes = 16777216;
+
 } // namespace
 
+void
+DiscardUntilClosed(Poco::Net::StreamSocket& aSocket, const Clock& aClock)
+{
+  const TimePoint until = aClock.Now() + kMaxDiscardTime;
+  size_t discarded = 0;
+  std::array<char, 16384> buf;
+  try {
+    aSocket.shutdownSend();
+    while (discarded < kMaxDiscardedBytes) {
+      const Duration left = TimeLeft(until, aClock.Now());
+      if (left == Duration::zero() ||
+          !aSocket.poll(ToTimespan(left), Poco::Net::Socket::SELECT_READ)) {
+        return;
+      }
+      const int n =
+        aSocket.receiveBytes(buf.data(), static_cast<int>(buf.size()));
+      if (n <= 0) {
+        return;
+      }
+      discarded += static_cast<size_t>(n);
+    }
+  } catch (const Poco::Exception&) {
+    // The peer has reset the connection, so nothing can reach it any more.
+    return;
+  }
+}
+
 ResponseWriter::ResponseWriter(Poco::Net::HTTPServerRequest& aRequest,
                                Poco::Net::HTTPServerResponse& aResponse)
   : mRequest(dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest))
@@ -88,6 +121,13 @@
   }
 }
 
+void
+ResponseWriter::DiscardRest(const Clock& aClock)
+{
+  mResponse.setKeepAlive(false);
+  DiscardUntilClosed(mRequest.socket(), aClock);
+}
+
 bool
 ResponseWriter::IsCallerDisconnected() const
 {
--- a/src/gateway/responsewriter.h
+++ b/src/gateway/responsewriter.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/http.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <string>
 #include <string_view>
@@ -12,6 +14,13 @@
 
 namespace hibiscushold {
 
+/// Ends the sending side of a connection, then reads and discards what the peer
+/// still sends, for a limited time and up to a limited size. Closing a
+/// connection with unread bytes resets it, which can destroy a response that
+/// the peer has not read yet.
+void
+DiscardUntilClosed(Poco::Net::StreamSocket& aSocket, const Clock& aClock);
+
 /// Writes the response to one caller request. It writes to the socket directly
 /// instead of using POCO's response stream, which would terminate a truncated
 /// response as if it were complete.
@@ -42,6 +51,10 @@
   /// truncated.
   void Abort();
 
+  /// Makes sure that a caller that is still sending its body receives the
+  /// response, which must be complete. The connection can't be used afterwards.
+  void DiscardRest(const Clock& aClock);
+
   /// @return whether a response head was sent or its sending was tried
   bool HasStarted() const { return mStarted; }
   /// @return whether the caller has closed or reset the connection
--- a/test/callerport-test.cc
+++ b/test/callerport-test.cc
@@ -46,6 +46,27 @@
 {
   GatewayFixture mGateway;
 
+  /// Sends a large body in pieces and reads only afterwards. Fails if the
+  /// connection breaks meanwhile, as many callers give up then.
+  ReceivedResponse AskSlowly(const std::string& aHead) const
+  {
+    constexpr int kPieces = 20;
+    constexpr size_t kPieceBytes = 20000;
+    Poco::Net::StreamSocket caller = mGateway.Connect();
+    Send(caller,
+         aHead + "Content-Length: " + std::to_string(kPieces * kPieceBytes) +
+           "\r\n\r\n");
+    try {
+      for (int n = 0; n < kPieces; ++n) {
+        std::this_thread::sleep_for(milliseconds(20));
+        Send(caller, std::string(kPieceBytes, 'x'));
+      }
+    } catch (const Poco::Exception& e) {
+      FAIL(("sending: " + e.displayText()).c_str());
+    }
+    return ReceiveWhole(caller);
+  }
+
   /// Reads one response and the end of its connection, which must be no reset.
   static ReceivedResponse ReceiveWhole(Poco::Net::StreamSocket & aCaller)
   {
@@ -96,6 +117,58 @@
   CHECK(got.mBytes.ends_with("id: 1\n\n\r\n"));
 }
 
+// Guards against a refusal that is destroyed by the reset that follows when a
+// connection is closed with unread bytes of the body.
+TEST(CallerPort, RefusalReachesACallerThatIsStillSending)
+{
+  mGateway.Start();
+  const ReceivedResponse got =
+    AskSlowly("POST /gone/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 404", got.mBytes.c_str());
+  CHECK(got.mBytes.ends_with("}}"));
+}
+
+// Guards against the same on a node that is stopping.
+TEST(CallerPort, StoppingNodeRefusesACallerThatIsStillSending)
+{
+  mGateway.Start();
+  mGateway.mStopping = true;
+  mGateway.mRefusingRequests = true;
+  const ReceivedResponse got =
+    AskSlowly("POST /lookup/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 503", got.mBytes.c_str());
+  STRCMP_CONTAINS("Connection: Close", got.mBytes.c_str());
+  CHECK(got.mBytes.ends_with("}}"));
+}
+
+// Guards against the same for a body over the limit.
+TEST(CallerPort, RefusalOfALargeBodyReachesACallerThatIsStillSending)
+{
+  mGateway.mConfig.mLimits.mMaxBodyBytes = 1000;
+  mGateway.Start();
+  const ReceivedResponse got =
+    AskSlowly("POST /lookup/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 413", got.mBytes.c_str());
+  CHECK(got.mBytes.ends_with("}}"));
+}
+
+// Guards against a refusal that is destroyed although the caller had sent its
+// whole request before.
+TEST(CallerPort, RefusalReachesACallerThatHasSentItsBody)
+{
+  mGateway.Start();
+  const std::string body(300000, 'x');
+  Poco::Net::StreamSocket caller = mGateway.Connect();
+  Send(caller,
+       "POST /gone/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 300000"
+       "\r\n\r\n" +
+         body);
+  std::this_thread::sleep_for(kSettleTime);
+  const ReceivedResponse got = ReceiveWhole(caller);
+  STRCMP_CONTAINS("HTTP/1.1 404", got.mBytes.c_str());
+  CHECK(got.mBytes.ends_with("}}"));
+}
+
 // Guards against a chunked body that is forwarded as complete although the
 // caller's connection ended within it.
 TEST(CallerPort, ChunkedBodyThatIsCutOffIsNotForwarded)
