--- /dev/null
+++ b/src/gateway/callerconnection.cc
@@ -0,0 +1,166 @@
+#include "gateway/callerconnection.h"
+
+#include "core/sessionpool.h"
+#include "observe/events.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/TCPServerConnection.h>
+
+#include <memory>
+#include <sstream>
+
+namespace hibiscushold {
+
+namespace {
+
+using Poco::Net::HTTPServerRequestImpl;
+using Poco::Net::HTTPServerResponse;
+using Poco::Net::HTTPServerResponseImpl;
+
+/// Added to the limits of the configuration, as a caller measures from an
+/// earlier moment and may know a newer version.
+constexpr auto kLimitMargin = milliseconds(1000);
+/// Longest pause within a body.
+constexpr auto kMaxBodyPause = seconds(8);
+
+class CallerConnection final : public Poco::Net::TCPServerConnection
+{
+public:
+  CallerConnection(const Poco::Net::StreamSocket& aSocket,
+                   const GatewayDependencies& aDependencies,
+                   Poco::Net::HTTPServerParams::Ptr aParams,
+                   GatewayHandlerFactory& aHandlers)
+    : TCPServerConnection(aSocket)
+    , mDependencies(aDependencies)
+    , mHandlers(aHandlers)
+    , mParams(std::move(aParams))
+    , mSession(aSocket, mParams)
+  {
+  }
+
+  void run() override
+  {
+    try {
+      while (WaitForRequest() && ServeRequest()) {
+      }
+    } catch (const Poco::Exception& e) {
+      LogUnreadable(e.displayText());
+    } catch (const std::exception& e) {
+      LogUnreadable(e.what());
+    }
+  }
+
+private:
+  CallerLimits Limits() const
+  {
+    const FleetConfigPtr config = mDependencies.mWatcher.Config();
+    return config == nullptr ? CallerLimits{} : config->mLimits;
+  }
+
+  /// Waits for the first byte of a request.
+  /// @return false if none arrived within the idle limit, which may change
+  ///         meanwhile
+  bool WaitForRequest()
+  {
+    const TimePoint idleSince = mDependencies.mClock.Now();
+    while (!mSession.HasUnreadBytes()) {
+      const Duration left =
+        TimeLeft(idleSince + Limits().mIdleTimeout + kLimitMargin,
+                 mDependencies.mClock.Now());
+      if (left == Duration::zero()) {
+        return false;
+      }
+      if (socket().poll(ToTimespan(left), Poco::Net::Socket::SELECT_READ)) {
+        return true;
+      }
+    }
+    return true;
+  }
+
+  /// @return whether the connection can take another request
+  bool ServeRequest()
+  {
+    socket().setReceiveTimeout(
+      ToTimespan(Limits().mHeaderTimeout + kLimitMargin));
+    HTTPServerResponseImpl response(mSession);
+    std::unique_ptr<HTTPServerRequestImpl> request;
+    try {
+      request = std::make_unique<HTTPServerRequestImpl>(
+        response, mSession, mParams.get());
+    } catch (const Poco::Net::NoMessageException&) {
+      return false; // the caller has closed the connection
+    } catch (const Poco::Net::MessageException& e) {
+      RefuseUnreadable(response, e.displayText());
+      return false;
+    }
+    socket().setReceiveTimeout(ToTimespan(kMaxBodyPause));
+    response.setDate(Poco::Timestamp());
+    response.setVersion(request->getVersion());
+    const std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
+      mHandlers.createRequestHandler(*request));
+    if (request->getExpectContinue()) {
+      response.sendContinue();
+    }
+    handler->handleRequest(*request, response);
+    return response.getKeepAlive();
+  }
+
+  /// Refuses a request whose head is malformed or ended too early.
+  void RefuseUnreadable(HTTPServerResponse& aResponse,
+                        const std::string& aReason)
+  {
+    LogUnreadable(aReason);
+    if (mSession.networkException() != nullptr) {
+      return;
+    }
+    aResponse.setStatusAndReason(HTTPServerResponse::HTTP_BAD_REQUEST);
+    aResponse.setVersion(HTTPServerResponse::HTTP_1_1);
+    aResponse.setKeepAlive(false);
+    aResponse.setContentLength(0);
+    std::ostringstream text;
+    aResponse.write(text);
+    const std::string bytes = text.str();
+    socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    DiscardUntilClosed(socket(), mDependencies.mClock);
+  }
+
+  void LogUnreadable(const std::string& aReason) const
+  {
+    LogEvent(EventId::RequestUnreadable, { { "reason", aReason } });
+  }
+
+  const GatewayDependencies& mDependencies;
+  GatewayHandlerFactory& mHandlers;
+  Poco::Net::HTTPServerParams::Ptr mParams;
+  CallerSession mSession;
+};
+
+} // namespace
+
+size_t
+CallerSession::ReadRaw(std::span<char> aBuffer)
+{
+  const int n =
+    read(aBuffer.data(), static_cast<std::streamsize>(aBuffer.size()));
+  return n > 0 ? static_cast<size_t>(n) : 0;
+}
+
+CallerConnectionFactory::CallerConnectionFactory(
+  const GatewayDependencies& aDependencies)
+  : mDependencies(aDependencies)
+  , mParams(new Poco::Net::HTTPServerParams)
+  , mHandlers(aDependencies)
+{
+}
+
+Poco::Net::TCPServerConnection*
+CallerConnectionFactory::createConnection(
+  const Poco::Net::StreamSocket& aSocket)
+{
+  return new CallerConnection(aSocket, mDependencies, mParams, mHandlers);
+}
+
+} // namespace hibiscushold
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -93,6 +93,9 @@
   EventType{ EventId::HandlerFailed,
              "handler_failed",
              log4cplus::ERROR_LOG_LEVEL },
+  EventType{ EventId::RequestUnreadable,
+             "request_unreadable",
+             log4cplus::INFO_LOG_LEVEL },
 };
 
 std::atomic<bool> gIsJson{ false };
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -44,6 +44,7 @@
   RequestTried = 5004,
   ResponseCut = 5005,
   HandlerFailed = 5006,
+  RequestUnreadable = 5007,
 };
 
 /// Name and value of a field of an event.
--- /dev/null
+++ b/test/callerconnection-test.cc
@@ -0,0 +1,74 @@
+#include "callers.h"
+
+using namespace hibiscushold;
+
+TEST_GROUP(CallerConnection)
+{
+  GatewayFixture mGateway;
+};
+
+// Guards against a connection that is held longer, or closed earlier, than the
+// configured idle time.
+TEST(CallerConnection, IdleConnectionIsClosedAfterTheConfiguredTime)
+{
+  ScriptedServer target({ { Reply("one") } });
+  mGateway.AddTarget(target);
+  mGateway.mConfig.mLimits.mIdleTimeout = milliseconds(500);
+  mGateway.Start();
+  Poco::Net::StreamSocket used = mGateway.Connect();
+  Send(used, kLookupRequest);
+  STRCMP_CONTAINS("Connection: Keep-Alive",
+                  GatewayFixture::Receive(used, "one").mBytes.c_str());
+  Poco::Net::StreamSocket fresh = mGateway.Connect();
+  const TimePoint start = mGateway.mClock.Now();
+  CHECK(ReceiveWhole(used).mBytes.empty());
+  CHECK(ReceiveWhole(fresh).mBytes.empty());
+  const Duration idle = mGateway.mClock.Now() - start;
+  CHECK(idle >= milliseconds(500));
+  CHECK(idle < milliseconds(3000));
+}
+
+// Guards against a request that crosses the close of its connection because the
+// idle time was lengthened after the connection was opened.
+TEST(CallerConnection, ConnectionIsKeptForTheIdleTimeOfANewConfiguration)
+{
+  ScriptedServer target({ { Reply("one") }, { Reply("two", "r2") } });
+  mGateway.AddTarget(target);
+  mGateway.mConfig.mLimits.mIdleTimeout = milliseconds(300);
+  mGateway.Start();
+  Poco::Net::StreamSocket caller = mGateway.Connect();
+  Send(caller, kLookupRequest);
+  (void)GatewayFixture::Receive(caller, "one");
+  mGateway.mConfig.mLimits.mIdleTimeout = milliseconds(4000);
+  mGateway.ChangeConfig();
+  std::this_thread::sleep_for(milliseconds(2500));
+  Send(caller, "GET /lookup/x HTTP/1.1\r\nHost: h\r\nId: r2\r\n\r\n");
+  const ReceivedResponse got = GatewayFixture::Receive(caller, "two");
+  STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
+}
+
+// Guards against a head that may arrive more slowly than configured.
+TEST(CallerConnection, HeadThatStopsArrivingIsGivenUp)
+{
+  mGateway.mConfig.mLimits.mHeaderTimeout = milliseconds(300);
+  mGateway.Start();
+  Poco::Net::StreamSocket caller = mGateway.Connect();
+  const TimePoint start = mGateway.mClock.Now();
+  Send(caller, "GET /lookup/x HTTP/1.1\r\nHost: h\r\n");
+  CHECK(GatewayFixture::Receive(caller, "no end").mEnded);
+  const Duration waited = mGateway.mClock.Now() - start;
+  CHECK(waited >= milliseconds(300));
+  CHECK(waited < milliseconds(3000));
+}
+
+// Guards against a caller that gets no answer to a head that can't be parsed.
+TEST(CallerConnection, MalformedHeadIsRefused)
+{
+  mGateway.Start();
+  Poco::Net::StreamSocket caller = mGateway.Connect();
+  Send(caller,
+       "GET /lookup/x HTTP/1.1\r\n" + std::string(300, 'n') + ": v\r\n\r\n");
+  const ReceivedResponse got = ReceiveWhole(caller);
+  STRCMP_CONTAINS("HTTP/1.1 400", got.mBytes.c_str());
+  STRCMP_CONTAINS("Connection: Close", got.mBytes.c_str());
+}
--- a/test/callerport-test.cc
+++ b/test/callerport-test.cc
@@ -1,6 +1,4 @@
-#include "gatewayfixture.h"
-
-#include <CppUTest/TestHarness.h>
+#include "callers.h"
 
 #include <stdexcept>
 
@@ -13,32 +11,8 @@
 /// Far longer than the server takes to notice something.
 constexpr auto kSettleTime = milliseconds(300);
 
-std::string
-Reply(const std::string& aBody, const std::string& aId = "r1")
-{
-  return "HTTP/1.1 200 OK\r\nId: " + aId +
-         "\r\nProof: p\r\nContent-Length: " + std::to_string(aBody.size()) +
-         "\r\n\r\n" + aBody;
-}
-
-/// @return a request whose body follows
-std::string
-Head(const std::string& aFields, const std::string& aId = "r1")
-{
-  return "POST /lookup/x HTTP/1.1\r\nHost: h\r\nId: " + aId + "\r\n" + aFields +
-         "\r\n";
-}
-
-void
-Send(Poco::Net::StreamSocket& aSocket, const std::string& aBytes)
-{
-  aSocket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
-}
-
 const std::string kStreamRequest =
   "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 0\r\n\r\n";
-const std::string kLookupRequest =
-  "GET /lookup/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n";
 
 } // namespace
 
@@ -67,15 +41,6 @@
     return ReceiveWhole(caller);
   }
 
-  /// Reads one response and the end of its connection, which must be no reset.
-  static ReceivedResponse ReceiveWhole(Poco::Net::StreamSocket & aCaller)
-  {
-    const ReceivedResponse got = GatewayFixture::Receive(aCaller, "no end");
-    CHECK_TEXT(!got.mReset, "the connection was reset");
-    CHECK_TEXT(got.mEnded, "the connection stays open");
-    return got;
-  }
-
   /// @return whether the target never got a request
   static bool GotNoRequest(const ScriptedServer& aTarget)
   {
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -2,11 +2,11 @@
 
 #include "fakeplatform.h"
 #include "fleet/watcher.h"
-#include "gateway/gateway.h"
+#include "gateway/callerconnection.h"
 #include "scriptedserver.h"
 #include "serve/listen.h"
 
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
 #include <functional>
@@ -61,7 +61,7 @@
   ~GatewayFixture()
   {
     if (mServer) {
-      mServer->stopAll(true);
+      mServer->stop();
     }
     mThreads.joinAll();
   }
@@ -90,8 +90,8 @@
     const Poco::Net::ServerSocket socket =
       ListenOn({ "127.0.0.1", 0 }, nullptr).value();
     mAddress = socket.address();
-    mServer = std::make_unique<Poco::Net::HTTPServer>(
-      new GatewayHandlerFactory(Dependencies()),
+    mServer = std::make_unique<Poco::Net::TCPServer>(
+      new CallerConnectionFactory(Dependencies()),
       mThreads,
       socket,
       MakeServerParams(kThreads));
@@ -170,7 +170,7 @@
   std::atomic<uint32_t> mRunning{ 0 };
   Poco::ThreadPool mThreads;
   Poco::Net::SocketAddress mAddress;
-  std::unique_ptr<Poco::Net::HTTPServer> mServer;
+  std::unique_ptr<Poco::Net::TCPServer> mServer;
 
 private:
   GatewayDependencies Dependencies()
