--- a/src/gateway/bodyreader.cc
+++ b/src/gateway/bodyreader.cc
@@ -36,21 +36,36 @@
                                   : BodyFraming::UntilClose;
 }
 
+uint64_t
+LengthOf(const HTTPResponse& aHead)
+{
+  if (!aHead.hasContentLength()) {
+    return 0;
+  }
+  const int64_t length = aHead.getContentLength64();
+  if (length < 0) {
+    Fail("invalid length");
+  }
+  return static_cast<uint64_t>(length);
+}
+
 } // namespace
 
 BodyReader::BodyReader(HttpSession& aSession,
                        const HTTPResponse& aHead,
                        bool aNoBody)
-  : mSession(aSession)
-  , mFraming(FramingOf(aHead, aNoBody))
+  : BodyReader(
+      [&aSession](std::span<char> aInto) { return aSession.ReadRaw(aInto); },
+      FramingOf(aHead, aNoBody),
+      LengthOf(aHead))
+{
+}
+
+BodyReader::BodyReader(RawReader aRead, BodyFraming aFraming, uint64_t aLength)
+  : mRead(std::move(aRead))
+  , mFraming(aFraming)
+  , mRemaining(aFraming == BodyFraming::Length ? aLength : 0)
 {
-  if (mFraming == BodyFraming::Length) {
-    const int64_t length = aHead.getContentLength64();
-    if (length < 0) {
-      Fail("invalid length");
-    }
-    mRemaining = static_cast<uint64_t>(length);
-  }
   mComplete = mFraming == BodyFraming::None ||
               (mFraming == BodyFraming::Length && mRemaining == 0);
 }
@@ -67,7 +82,7 @@
     case BodyFraming::Chunked:
       return ReadChunked(aInto);
     case BodyFraming::UntilClose: {
-      const size_t n = mSession.ReadRaw(aInto);
+      const size_t n = mRead(aInto);
       mComplete = n == 0;
       return n;
     }
@@ -84,9 +99,9 @@
 size_t
 BodyReader::ReadAvailable(std::span<char> aInto)
 {
-  const size_t n = mSession.ReadRaw(aInto);
+  const size_t n = mRead(aInto);
   if (n == 0) {
-    Fail("the answer ended too early");
+    Fail("the body ended too early");
   }
   return n;
 }
--- a/src/gateway/bodyreader.h
+++ b/src/gateway/bodyreader.h
@@ -5,24 +5,34 @@
 #include <Poco/Net/HTTPResponse.h>
 
 #include <cstdint>
+#include <functional>
 #include <span>
 
 namespace hibiscushold {
 
-/// How the end of a response body is determined.
+/// How the end of a body is determined.
 enum class BodyFraming
 {
-  None,       ///< the response has no body
+  None,       ///< there is no body
   Length,     ///< by Content-Length
   Chunked,    ///< by the zero-length last chunk
   UntilClose, ///< by the end of the connection
 };
 
-/// Reads a response body and detects truncation, which POCO's response streams
-/// report as a normal end of stream.
+/// Reads bytes from a connection.
+/// @return bytes read, 0 at the end of the connection
+/// @throw Poco::Exception when the connection fails
+using RawReader = std::function<size_t(std::span<char>)>;
+
+/// Reads the body of a request or response and detects truncation, which POCO's
+/// streams report as a normal end of stream.
 class BodyReader
 {
 public:
+  /// @param aRead reads the bytes after the head
+  /// @param aLength length of the body, for BodyFraming::Length
+  BodyReader(RawReader aRead, BodyFraming aFraming, uint64_t aLength);
+
   /// @param aHead the response head, already read from aSession
   /// @param aNoBody true if responses to the request never have a body (HEAD)
   /// @throw Poco::Exception if the body framing in the head is invalid
@@ -52,7 +62,7 @@
   void ReadTrailers();
   size_t ReadChunked(std::span<char> aInto);
 
-  HttpSession& mSession;
+  const RawReader mRead;
   BodyFraming mFraming = BodyFraming::None;
   uint64_t mRemaining = 0; ///< bytes left of the body, or of the current chunk
   bool mFirstChunkSeen = false;
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -1,6 +1,7 @@
 #include "gateway/callerconnection.h"
 
 #include "core/sessionpool.h"
+#include "gateway/callersession.h"
 #include "observe/events.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -23,8 +24,6 @@
 /// Added to the limits of the configuration, as a caller measures from an
 /// earlier moment and may know a newer version.
 constexpr auto kLimitMargin = milliseconds(1000);
-/// Longest pause within a body.
-constexpr auto kMaxBodyPause = seconds(8);
 
 class CallerConnection final : public Poco::Net::TCPServerConnection
 {
@@ -96,7 +95,6 @@
       RefuseUnreadable(response, e.displayText());
       return false;
     }
-    socket().setReceiveTimeout(ToTimespan(kMaxBodyPause));
     response.setDate(Poco::Timestamp());
     response.setVersion(request->getVersion());
     const std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
@@ -140,14 +138,6 @@
 
 } // namespace
 
-size_t
-CallerSession::ReadRaw(std::span<char> aBuffer)
-{
-  const int n =
-    read(aBuffer.data(), static_cast<std::streamsize>(aBuffer.size()));
-  return n > 0 ? static_cast<size_t>(n) : 0;
-}
-
 CallerConnectionFactory::CallerConnectionFactory(
   const GatewayDependencies& aDependencies)
   : mDependencies(aDependencies)
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -1,14 +1,18 @@
 #include "gateway/callerrequest.h"
 
+#include "core/sessionpool.h"
+#include "gateway/bodyreader.h"
+#include "gateway/callersession.h"
 #include "gateway/exchange.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/String.h>
 #include <Poco/StringTokenizer.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <istream>
 #include <set>
 
 namespace hibiscushold {
@@ -148,6 +152,17 @@
   return aParsed.mArrivedAt + timeout;
 }
 
+/// Limits the next read to aLeft.
+/// @throw Poco::TimeoutException if no time is left
+void
+LimitRead(CallerSession& aSession, Duration aLeft)
+{
+  if (aLeft == Duration::zero()) {
+    throw Poco::TimeoutException("no time is left");
+  }
+  aSession.socket().setReceiveTimeout(ToTimespan(aLeft));
+}
+
 } // namespace
 
 ResultOrRefusal<GatewayRequest>
@@ -185,30 +200,41 @@
 }
 
 ResultOrRefusal<void>
-ReadBody(HTTPServerRequest& aRequest, GatewayRequest& aInto)
+ReadBody(HTTPServerRequest& aRequest,
+         const Clock& aClock,
+         GatewayRequest& aInto)
 {
   const bool chunked = aRequest.getChunkedTransferEncoding();
   if (!chunked && !aRequest.hasContentLength()) {
     return boost::outcome_v2::success();
   }
+  auto& request = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest);
+  auto& session = dynamic_cast<CallerSession&>(request.session());
+  const RawReader readRaw = [&](std::span<char> aBuffer) {
+    if (!session.HasUnreadBytes()) {
+      LimitRead(session, TimeLeft(aInto.mDeadline, aClock.Now()));
+    }
+    return session.ReadRaw(aBuffer);
+  };
+  BodyReader body(
+    readRaw,
+    chunked ? BodyFraming::Chunked : BodyFraming::Length,
+    chunked ? 0 : static_cast<uint64_t>(aRequest.getContentLength64()));
   const uint64_t maxBytes = aInto.mConfig->mLimits.mMaxBodyBytes;
-  const auto length =
-    chunked ? 0 : static_cast<uint64_t>(aRequest.getContentLength64());
-  std::istream& in = aRequest.stream();
-  std::array<char, 16384> buf;
-  while (in.good() && (chunked || aInto.mBody.size() < length)) {
-    const size_t wanted =
-      chunked ? buf.size()
-              : std::min<size_t>(buf.size(), length - aInto.mBody.size());
-    in.read(buf.data(), static_cast<std::streamsize>(wanted));
-    aInto.mBody.append(buf.data(), static_cast<size_t>(in.gcount()));
-    if (aInto.mBody.size() > maxBytes) {
-      return Refusal{ RefusalKind::BodyTooLarge,
-                      "the limit is " + std::to_string(maxBytes) + " bytes" };
+  try {
+    std::array<char, 16384> buf;
+    for (size_t n = body.Read(buf); n > 0; n = body.Read(buf)) {
+      aInto.mBody.append(buf.data(), n);
+      if (aInto.mBody.size() > maxBytes) {
+        return Refusal{ RefusalKind::BodyTooLarge,
+                        "the limit is " + std::to_string(maxBytes) + " bytes" };
+      }
     }
-  }
-  if (!chunked && aInto.mBody.size() != length) {
-    return Invalid("the body ended too early");
+  } catch (const Poco::TimeoutException&) {
+    return Refusal{ RefusalKind::DeadlinePassed,
+                    "the body did not arrive in time" };
+  } catch (const Poco::Exception& e) {
+    return Invalid("body: " + e.displayText());
   }
   return boost::outcome_v2::success();
 }
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -50,9 +50,13 @@
          double aFraction);
 
 /// Reads the whole body into aInto.mBody.
-/// @return InvalidRequest if the body is shorter than its Content-Length,
-///         BodyTooLarge if it exceeds the configured limit
+/// @param aRequest must belong to a CallerSession
+/// @return InvalidRequest if the body is cut off or its chunks are malformed,
+///         BodyTooLarge if it exceeds the configured limit, DeadlinePassed if
+///         it has not arrived by the deadline of aInto
 ResultOrRefusal<void>
-ReadBody(Poco::Net::HTTPServerRequest& aRequest, GatewayRequest& aInto);
+ReadBody(Poco::Net::HTTPServerRequest& aRequest,
+         const Clock& aClock,
+         GatewayRequest& aInto);
 
 } // namespace hibiscushold
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -75,14 +75,11 @@
               HTTPServerResponse& aResponse,
               ResponseWriter& aWriter)
   {
-    // The end of a chunked body is not detected reliably enough to read another
-    // request from the same connection.
-    aResponse.setKeepAlive(aRequest.getKeepAlive() &&
-                           !mDependencies.mStopping &&
-                           !aRequest.getChunkedTransferEncoding());
+    aResponse.setKeepAlive(aRequest.getKeepAlive() && !mDependencies.mStopping);
     ResultOrRefusal<GatewayRequest> request = Admit(aRequest);
     if (request) {
-      const ResultOrRefusal<void> body = ReadBody(aRequest, request.value());
+      const ResultOrRefusal<void> body =
+        ReadBody(aRequest, mDependencies.mClock, request.value());
       if (!body) {
         request = body.error();
       }
--- a/test/callerport-test.cc
+++ b/test/callerport-test.cc
@@ -152,6 +152,24 @@
   CHECK(GotNoRequest(target));
 }
 
+// Guards against a chunked body that is forwarded up to an invalid chunk.
+TEST(CallerPort, ChunkedBodyWithAnInvalidChunkIsRefused)
+{
+  ScriptedServer target({ { Reply("ok") } });
+  mGateway.AddTarget(target);
+  mGateway.Start();
+  for (const char* it : { "5\r\nhello\r\nxyz\r\n",
+                          "5\r\nhelloX\r\n0\r\n\r\n",
+                          "-5\r\nhello\r\n0\r\n\r\n",
+                          "fffffffffffffffff\r\nhello\r\n0\r\n\r\n",
+                          "\r\n5\r\nhello\r\n0\r\n\r\n" }) {
+    const ReceivedResponse got =
+      mGateway.Ask(Head("Transfer-Encoding: chunked\r\n") + it, "}}");
+    CHECK_TEXT(got.mBytes.starts_with("HTTP/1.1 400"), it);
+  }
+  CHECK(GotNoRequest(target));
+}
+
 // Guards against a chunked body that is changed on its way.
 TEST(CallerPort, ChunkedBodyWithTrailersIsForwardedWhole)
 {
@@ -294,3 +312,36 @@
   STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
   STRCMP_CONTAINS("Connection: Close", got.mBytes.c_str());
 }
+
+// Guards against a body that is forwarded incomplete, or a request that is held
+// past its deadline, because the caller stops sending.
+TEST(CallerPort, BodyThatStopsArrivingIsRefusedAtTheDeadline)
+{
+  ScriptedServer target({ { Reply("ok") } });
+  mGateway.AddTarget(target);
+  mGateway.Start();
+  for (const char* it :
+       { "Content-Length: 20\r\n", "Transfer-Encoding: chunked\r\n" }) {
+    const ReceivedResponse got = mGateway.Ask(
+      Head(std::string("Wait: 500\r\n") + it) + "5\r\nhello\r\n", "}}");
+    CHECK_TEXT(got.mBytes.starts_with("HTTP/1.1 504"), it);
+  }
+  CHECK(GotNoRequest(target));
+}
+
+// Guards against a request that is lost or misread after a chunked body.
+TEST(CallerPort, ConnectionIsKeptAfterAChunkedBody)
+{
+  ScriptedServer target({ { Reply("one") }, { Reply("two", "r2") } });
+  mGateway.AddTarget(target);
+  mGateway.Start();
+  Poco::Net::StreamSocket caller = mGateway.Connect();
+  Send(caller, Head("Transfer-Encoding: chunked\r\n") + "1\r\na\r\n0\r\n\r\n");
+  STRCMP_CONTAINS("Connection: Keep-Alive",
+                  GatewayFixture::Receive(caller, "one").mBytes.c_str());
+  Send(caller,
+       Head("Transfer-Encoding: chunked\r\n", "r2") + "1\r\nb\r\n0\r\n\r\n");
+  const ReceivedResponse got = GatewayFixture::Receive(caller, "two");
+  STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
+  STRCMP_CONTAINS("\r\n\r\nb", target.Requests()[1].c_str());
+}
