--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -25,6 +25,25 @@
 /// earlier moment and may know a newer version.
 constexpr auto kLimitMargin = milliseconds(1000);
 
+/// Counts a request that is being read or handled.
+class RunningRequest
+{
+public:
+  explicit RunningRequest(std::atomic<uint32_t>& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+
+  ~RunningRequest() { --mCount; }
+
+  RunningRequest(const RunningRequest&) = delete;
+  RunningRequest& operator=(const RunningRequest&) = delete;
+
+private:
+  std::atomic<uint32_t>& mCount;
+};
+
 class CallerConnection final : public Poco::Net::TCPServerConnection
 {
 public:
@@ -82,6 +101,12 @@
   /// @return whether the connection can take another request
   bool ServeRequest()
   {
+    // Counted before the check: a node that exits sets the flag first and then
+    // waits for the requests it has counted.
+    const RunningRequest running(mDependencies.mRunning);
+    if (mDependencies.mExiting) {
+      return false;
+    }
     socket().setReceiveTimeout(
       ToTimespan(Limits().mHeaderTimeout + kLimitMargin));
     HTTPServerResponseImpl response(mSession);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -49,14 +49,8 @@
   explicit CallerHandler(const GatewayDependencies& aDependencies)
     : mDependencies(aDependencies)
   {
-    ++mDependencies.mRunning;
   }
 
-  ~CallerHandler() override { --mDependencies.mRunning; }
-
-  CallerHandler(const CallerHandler&) = delete;
-  CallerHandler& operator=(const CallerHandler&) = delete;
-
   void handleRequest(HTTPServerRequest& aRequest,
                      HTTPServerResponse& aResponse) override
   {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,7 +32,8 @@
                                       ///< configuration was last confirmed
   const std::atomic<bool>& mStopping;
   const std::atomic<bool>& mRefusingRequests; ///< new requests are refused
-  std::atomic<uint32_t>& mRunning;            ///< requests being handled
+  const std::atomic<bool>& mExiting;          ///< no further request is read
+  std::atomic<uint32_t>& mRunning; ///< requests being read or handled
 };
 
 /// Creates the handlers for callers' requests.
--- a/test/callerconnection-test.cc
+++ b/test/callerconnection-test.cc
@@ -72,3 +72,35 @@
   STRCMP_CONTAINS("HTTP/1.1 400", got.mBytes.c_str());
   STRCMP_CONTAINS("Connection: Close", got.mBytes.c_str());
 }
+
+// Guards against a process that exits while it reads a request, which then ends
+// without an answer.
+TEST(CallerConnection, RequestThatIsBeingReadCountsAsRunning)
+{
+  mGateway.Start();
+  Poco::Net::StreamSocket caller = mGateway.Connect();
+  Send(caller, "GET /lookup/x HTTP/1.1\r\nHost: h\r\n");
+  for (int n = 0; n < 100 && mGateway.mRunning == 0; ++n) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  CHECK_EQUAL(1U, mGateway.mRunning.load());
+  Send(caller, "Id: r1\r\n\r\n");
+  const ReceivedResponse got = GatewayFixture::Receive(caller, "}}");
+  STRCMP_CONTAINS("HTTP/1.1 503", got.mBytes.c_str());
+}
+
+// Guards against a request that is read from a kept connection by a process
+// that exits before it can answer.
+TEST(CallerConnection, ExitingNodeReadsNoFurtherRequest)
+{
+  ScriptedServer target({ { Reply("one") }, { Reply("two") } });
+  mGateway.AddTarget(target);
+  mGateway.Start();
+  Poco::Net::StreamSocket caller = mGateway.Connect();
+  Send(caller, kLookupRequest);
+  (void)GatewayFixture::Receive(caller, "one");
+  mGateway.mExiting = true;
+  Send(caller, kLookupRequest);
+  CHECK(GatewayFixture::Receive(caller, "two").mBytes.empty());
+  CHECK_EQUAL(1U, target.Requests().size());
+}
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -167,6 +167,7 @@
   Metrics mMetrics;
   std::atomic<bool> mStopping{ false };
   std::atomic<bool> mRefusingRequests{ false };
+  std::atomic<bool> mExiting{ false };
   std::atomic<uint32_t> mRunning{ 0 };
   Poco::ThreadPool mThreads;
   Poco::Net::SocketAddress mAddress;
@@ -192,6 +193,7 @@
              milliseconds(5000),
              mStopping,
              mRefusingRequests,
+             mExiting,
              mRunning };
   }
 };
