--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -25,35 +25,47 @@
 /// earlier moment and may know a newer version.
 constexpr auto kLimitMargin = milliseconds(1000);
 
-/// Counts a request that is being read or handled.
-class RunningRequest
+/// Increments a count for the lifetime of the object.
+class CountedScope
 {
 public:
-  explicit RunningRequest(std::atomic<uint32_t>& aCount)
+  explicit CountedScope(std::atomic<uint32_t>& aCount)
     : mCount(aCount)
   {
     ++mCount;
   }
 
-  ~RunningRequest() { --mCount; }
+  ~CountedScope() { --mCount; }
 
-  RunningRequest(const RunningRequest&) = delete;
-  RunningRequest& operator=(const RunningRequest&) = delete;
+  CountedScope(const CountedScope&) = delete;
+  CountedScope& operator=(const CountedScope&) = delete;
 
 private:
   std::atomic<uint32_t>& mCount;
 };
 
+/// How many of the connections that the server can serve are kept between
+/// requests. The others are left for new callers, as a connection that waits
+/// for a thread isn't read.
+uint32_t
+KeptConnections(uint32_t aMaxConnections)
+{
+  return aMaxConnections - aMaxConnections / 8;
+}
+
 class CallerConnection final : public Poco::Net::TCPServerConnection
 {
 public:
   CallerConnection(const Poco::Net::StreamSocket& aSocket,
                    const GatewayDependencies& aDependencies,
                    Poco::Net::HTTPServerParams::Ptr aParams,
-                   GatewayHandlerFactory& aHandlers)
+                   GatewayHandlerFactory& aHandlers,
+                   ConnectionCount& aConnections)
     : TCPServerConnection(aSocket)
     , mDependencies(aDependencies)
     , mHandlers(aHandlers)
+    , mConnections(aConnections)
+    , mOpen(aConnections.mOpen)
     , mParams(std::move(aParams))
     , mSession(aSocket, mParams)
   {
@@ -103,7 +115,7 @@
   {
     // Counted before the check: a node that exits sets the flag first and then
     // waits for the requests it has counted.
-    const RunningRequest running(mDependencies.mRunning);
+    const CountedScope running(mDependencies.mRunning);
     if (mDependencies.mExiting) {
       return false;
     }
@@ -122,6 +134,8 @@
     }
     response.setDate(Poco::Timestamp());
     response.setVersion(request->getVersion());
+    response.setKeepAlive(request->getKeepAlive() &&
+                          mConnections.mOpen <= mConnections.mMaxKept);
     const std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
       mHandlers.createRequestHandler(*request));
     if (request->getExpectContinue()) {
@@ -157,6 +171,8 @@
 
   const GatewayDependencies& mDependencies;
   GatewayHandlerFactory& mHandlers;
+  ConnectionCount& mConnections;
+  const CountedScope mOpen;
   Poco::Net::HTTPServerParams::Ptr mParams;
   CallerSession mSession;
 };
@@ -164,8 +180,10 @@
 } // namespace
 
 CallerConnectionFactory::CallerConnectionFactory(
-  const GatewayDependencies& aDependencies)
+  const GatewayDependencies& aDependencies,
+  uint32_t aMaxConnections)
   : mDependencies(aDependencies)
+  , mConnections{ KeptConnections(aMaxConnections) }
   , mParams(new Poco::Net::HTTPServerParams)
   , mHandlers(aDependencies)
 {
@@ -175,7 +193,8 @@
 CallerConnectionFactory::createConnection(
   const Poco::Net::StreamSocket& aSocket)
 {
-  return new CallerConnection(aSocket, mDependencies, mParams, mHandlers);
+  return new CallerConnection(
+    aSocket, mDependencies, mParams, mHandlers, mConnections);
 }
 
 } // namespace hibiscushold
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -69,7 +69,8 @@
               HTTPServerResponse& aResponse,
               ResponseWriter& aWriter)
   {
-    aResponse.setKeepAlive(aRequest.getKeepAlive() && !mDependencies.mStopping);
+    aResponse.setKeepAlive(aResponse.getKeepAlive() &&
+                           !mDependencies.mStopping);
     ResultOrRefusal<GatewayRequest> request = Admit(aRequest);
     if (request) {
       const ResultOrRefusal<void> body =
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -96,6 +96,9 @@
   EventType{ EventId::RequestUnreadable,
              "request_unreadable",
              log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::ConnectionsRefused,
+             "connections_refused",
+             log4cplus::WARN_LOG_LEVEL },
 };
 
 std::atomic<bool> gIsJson{ false };
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -45,6 +45,7 @@
   ResponseCut = 5005,
   HandlerFailed = 5006,
   RequestUnreadable = 5007,
+  ConnectionsRefused = 5008,
 };
 
 /// Name and value of a field of an event.
--- a/test/callerconnection-test.cc
+++ b/test/callerconnection-test.cc
@@ -104,3 +104,21 @@
   CHECK(GatewayFixture::Receive(caller, "two").mBytes.empty());
   CHECK_EQUAL(1U, target.Requests().size());
 }
+
+// Guards against a new caller that isn't served because idle connections occupy
+// all threads.
+TEST(CallerConnection, NewCallerIsServedBesideManyKeptConnections)
+{
+  constexpr int kCallers = GatewayFixture::kThreads + 2;
+  ScriptedServer target(
+    std::vector<ScriptedServer::Response>(kCallers, { Reply("ok") }));
+  mGateway.AddTarget(target);
+  mGateway.Start();
+  std::vector<Poco::Net::StreamSocket> callers;
+  for (int n = 0; n < kCallers; ++n) {
+    callers.push_back(mGateway.Connect());
+    Send(callers.back(), kLookupRequest);
+    const ReceivedResponse got = GatewayFixture::Receive(callers.back(), "ok");
+    STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
+  }
+}
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -91,7 +91,7 @@
       ListenOn({ "127.0.0.1", 0 }, nullptr).value();
     mAddress = socket.address();
     mServer = std::make_unique<Poco::Net::TCPServer>(
-      new CallerConnectionFactory(Dependencies()),
+      new CallerConnectionFactory(Dependencies(), kThreads),
       mThreads,
       socket,
       MakeServerParams(kThreads));
