--- a/src/gateway/responsewriter.h
+++ b/src/gateway/responsewriter.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/http.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <string>
 #include <string_view>
@@ -12,6 +14,13 @@
 
 namespace hibiscushold {
 
+/// Ends the sending side of a connection, then reads and discards what the peer
+/// still sends, for a limited time and up to a limited size. Closing a
+/// connection with unread bytes resets it, which can destroy a response that
+/// the peer has not read yet.
+void
+DiscardUntilClosed(Poco::Net::StreamSocket& aSocket, const Clock& aClock);
+
 /// Writes the response to one caller request. It writes to the socket directly
 /// instead of using POCO's response stream, which would terminate a truncated
 /// response as if it were complete.
@@ -42,8 +51,15 @@
   /// truncated.
   void Abort();
 
+  /// Makes sure that a caller that is still sending its body receives the
+  /// response, which must be complete. The connection can't be used afterwards.
+  void DiscardRest(const Clock& aClock);
+
   /// @return whether a response head was sent or its sending was tried
   bool HasStarted() const { return mStarted; }
+  /// A caller that has ended only its sending side can't be told from one that
+  /// has closed the connection until a write fails, and a target must not work
+  /// for the latter, so it counts as disconnected.
   /// @return whether the caller has closed or reset the connection
   bool IsCallerDisconnected() const;
 
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -44,7 +44,9 @@
   RequestTried = 5004,
   ResponseCut = 5005,
   HandlerFailed = 5006,
-  HeaderInvalid = 5007,
+  RequestUnreadable = 5007,
+  ConnectionsRefused = 5008,
+  HeaderInvalid = 5009,
 };
 
 /// Name and value of a field of an event.
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -2,13 +2,14 @@
 
 #include "fakeplatform.h"
 #include "fleet/watcher.h"
-#include "gateway/gateway.h"
+#include "gateway/callerconnection.h"
 #include "scriptedserver.h"
 #include "serve/listen.h"
 
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -60,7 +61,7 @@
   ~GatewayFixture()
   {
     if (mServer) {
-      mServer->stopAll(true);
+      mServer->stop();
     }
     mThreads.joinAll();
   }
@@ -96,26 +97,43 @@
     const Poco::Net::ServerSocket socket =
       ListenOn({ "127.0.0.1", 0 }, nullptr).value();
     mAddress = socket.address();
-    mServer = std::make_unique<Poco::Net::HTTPServer>(
-      new GatewayHandlerFactory(Dependencies()),
+    mServer = std::make_unique<Poco::Net::TCPServer>(
+      new CallerConnectionFactory(Dependencies(), kThreads),
       mThreads,
       socket,
       MakeServerParams(kThreads));
     mServer->start();
   }
 
-  /// Sends bytes on a new connection and reads until the connection ends, the
-  /// received bytes end with aEnd, or nothing arrives for six seconds.
-  ReceivedResponse Ask(const std::string& aBytes, const std::string& aEnd) const
+  /// Puts mConfig, with its new version, into force.
+  void ChangeConfig()
+  {
+    ++mConfig.mVersion;
+    (void)mPlatform.Update("config/main",
+                           "{}",
+                           mPlatform.VersionOf("config/main"),
+                           CallPriority::Config);
+    mWatcher.PollConfig(Duration::zero());
+  }
+
+  /// @return a new connection of a caller
+  Poco::Net::StreamSocket Connect() const
   {
     Poco::Net::StreamSocket socket(mAddress);
     socket.setReceiveTimeout(Poco::Timespan(6, 0));
-    socket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    return socket;
+  }
+
+  /// Reads until the connection ends, the received bytes end with aEnd, or
+  /// nothing arrives for six seconds.
+  static ReceivedResponse Receive(Poco::Net::StreamSocket& aSocket,
+                                  const std::string& aEnd)
+  {
     ReceivedResponse received;
     char buf[4096];
     try {
       while (!received.mBytes.ends_with(aEnd)) {
-        const int n = socket.receiveBytes(buf, sizeof(buf));
+        const int n = aSocket.receiveBytes(buf, sizeof(buf));
         if (n <= 0) {
           received.mEnded = true;
           break;
@@ -130,6 +148,14 @@
     return received;
   }
 
+  /// Sends bytes on a new connection and receives the response.
+  ReceivedResponse Ask(const std::string& aBytes, const std::string& aEnd) const
+  {
+    Poco::Net::StreamSocket socket = Connect();
+    socket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    return Receive(socket, aEnd);
+  }
+
   static constexpr int kThreads = 8;
 
   SystemClock mClock;
@@ -138,6 +164,7 @@
   FleetWatcher mWatcher;
   std::mutex mTargetsLock; ///< guards mTargets
   FleetTargets mTargets;
+  std::function<void()> mBeforeTargets; ///< called before each look-up
   size_t mTargetCount = 0;
   SessionPool mSessions{ mClock };
   TargetLoads mLoads;
@@ -149,16 +176,20 @@
   Metrics mMetrics;
   std::atomic<bool> mStopping{ false };
   std::atomic<bool> mRefusingRequests{ false };
+  std::atomic<bool> mExiting{ false };
   std::atomic<uint32_t> mRunning{ 0 };
   Poco::ThreadPool mThreads;
   Poco::Net::SocketAddress mAddress;
-  std::unique_ptr<Poco::Net::HTTPServer> mServer;
+  std::unique_ptr<Poco::Net::TCPServer> mServer;
 
 private:
   GatewayDependencies Dependencies()
   {
     return { mWatcher,
              [this] {
+               if (mBeforeTargets) {
+                 mBeforeTargets();
+               }
                const std::lock_guard guard(mTargetsLock);
                return std::make_shared<const FleetTargets>(mTargets);
              },
@@ -172,6 +203,7 @@
              milliseconds(5000),
              mStopping,
              mRefusingRequests,
+             mExiting,
              mRunning };
   }
 };
