--- a/src/core/guardedsocket.cc
+++ b/src/core/guardedsocket.cc
@@ -90,6 +90,13 @@
 {
 }
 
+void
+TransferLimiter::SetSilenceCheck(Duration aAfter, std::function<bool()> aMayEnd)
+{
+  mSilenceLimit = aAfter;
+  mMayEndSilence = std::move(aMayEnd);
+}
+
 void
 TransferLimiter::SetCallerCheck(std::function<bool()> aIsDisconnected)
 {
@@ -106,16 +113,12 @@
 TransferLimiter::WaitUntilReady(const std::function<bool(milliseconds)>& aPoll)
 {
   const TimePoint start = mClock.Now();
-  const TimePoint waitEnd = mMaxGap == Duration::zero()
-                              ? mDeadline
-                              : std::min(mDeadline, start + mMaxGap);
   for (TimePoint now = start;; now = mClock.Now()) {
-    if (now >= waitEnd) {
-      mStop = waitEnd < mDeadline ? TransferStop::IdleTimeout
-                                  : TransferStop::Deadline;
+    if (now >= mDeadline) {
+      mStop = TransferStop::Deadline;
       throw Poco::TimeoutException("no byte in time");
     }
-    if (aPoll(PollTimeout(waitEnd - now))) {
+    if (aPoll(PollTimeout(mDeadline - now))) {
       return;
     }
     if (mIsCallerDisconnected && mIsCallerDisconnected()) {
@@ -126,6 +129,11 @@
       mStop = TransferStop::Abandoned;
       throw Poco::Net::ConnectionAbortedException("given up");
     }
+    if (mSilenceLimit > Duration::zero() &&
+        mClock.Now() >= start + mSilenceLimit && mMayEndSilence()) {
+      mStop = TransferStop::IdleTimeout;
+      throw Poco::Net::ConnectionAbortedException("silent, and replaced");
+    }
   }
 }
 
--- a/src/core/guardedsocket.h
+++ b/src/core/guardedsocket.h
@@ -13,7 +13,7 @@
 {
   None,
   Deadline,
-  IdleTimeout,        ///< no byte was transferred within the maximum gap
+  IdleTimeout,        ///< the silence check returned true
   CallerDisconnected, ///< the caller closed its own connection
   Abandoned,          ///< the abandon check returned true
 };
@@ -29,8 +29,12 @@
   /// Ends every transfer at aDeadline.
   void SetDeadline(TimePoint aDeadline) { mDeadline = aDeadline; }
 
-  /// Ends a transfer when no byte moves for aMaxGap. Zero removes the limit.
-  void SetMaxGap(Duration aMaxGap) { mMaxGap = aMaxGap; }
+  /// Silence by itself doesn't end a transfer; the check decides.
+  /// @param aAfter how long no byte must move before the check is called; zero
+  ///        removes the check
+  /// @param aMayEnd called at intervals from then on; returns whether the
+  ///        transfer is to end
+  void SetSilenceCheck(Duration aAfter, std::function<bool()> aMayEnd);
 
   /// @param aIsDisconnected called at intervals during a wait; returns whether
   ///        the caller has disconnected, which ends the transfer
@@ -52,9 +56,9 @@
   /// Calls aPoll until it returns true or a limit ends the transfer.
   /// @param aPoll waits for the socket for at most the given time and returns
   ///        whether the socket is ready
-  /// @throw Poco::TimeoutException at the deadline or after the maximum gap
-  /// @throw Poco::Net::ConnectionAbortedException when the caller has
-  ///        disconnected or the transfer is abandoned
+  /// @throw Poco::TimeoutException at the deadline
+  /// @throw Poco::Net::ConnectionAbortedException when one of the checks ends
+  ///        the transfer
   void WaitUntilReady(const std::function<bool(milliseconds)>& aPoll);
 
   void AddSent(uint64_t aBytes) { mSent += aBytes; }
@@ -62,7 +66,8 @@
 private:
   const Clock& mClock;
   TimePoint mDeadline = TimePoint::max();
-  Duration mMaxGap{ 0 };
+  Duration mSilenceLimit{ 0 };
+  std::function<bool()> mMayEndSilence;
   std::function<bool()> mIsCallerDisconnected;
   std::function<bool()> mIsAbandoned;
   uint64_t mSent = 0;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -137,7 +137,6 @@
     TransferLimiter& limiter = mSession->Guard();
     limiter.ResetSent();
     limiter.SetDeadline(mRequest.mDeadline);
-    limiter.SetMaxGap(Duration::zero());
     limiter.SetCallerCheck([this] { return mSink.IsCallerDisconnected(); });
     limiter.SetAbandonCheck([this] { return IsAbandoned(); });
     return true;
--- a/src/serve/attempt.cc
+++ b/src/serve/attempt.cc
@@ -4,10 +4,13 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketImpl.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <istream>
 #include <ostream>
+#include <sstream>
 
 namespace hibiscushold {
 
@@ -18,17 +21,21 @@
 
 constexpr size_t kMaxBodyBytes = 64000000;
 constexpr size_t kMaxEventBytes = 1000000;
+/// Bytes of a response that are examined before they are read.
+constexpr size_t kMaxPeekedBytes = 8192;
+constexpr std::string_view kHeadStart = "HTTP/";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kStreamEndLine = "data: [DONE]";
 constexpr auto kConnectTimeout = milliseconds(1000);
 
 /// Runs one attempt and holds its state.
-class Attempt
+class Attempt final : public WaitingAttempt
 {
 public:
   Attempt(SessionPool& aPool,
           const Clock& aClock,
           const AttemptRequest& aRequest,
-          EventSink& aSink)
+          AttemptSink& aSink)
     : mPool(aPool)
     , mClock(aClock)
     , mRequest(aRequest)
@@ -56,7 +63,43 @@
     }
   }
 
+  bool IsReused() const override { return mReport.mReused; }
+
+  bool HasProgress() const override
+  {
+    std::array<char, kMaxPeekedBytes> buf;
+    const ssize_t n = ::recv(mSession->socket().impl()->sockfd(),
+                             buf.data(),
+                             buf.size(),
+                             MSG_PEEK | MSG_DONTWAIT);
+    if (n <= 0) {
+      return false;
+    }
+    const std::string_view text(buf.data(), static_cast<size_t>(n));
+    // The start of the head may have been read already.
+    if (mFacts.mHeaderRead || !text.starts_with(kHeadStart)) {
+      return true;
+    }
+    return text.find(kHeadEnd) != text.npos && IsUsableHead(text);
+  }
+
+  void Close() override { mSession->reset(); }
+
 private:
+  bool IsUsableHead(std::string_view aText) const
+  {
+    HTTPResponse head;
+    std::istringstream in{ std::string(aText) };
+    try {
+      head.read(in);
+    } catch (const Poco::Exception&) {
+      return false; // the attempt itself reports it when it reads the head
+    }
+    AttemptFacts facts;
+    ReadFacts(head, facts);
+    return IsUsable(facts);
+  }
+
   /// @return a pooled connection that is still open and has no unread bytes,
   ///         or a new one
   static SessionPool::Session TakeUsable(SessionPool& aPool,
@@ -73,12 +116,20 @@
     TransferLimiter& limiter = mSession->Guard();
     limiter.ResetSent();
     const bool bounded = mReport.mReused || mRequest.mExpectStream;
-    limiter.SetMaxGap(bounded ? mRequest.mFirstByteTimeout : Duration::zero());
+    SetSilenceLimit(bounded ? mRequest.mFirstByteTimeout : Duration::zero());
+    limiter.SetAbandonCheck(
+      [this] { return mReport.mEventsForwarded == 0 && mSink.IsSuperseded(); });
     if (mRequest.mCancelOnDisconnect) {
       limiter.SetCallerCheck([this] { return mSink.IsCallerDisconnected(); });
     }
   }
 
+  void SetSilenceLimit(Duration aAfter)
+  {
+    mSession->Guard().SetSilenceCheck(
+      aAfter, [this] { return mSink.OnSilence(*this); });
+  }
+
   void Send()
   {
     Poco::Net::HTTPRequest head(
@@ -107,13 +158,10 @@
     HTTPResponse head;
     std::istream& in = mSession->receiveResponse(head);
     mFacts.mHeaderRead = true;
-    mFacts.mIdMatches = head.get(kAttemptIdField, "") == mRequest.mAttemptId;
-    mFacts.mHasNotRunMark = head.get(kRanField, "") == "no";
-    mSession->Guard().SetMaxGap(Duration::zero());
-    mReport.mStreamed = head.getContentType().starts_with("text/event-stream");
-    mFacts.mIsResumedAsRequested = IsResumedAsRequested(head);
-    if (!mFacts.mIdMatches || mFacts.mHasNotRunMark ||
-        !mFacts.mIsResumedAsRequested) {
+    SetSilenceLimit(Duration::zero());
+    mReport.mStreamed = IsStream(head);
+    ReadFacts(head, mFacts);
+    if (!IsUsable(mFacts)) {
       return MakeReport(AttemptStop::None,
                         "status " + std::to_string(head.getStatus()));
     }
@@ -122,14 +170,33 @@
     return mReport.mStreamed ? ReceiveEvents(in) : ReceiveBody(in, head);
   }
 
+  static bool IsStream(const HTTPResponse& aHead)
+  {
+    return aHead.getContentType().starts_with("text/event-stream");
+  }
+
+  void ReadFacts(const HTTPResponse& aHead, AttemptFacts& aFacts) const
+  {
+    aFacts.mIdMatches = aHead.get(kAttemptIdField, "") == mRequest.mAttemptId;
+    aFacts.mHasNotRunMark = aHead.get(kRanField, "") == "no";
+    aFacts.mIsResumedAsRequested = IsResumedAsRequested(aHead);
+  }
+
+  /// @return whether the response may be passed to the caller
+  static bool IsUsable(const AttemptFacts& aFacts)
+  {
+    return aFacts.mIdMatches && !aFacts.mHasNotRunMark &&
+           aFacts.mIsResumedAsRequested;
+  }
+
   /// A caller that has received part of a stream can only use the rest of it.
   /// @return whether the response continues the stream after mResumeFrom
   ///         events, or no such continuation was requested
   bool IsResumedAsRequested(const HTTPResponse& aHead) const
   {
     return mRequest.mResumeFrom == 0 ||
-           (mReport.mStreamed && aHead.get(kResumeField, "") ==
-                                   std::to_string(mRequest.mResumeFrom));
+           (IsStream(aHead) && aHead.get(kResumeField, "") ==
+                                 std::to_string(mRequest.mResumeFrom));
   }
 
   AttemptReport ReceiveBody(std::istream& aIn, const HTTPResponse& aHead)
@@ -167,7 +234,7 @@
 
   AttemptReport ReceiveEvents(std::istream& aIn)
   {
-    mSession->Guard().SetMaxGap(mRequest.mEventTimeout);
+    SetSilenceLimit(mRequest.mEventTimeout);
     std::string event;
     std::string line;
     bool endSeen = false;
@@ -192,6 +259,9 @@
       ++mReport.mEventsForwarded;
       event.clear();
       if (endSeen) {
+        // Only the reuse of the connection is still at stake.
+        mSession->Guard().SetSilenceCheck(mRequest.mEventTimeout,
+                                          [] { return true; });
         return Complete(IsAtEnd(aIn) && mSession->IsReusable());
       }
     }
@@ -216,7 +286,10 @@
   {
     mFacts.mIsComplete = true;
     if (aReusable) {
-      mSession->Guard().SetCallerCheck(nullptr);
+      TransferLimiter& limiter = mSession->Guard();
+      limiter.SetCallerCheck(nullptr);
+      limiter.SetAbandonCheck(nullptr);
+      limiter.SetSilenceCheck(Duration::zero(), nullptr);
       mPool.Release(mRequest.mTarget, std::move(mSession));
     }
     return MakeReport(AttemptStop::None, "");
@@ -237,6 +310,7 @@
       case TransferStop::CallerDisconnected:
         return AttemptStop::CallerDisconnected;
       case TransferStop::Abandoned:
+        return AttemptStop::Superseded;
       case TransferStop::None:
         break;
     }
@@ -268,7 +342,7 @@
   SessionPool& mPool;
   const Clock& mClock;
   const AttemptRequest& mRequest;
-  EventSink& mSink;
+  AttemptSink& mSink;
   SessionPool::Session mSession;
   AttemptReport mReport;
   AttemptFacts mFacts;
@@ -281,33 +355,9 @@
 RunAttempt(SessionPool& aPool,
            const Clock& aClock,
            const AttemptRequest& aRequest,
-           EventSink& aSink)
+           AttemptSink& aSink)
 {
   return Attempt(aPool, aClock, aRequest, aSink).Run();
 }
 
-AttemptReport
-RunWithReconnect(SessionPool& aPool,
-                 const Clock& aClock,
-                 const AttemptRequest& aRequest,
-                 EventSink& aSink,
-                 const std::function<bool()>& aTakeRetry)
-{
-  AttemptReport report = RunAttempt(aPool, aClock, aRequest, aSink);
-  const bool suspect = report.mOutcome == AttemptOutcome::IdleTimeout ||
-                       report.mOutcome == AttemptOutcome::Broken;
-  if (!report.mReused || !suspect || report.mEventsForwarded > 0) {
-    return report;
-  }
-  aPool.DiscardCreatedBefore(aRequest.mTarget, aClock.Now());
-  if (!aTakeRetry()) {
-    return report;
-  }
-  AttemptRequest retry = aRequest;
-  retry.mNewConnection = true;
-  report = RunAttempt(aPool, aClock, retry, aSink);
-  report.mReconnected = true;
-  return report;
-}
-
 } // namespace hibiscushold
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -5,7 +5,6 @@
 #include "serve/attemptoutcome.h"
 #include "serve/request.h"
 
-#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,11 +25,12 @@
   bool mCancelOnDisconnect = false; ///< stops when the caller disconnects
   bool mExpectStream = false;       ///< an event stream is expected
   uint64_t mResumeFrom = 0;         ///< events already sent to the caller
-  /// Longest wait for the response header if a stream is expected or the
-  /// connection is reused; zero means no limit. An ordinary response on a new
-  /// connection is limited by the deadline only.
+  /// From when on a target without a response header counts as silent, if a
+  /// stream is expected or the connection is reused; zero means never. A target
+  /// that computes an ordinary response on a new connection never does.
   Duration mFirstByteTimeout{ 0 };
-  Duration mEventTimeout{ 0 }; ///< longest wait within a stream; zero: no limit
+  /// From when on a target counts as silent within a stream; zero means never.
+  Duration mEventTimeout{ 0 };
 };
 
 /// The result of an attempt.
@@ -40,8 +40,6 @@
   BufferedResponse mResponse;    ///< for Answered, unless it was streamed
   bool mStreamed = false;        ///< the response is an event stream
   bool mReused = false;          ///< the connection came from the pool
-  bool mReconnected = false;     ///< sent again on a second connection; the
-                                 ///< target may have run it from the first
   uint64_t mEventsForwarded = 0; ///< events passed to the sink
   std::string mDetail;
 };
@@ -53,26 +51,47 @@
 inline constexpr const char* kResumeField = "X-Resume-From";
 inline constexpr const char* kTimeLeftField = "X-Time-Left-Ms";
 
-/// Runs one attempt. The connection returns to the pool only after a complete
-/// response with this attempt's id; otherwise it is closed.
+/// An attempt that waits for its silent target while another attempt of the
+/// same request runs.
+class WaitingAttempt
+{
+public:
+  virtual ~WaitingAttempt() = default;
+
+  /// @return whether the connection came from the pool
+  virtual bool IsReused() const = 0;
+
+  /// @return whether unread bytes of a usable response have arrived
+  virtual bool HasProgress() const = 0;
+
+  /// Closes the connection to the target.
+  virtual void Close() = 0;
+};
+
+/// Receives the events of one attempt, and decides how long it waits for a
+/// silent target.
+class AttemptSink : public EventSink
+{
+public:
+  /// Called at intervals while the target is silent; may run another attempt.
+  /// @return whether another attempt has taken over, which ends this one
+  virtual bool OnSilence(WaitingAttempt& aAttempt) = 0;
+
+  /// Called at intervals until the first event.
+  /// @return whether the attempt that this one was to replace has made
+  ///         progress, which ends this one
+  virtual bool IsSuperseded() = 0;
+};
+
+/// Runs one attempt. A silent target doesn't end it by itself; only the
+/// deadline, the caller, the sink or the target does. The connection returns to
+/// the pool only after a complete response with this attempt's id; otherwise it
+/// is closed.
 /// @param aSink receives the events when the target answers with a stream
 AttemptReport
 RunAttempt(SessionPool& aPool,
            const Clock& aClock,
            const AttemptRequest& aRequest,
-           EventSink& aSink);
-
-/// Runs one attempt of an idempotent request. If a reused connection breaks or
-/// stays idle for too long before the first event, the connection rather than
-/// the target may be at fault. The pool's idle connections to the target are
-/// then closed, and the request is sent once more on a new connection.
-/// @param aTakeRetry called before the second connection; takes one retry from
-///        the budget and returns whether there was one
-AttemptReport
-RunWithReconnect(SessionPool& aPool,
-                 const Clock& aClock,
-                 const AttemptRequest& aRequest,
-                 EventSink& aSink,
-                 const std::function<bool()>& aTakeRetry);
+           AttemptSink& aSink);
 
 } // namespace hibiscushold
--- a/src/serve/attemptoutcome.cc
+++ b/src/serve/attemptoutcome.cc
@@ -29,6 +29,8 @@
       return AttemptOutcome::TimedOut;
     case AttemptStop::IdleTimeout:
       return AttemptOutcome::IdleTimeout;
+    case AttemptStop::Superseded:
+      return AttemptOutcome::Superseded;
     case AttemptStop::None:
     case AttemptStop::Failed:
     case AttemptStop::TooLarge:
@@ -54,6 +56,7 @@
     case AttemptOutcome::Mismatched:
     case AttemptOutcome::CallerDisconnected:
     case AttemptOutcome::NotResumed:
+    case AttemptOutcome::Superseded:
       break;
   }
   return Ran::Unknown;
@@ -72,9 +75,10 @@
 const char*
 NameOf(AttemptOutcome aOutcome)
 {
-  constexpr std::array<const char*, 10> kNames = {
-    "answered", "connect_failed", "target_refused", "broken",      "timed_out",
-    "silent",   "truncated",      "crossed",        "caller_gone", "not_resumed"
+  constexpr std::array<const char*, 11> kNames = {
+    "answered",    "connect_failed", "target_refused", "broken",
+    "timed_out",   "silent",         "truncated",      "crossed",
+    "caller_gone", "not_resumed",    "superseded"
   };
   return kNames[static_cast<size_t>(aOutcome)];
 }
--- a/src/serve/attemptoutcome.h
+++ b/src/serve/attemptoutcome.h
@@ -14,11 +14,12 @@
   TargetRefused, ///< the target reports that it did not run the request
   Broken,        ///< the connection failed after a byte was sent
   TimedOut,      ///< the deadline passed
-  IdleTimeout,   ///< no byte was received within the idle timeout
+  IdleTimeout,   ///< the target was silent, and another attempt took over
   Truncated,     ///< the response was incomplete or too large
   Mismatched,    ///< the response does not carry this attempt's id
   CallerDisconnected,
   NotResumed, ///< the target did not resume a broken stream as requested
+  Superseded, ///< the attempt it was to replace made progress first
 };
 
 /// Why the transfer of an attempt stopped.
@@ -27,7 +28,8 @@
   None,        ///< it completed
   Failed,      ///< the connection failed or ended too early
   Deadline,    ///< the deadline passed
-  IdleTimeout, ///< no byte was received within the idle timeout
+  IdleTimeout, ///< the target was silent, and another attempt took over
+  Superseded,  ///< the attempt it was to replace made progress first
   CallerDisconnected,
   TooLarge, ///< the response exceeded its size limit
 };
--- a/src/serve/dispatcher.h
+++ b/src/serve/dispatcher.h
@@ -33,7 +33,9 @@
     const Clock& mClock;
   };
 
-  /// Longest waits for a target to send.
+  /// From when on a target that sends nothing counts as silent. Its request is
+  /// then tried elsewhere as well, if that is allowed; it stays with the silent
+  /// target until another one answers.
   struct Timeouts
   {
     Duration mFirstByteTimeout; ///< for the response header of a stream, and
@@ -62,25 +64,6 @@
                                         EventSink& aSink);
   ResultOrRefusal<Response> RunAtMostOnce(const CallerRequest& aRequest,
                                           EventSink& aSink);
-  ResultOrRefusal<Response> RunAttempts(const CallerRequest& aRequest,
-                                        EventSink& aSink,
-                                        const OwnedClaim* aClaim);
-  /// Waits for the backoff if another attempt is allowed.
-  /// @return whether to make another attempt
-  bool WaitForRetry(const CallerRequest& aRequest,
-                    const AttemptReport& aReport,
-                    uint32_t aAttempts);
-  void RecordAttempt(const Candidate& aCandidate,
-                     const AttemptReport& aReport,
-                     Duration aDuration);
-  AttemptReport RunOnTarget(const CallerRequest& aRequest,
-                            const Candidate& aCandidate,
-                            const RequestProgress& aProgress,
-                            EventSink& aSink);
-
-  AttemptReport SendAttempt(AttemptRequest aAttempt,
-                            const CallerRequest& aRequest,
-                            EventSink& aSink);
 
   Dependencies mDependencies;
   const Timeouts mTimeouts;
