--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -113,18 +113,19 @@
     return;
   }
   const auto group = aState.mGroups.find(aOrder.mGroup);
-  const bool left = aOrder.mKind == OrderKind::Leave &&
-                    (aOutcome == OrderOutcome::Accepted ||
-                     aOutcome == OrderOutcome::AlreadyDone) &&
-                    group != aState.mGroups.end() &&
-                    group->second.mMembers[0] == aOrder.mVmId;
-  if (left) {
+  const bool hasLeft =
+    aOrder.mKind == OrderKind::Leave && (aOutcome == OrderOutcome::Accepted ||
+                                         aOutcome == OrderOutcome::AlreadyDone);
+  if (hasLeft && group != aState.mGroups.end() &&
+      group->second.mMembers[0] == aOrder.mVmId) {
     for (const std::string& it : group->second.mMembers) {
       aState.mVms[it].mLockedUntil = {};
     }
     aState.mUnreachableHeads.erase(aOrder.mGroup);
     aState.mDissolved[aOrder.mGroup] = aNow + kOrderRepeatInterval;
     aState.mGroups.erase(group);
+  } else if (hasLeft && planned.mLockedGroup == aOrder.mGroup) {
+    planned.mHasLeft = true;
   }
 }
 
@@ -158,12 +159,16 @@
   if (head == aState.mVms.end()) {
     return true;
   }
-  const FleetVm* vm = FindVm(aVms, planned.mLockedHead);
-  if (vm != nullptr) {
-    return IsMemberOf(vm, planned.mLockedGroup);
+  const FleetVm* listedHead = FindVm(aVms, planned.mLockedHead);
+  if (listedHead != nullptr) {
+    return IsMemberOf(listedHead, planned.mLockedGroup);
   }
-  // The head is not listed; it counts as gone if it does not respond either.
-  return head->second.mFailures < kMissedResponsesLimit;
+  // A head that is neither listed nor responds may be cut off from the planner
+  // only, and serve as long as its members stay.
+  const FleetVm* vm = FindVm(aVms, aVmId);
+  const bool hasLeft = planned.mHasLeft ||
+                       (vm != nullptr && !IsMemberOf(vm, planned.mLockedGroup));
+  return !hasLeft || head->second.mFailures < kMissedResponsesLimit;
 }
 
 std::vector<std::string>
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -30,9 +30,11 @@
 {
   uint64_t mStartedMillis = 0;
   Endpoint mAddress;
-  TimePoint mLockedUntil;  ///< its previous group may still serve before then
-  std::string mLockedHead; ///< head of that group, empty if unknown
-  GroupKey mLockedGroup;   ///< that group
+  TimePoint mLockedUntil;   ///< its previous group may still serve before then
+  std::string mLockedHead;  ///< head of that group, empty if unknown
+  GroupKey mLockedGroup;    ///< that group
+  bool mHasLeft = false;    ///< it confirmed an order to leave mLockedGroup
+  TimePoint mRepeatLeaveAt; ///< no order to leave is repeated before then
   TimePoint mUnresponsiveUntil; ///< it did not respond; not used before then
   TimePoint mLoadingUntil; ///< estimated end of its load from the weight store
   uint32_t mFailures = 0;  ///< consecutive probes and orders without response
@@ -146,7 +148,8 @@
 
 /// @return whether the VM's previous group may still serve: its head could not
 ///         be made to leave, and is either still listed as a member of the
-///         group, or not listed but not known to be unresponsive
+///         group, or not listed, in which case only a VM that has left the
+///         group is free, once the head is known to be unresponsive
 bool
 IsLocked(const PlannerState& aState,
          const FleetVms& aVms,
--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -128,9 +128,9 @@
     mState.mGroups.emplace(aGroup.mKey, std::move(group));
   }
 
-  /// Locks the members that are listed and orders them to leave, as the
-  /// unreachable head may still be running. Members may reappear in the list at
-  /// different times, and an order to leave may get lost.
+  /// Locks the members that are listed and orders them to leave until they
+  /// confirm it, as the unreachable head may still be running. Members may
+  /// reappear in the list at different times.
   void LockMembers(const ObservedGroup& aGroup)
   {
     for (const FleetVm* it : aGroup.mMembers) {
@@ -140,6 +140,9 @@
       const PlannedVm& planned = mState.mVms[it->mId];
       if (planned.mLockedGroup != aGroup.mKey || planned.mLockedUntil <= mNow) {
         Lock(it->mId, mState.mUnreachableHeads[aGroup.mKey], aGroup.mKey);
+      }
+      if (!planned.mHasLeft && mNow >= planned.mRepeatLeaveAt &&
+          !IsUnresponsive(it->mId)) {
         Order(OrderKind::Leave, it->mId, aGroup.mKey);
       }
     }
@@ -154,19 +157,19 @@
     planned.mLockedGroup = aKey;
     planned.mLockedUntil = std::max(planned.mLockedUntil,
                                     mNow + mLimits.mStallTimeout + kLockMargin);
+    planned.mHasLeft = false;
   }
 
   FleetOrder& Order(OrderKind aKind,
                     const std::string& aVmId,
                     const GroupKey& aKey)
   {
-    FleetOrder order;
-    order.mKind = aKind;
-    order.mVmId = aVmId;
-    order.mAddress = mState.mVms[aVmId].mAddress;
-    order.mGroup = aKey;
-    order.mFence = mState.mFence;
-    mStep.mOrders.push_back(std::move(order));
+    PlannedVm& planned = mState.mVms[aVmId];
+    if (aKind == OrderKind::Leave) {
+      planned.mRepeatLeaveAt = mNow + kOrderRepeatInterval;
+    }
+    mStep.mOrders.push_back(
+      { aKind, aVmId, planned.mAddress, aKey, "", {}, mState.mFence });
     return mStep.mOrders.back();
   }
 
--- /dev/null
+++ b/test/planner-two-test.cc
@@ -0,0 +1,98 @@
+#include "plannerworld.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+/// A VM that is still a member of a group must not join another one while the
+/// head may serve. The planner cannot tell a head that is dead from one that
+/// only it cannot reach.
+TEST_GROUP(PlannerUnreachableHead)
+{
+  PlannerWorld mWorld;
+  std::string mHead;
+  std::string mMember;
+
+  void Form()
+  {
+    mWorld.Add("d0", 4, "small");
+    mWorld.Settle();
+    mHead = mWorld.OpenHeads("small").front();
+    mMember = mWorld.MembersOf(mHead)[1];
+  }
+
+  bool IsOrdered(const std::vector<FleetOrder>& aOrders, OrderKind aKind)
+  {
+    return mWorld.FindOrder(aOrders, aKind, mMember) != nullptr;
+  }
+};
+
+// Guards against ordering a VM to join while its head serves unreached: the
+// entries of both expired, the head's after a new planner has adopted the
+// group, and the member's is listed again first.
+TEST(PlannerUnreachableHead, AMemberListedAgainBeforeItsHeadIsNotFree)
+{
+  Form();
+  const FleetVm hidden = mWorld.mVms[mMember];
+  mWorld.mUnresponsive.insert(mHead);
+  mWorld.mVms.erase(mMember);
+  mWorld.mState = MakePlannerState(8);
+  mWorld.Step();
+  mWorld.Step(milliseconds(500));
+  mWorld.Step(milliseconds(500));
+  mWorld.mVms.erase(mHead);
+  mWorld.mVms[mMember] = hidden;
+  mWorld.Add("d0", 3, "small");
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(!IsOrdered(orders, OrderKind::Join));
+  CHECK(IsOrdered(orders, OrderKind::Leave));
+}
+
+// Guards against ordering a VM to join that has not left its group, as the
+// order to leave was lost: the head is neither listed nor reachable, but may
+// serve.
+TEST(PlannerUnreachableHead, AMemberThatDidNotGetTheOrderToLeaveIsNotFree)
+{
+  Form();
+  mWorld.Add("d0", 3, "small");
+  mWorld.mUnresponsive = { mHead, mMember };
+  mWorld.mVms.erase(mHead);
+  for (int n = 0; n < 3; ++n) {
+    CHECK(!IsOrdered(mWorld.Step(milliseconds(500)), OrderKind::Join));
+  }
+}
+
+// Guards against keeping a VM without a group for the whole stall timeout, as a
+// single order to leave was lost: the order is repeated, and the VM is free as
+// soon as it has left a head that does not respond.
+TEST(PlannerUnreachableHead, AMemberIsFreeOnceARepeatedOrderToLeaveArrives)
+{
+  Form();
+  mWorld.mUnresponsive = { mHead, mMember };
+  mWorld.mVms.erase(mHead);
+  mWorld.Step();
+  mWorld.Step(milliseconds(500));
+  mWorld.Step(milliseconds(500));
+  mWorld.mUnresponsive = { mHead };
+  RecordProbe(mWorld.mState, mMember, true, mWorld.mNow);
+  CHECK(IsOrdered(mWorld.Step(milliseconds(500)), OrderKind::Leave));
+  CHECK(!mWorld.mVms[mMember].mMembership.has_value());
+  mWorld.Add("d0", 1, "small");
+  CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
+}
+
+// Guards against ordering a VM to leave again and again, and against keeping it
+// locked, while the platform's list still shows the membership that it left.
+TEST(PlannerUnreachableHead, AConfirmedOrderToLeaveIsNotRepeated)
+{
+  Form();
+  const FleetVm before = mWorld.mVms[mMember];
+  mWorld.mUnresponsive = { mHead };
+  mWorld.mVms.erase(mHead);
+  CHECK(IsOrdered(mWorld.Step(), OrderKind::Leave));
+  for (int n = 0; n < 3; ++n) {
+    mWorld.mVms[mMember] = before;
+    CHECK(!IsOrdered(mWorld.Step(milliseconds(500)), OrderKind::Leave));
+  }
+  CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
+}
