--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -22,6 +22,21 @@
   }
 }
 
+/// @return whether the VM is the head of the group, which may have been removed
+///         from the plan before the head could be reached
+bool
+IsHead(const PlannerState& aState,
+       const GroupKey& aKey,
+       const std::string& aVmId)
+{
+  const auto group = aState.mGroups.find(aKey);
+  if (group != aState.mGroups.end()) {
+    return group->second.mMembers[0] == aVmId;
+  }
+  const auto head = aState.mUnreachableHeads.find(aKey);
+  return head != aState.mUnreachableHeads.end() && head->second == aVmId;
+}
+
 /// Updates the state with the outcome of a join. Joins of groups that are no
 /// longer planned are ignored.
 void
@@ -112,18 +127,18 @@
     RecordJoin(aState, aOrder, aOutcome, aNow);
     return;
   }
-  const auto group = aState.mGroups.find(aOrder.mGroup);
   const bool hasLeft =
     aOrder.mKind == OrderKind::Leave && (aOutcome == OrderOutcome::Accepted ||
                                          aOutcome == OrderOutcome::AlreadyDone);
-  if (hasLeft && group != aState.mGroups.end() &&
-      group->second.mMembers[0] == aOrder.mVmId) {
-    for (const std::string& it : group->second.mMembers) {
-      aState.mVms[it].mLockedUntil = {};
+  if (hasLeft && IsHead(aState, aOrder.mGroup, aOrder.mVmId)) {
+    for (auto& [id, vm] : aState.mVms) {
+      if (vm.mLockedGroup == aOrder.mGroup) {
+        vm.mLockedUntil = {};
+      }
     }
     aState.mUnreachableHeads.erase(aOrder.mGroup);
     aState.mDissolved[aOrder.mGroup] = aNow + kOrderRepeatInterval;
-    aState.mGroups.erase(group);
+    aState.mGroups.erase(aOrder.mGroup);
   } else if (hasLeft && planned.mLockedGroup == aOrder.mGroup) {
     planned.mHasLeft = true;
   }
--- a/test/planner-two-test.cc
+++ b/test/planner-two-test.cc
@@ -96,3 +96,40 @@
   }
   CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
 }
+
+// Guards against keeping members locked and ordering them to leave although the
+// head has left: its response arrives when the group is no longer planned.
+TEST(PlannerUnreachableHead, AMemberIsFreeOnceTheHeadHasLeftLate)
+{
+  Form();
+  const GroupKey group = mWorld.mVms[mMember].mMembership->mKey;
+  mWorld.mUnresponsive = { mHead, mMember };
+  mWorld.mVms.erase(mHead);
+  for (int n = 0; n < 3; ++n) {
+    mWorld.Step(milliseconds(500));
+  }
+  CHECK(IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
+  FleetOrder leave;
+  leave.mKind = OrderKind::Leave;
+  leave.mVmId = mHead;
+  leave.mGroup = group;
+  RecordOutcome(mWorld.mState, leave, OrderOutcome::AlreadyDone, mWorld.mNow);
+  RecordProbe(mWorld.mState, mMember, true, mWorld.mNow);
+  CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
+  CHECK(!IsOrdered(mWorld.Step(milliseconds(500)), OrderKind::Leave));
+}
+
+// Guards against keeping members locked for the whole stall timeout although
+// their head, which a new planner did not know at first, has left.
+TEST(PlannerUnreachableHead, MembersAreFreeOnceAHeadThatReappearsHasLeft)
+{
+  Form();
+  const FleetVm hidden = mWorld.mVms[mHead];
+  mWorld.mVms.erase(mHead);
+  mWorld.mState = MakePlannerState(8);
+  mWorld.Settle();
+  CHECK(IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
+  mWorld.mVms[mHead] = hidden;
+  mWorld.Step();
+  CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
+}
