--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -8,6 +8,21 @@
 /// above hold its fencing number.
 constexpr unsigned kEpochBitsPerLease = 10;
 
+/// @return whether the VM is the head of the group, which may have been removed
+///         from the plan before the head could be reached
+bool
+IsHead(const PlannerState& aState,
+       const GroupKey& aKey,
+       const std::string& aVmId)
+{
+  const auto group = aState.mGroups.find(aKey);
+  if (group != aState.mGroups.end()) {
+    return group->second.mMembers[0] == aVmId;
+  }
+  const auto head = aState.mUnreachableHeads.find(aKey);
+  return head != aState.mUnreachableHeads.end() && head->second == aVmId;
+}
+
 /// Updates the state with the outcome of a join. Joins of groups that are no
 /// longer planned are ignored.
 void
@@ -93,19 +108,21 @@
     RecordJoin(aState, aOrder, aOutcome, aTimes.mEndedAt);
     return;
   }
-  const auto group = aState.mGroups.find(aOrder.mGroup);
-  const bool left = aOrder.mKind == OrderKind::Leave &&
-                    (aOutcome == OrderOutcome::Accepted ||
-                     aOutcome == OrderOutcome::AlreadyDone) &&
-                    group != aState.mGroups.end() &&
-                    group->second.mMembers[0] == aOrder.mVmId;
-  if (left) {
-    for (const std::string& it : group->second.mMembers) {
-      aState.mVms[it].mLockedUntil = {};
+  const bool hasLeft =
+    aOrder.mKind == OrderKind::Leave && (aOutcome == OrderOutcome::Accepted ||
+                                         aOutcome == OrderOutcome::AlreadyDone);
+  if (hasLeft && IsHead(aState, aOrder.mGroup, aOrder.mVmId)) {
+    for (auto& [id, vm] : aState.mVms) {
+      if (vm.mLockedGroup == aOrder.mGroup) {
+        vm.mLockedUntil = {};
+      }
     }
     aState.mUnreachableHeads.erase(aOrder.mGroup);
     aState.mDissolved[aOrder.mGroup] = aTimes.mEndedAt + kOrderRepeatInterval;
-    aState.mGroups.erase(group);
+    aState.mGroups.erase(aOrder.mGroup);
+  } else if (hasLeft &&
+             aState.mVms[aOrder.mVmId].mLockedGroup == aOrder.mGroup) {
+    aState.mVms[aOrder.mVmId].mHasLeft = true;
   }
 }
 
@@ -138,12 +155,16 @@
   if (head == aState.mVms.end()) {
     return true;
   }
-  const FleetVm* vm = FindVm(aVms, planned.mLockedHead);
-  if (vm != nullptr) {
-    return IsMemberOf(vm, planned.mLockedGroup);
+  const FleetVm* listedHead = FindVm(aVms, planned.mLockedHead);
+  if (listedHead != nullptr) {
+    return IsMemberOf(listedHead, planned.mLockedGroup);
   }
-  // The head is not listed; it counts as gone if it does not respond either.
-  return !ExceedsTolerance(head->second.mSilence);
+  // A head that is neither listed nor responds may be cut off from the planner
+  // only, and serve as long as its members stay.
+  const FleetVm* vm = FindVm(aVms, aVmId);
+  const bool hasLeft = planned.mHasLeft ||
+                       (vm != nullptr && !IsMemberOf(vm, planned.mLockedGroup));
+  return !hasLeft || !ExceedsTolerance(head->second.mSilence);
 }
 
 std::vector<std::string>
