--- a/src/gateway/responsewriter.h
+++ b/src/gateway/responsewriter.h
@@ -57,6 +57,9 @@
 
   /// @return whether a response head was sent or its sending was tried
   bool HasStarted() const { return mStarted; }
+  /// A caller that has ended only its sending side can't be told from one that
+  /// has closed the connection until a write fails, and a target must not work
+  /// for the latter, so it counts as disconnected.
   /// @return whether the caller has closed or reset the connection
   bool IsCallerDisconnected() const;
 
--- a/test/callerconnection-test.cc
+++ b/test/callerconnection-test.cc
@@ -122,3 +122,21 @@
     STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
   }
 }
+
+// Guards against a target that works for a caller that has closed its
+// connection. A caller that ended only its sending side can't be told from it.
+TEST(CallerConnection, CallerThatEndsItsSendingCountsAsGone)
+{
+  ScriptedServer target(
+    { { "", false, false, Reply("late"), milliseconds(3000) } });
+  mGateway.AddTarget(target);
+  mGateway.Start();
+  Poco::Net::StreamSocket caller = mGateway.Connect();
+  const TimePoint start = mGateway.mClock.Now();
+  Send(caller, kLookupRequest);
+  caller.shutdownSend();
+  const ReceivedResponse got = GatewayFixture::Receive(caller, "no end");
+  CHECK(got.mEnded || got.mReset);
+  CHECK(got.mBytes.empty());
+  CHECK(mGateway.mClock.Now() - start < milliseconds(1500));
+}
--- a/test/callers.h
+++ b/test/callers.h
@@ -38,7 +38,7 @@
 inline ReceivedResponse
 ReceiveWhole(Poco::Net::StreamSocket& aCaller)
 {
-  const ReceivedResponse got = GatewayFixture::Receive(aCaller, "no end");
+  ReceivedResponse got = GatewayFixture::Receive(aCaller, "no end");
   CHECK_TEXT(!got.mReset, "the connection was reset");
   CHECK_TEXT(got.mEnded, "the connection stays open");
   return got;
