--- a/test/planner-two-test.cc
+++ b/test/planner-two-test.cc
@@ -74,8 +74,7 @@
   mWorld.Step(milliseconds(500));
   mWorld.Step(milliseconds(500));
   mWorld.mUnresponsive = { mHead };
-  RecordProbe(
-    mWorld.mState, mMember, true, { mWorld.mNow, mWorld.mNow });
+  RecordProbe(mWorld.mState, mMember, true, { mWorld.mNow, mWorld.mNow });
   CHECK(IsOrdered(mWorld.Step(milliseconds(500)), OrderKind::Leave));
   CHECK(!mWorld.mVms[mMember].mMembership.has_value());
   mWorld.Add("d0", 1, "small");
@@ -118,8 +117,7 @@
                 leave,
                 OrderOutcome::AlreadyDone,
                 { mWorld.mNow, mWorld.mNow });
-  RecordProbe(
-    mWorld.mState, mMember, true, { mWorld.mNow, mWorld.mNow });
+  RecordProbe(mWorld.mState, mMember, true, { mWorld.mNow, mWorld.mNow });
   CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
   CHECK(!IsOrdered(mWorld.Step(milliseconds(500)), OrderKind::Leave));
 }
