--- a/test/planner-two-test.cc
+++ b/test/planner-two-test.cc
@@ -78,6 +78,7 @@
   CHECK(IsOrdered(mWorld.Step(milliseconds(500)), OrderKind::Leave));
   CHECK(!mWorld.mVms[mMember].mMembership.has_value());
   mWorld.Add("d0", 1, "small");
+  mWorld.MakeUnresponsive(mHead);
   CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
 }
 
@@ -94,6 +95,7 @@
     mWorld.mVms[mMember] = before;
     CHECK(!IsOrdered(mWorld.Step(milliseconds(500)), OrderKind::Leave));
   }
+  mWorld.MakeUnresponsive(mHead);
   CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
 }
 
