Give attempts and announcements their own files

Only moves code: the attempt of a request, the record of a cut response and the announcements of a target leave requestforwarder.cc and exchange.cc.

--- /dev/null
+++ b/src/gateway/announcements.cc
@@ -0,0 +1,61 @@
+#include "gateway/announcements.h"
+
+#include "observe/events.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace hibiscushold {
+
+namespace {
+
+using Poco::Net::HTTPResponse;
+
+/// Longest time for which a target can keep requests away.
+constexpr double kMaxQuietSeconds = 3600;
+constexpr size_t kMaxLoggedValueBytes = 100;
+
+/// @param aText seconds, which may have a fraction
+/// @return the time, at most kMaxQuietSeconds, or nothing if aText is invalid
+std::optional<Duration>
+ParseQuietTime(std::string_view aText)
+{
+  double seconds = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [pos, ec] = std::from_chars(aText.data(), end, seconds);
+  if (ec != std::errc() || pos != end || !(seconds >= 0)) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(std::min(seconds, kMaxQuietSeconds)));
+}
+
+} // namespace
+
+void
+RecordAnnouncements(const ExchangeDependencies& aDependencies,
+                    const FleetTarget& aTarget,
+                    const HTTPResponse& aHead)
+{
+  const ProtocolNames& names = aDependencies.mProtocol;
+  TargetLoads& loads = aDependencies.mLoads;
+  if (!names.mLeaving.empty() && aHead.get(names.mLeaving, "") == "1") {
+    loads.RecordLeaving(aTarget.mVmId, aTarget.mStartedMillis);
+  }
+  if (aHead.getStatus() != HTTPResponse::HTTP_SERVICE_UNAVAILABLE ||
+      names.mRetryAfter.empty() || !aHead.has(names.mRetryAfter)) {
+    return;
+  }
+  const std::string& text = aHead.get(names.mRetryAfter);
+  if (const std::optional<Duration> time = ParseQuietTime(text)) {
+    loads.RecordQuiet(aTarget.mVmId, aDependencies.mClock.Now() + *time);
+  } else if (loads.RecordBadHeader(aTarget.mVmId)) {
+    LogEvent(EventId::HeaderInvalid,
+             { { "vm", aTarget.mVmId },
+               { "header", names.mRetryAfter },
+               { "value", text.substr(0, kMaxLoggedValueBytes) } });
+  }
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/gateway/attempt.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "fleet/targetchoice.h"
+#include "gateway/exchange.h"
+
+namespace hibiscushold {
+
+class Attempt;
+
+/// The request that attempts belong to.
+class AttemptOwner
+{
+public:
+  virtual ~AttemptOwner() = default;
+
+  /// See StreamSink.
+  virtual bool OnHead(int aStatus, const std::vector<HttpField>& aFields) = 0;
+  /// See StreamSink.
+  virtual bool OnEvents(std::string_view aEvents, uint64_t aLastId) = 0;
+  virtual bool IsCallerDisconnected() const = 0;
+
+  /// Tries to have another target take over from a stalled one. The stalled
+  /// target keeps the request until a response of the other one has begun, as
+  /// its silence alone doesn't mean that it won't answer.
+  /// @return whether another target has taken over
+  virtual bool TryTakeover(Attempt& aStalled) = 0;
+};
+
+/// One attempt of a request. An attempt that is started because the target of
+/// another one is stalled runs within it; that one ends once a response to the
+/// new attempt has begun, and goes on if the new attempt fails.
+class Attempt final : public StreamSink
+{
+public:
+  /// @param aOuter the attempt with the stalled target, or null
+  Attempt(AttemptOwner& aOwner,
+          const FleetTarget& aTarget,
+          uint32_t aInFlight,
+          Attempt* aOuter)
+    : mTarget(aTarget)
+    , mInFlight(aInFlight)
+    , mOwner(aOwner)
+    , mOuter(aOuter)
+  {
+  }
+
+  bool OnHead(int aStatus, const std::vector<HttpField>& aFields) override;
+  bool OnEvents(std::string_view aEvents, uint64_t aLastId) override;
+  bool IsCallerDisconnected() override;
+  bool OnStall(WaitingExchange& aExchange) override;
+  bool IsSuperseded() override;
+
+  /// Closes the exchanges of the attempts that this one replaces.
+  void TakeOver();
+
+  const FleetTarget& mTarget;
+  const uint32_t mInFlight; ///< requests at the target when it was chosen
+  bool mCounted = false;    ///< in the attempts that were sent
+  bool mAvoided = false;    ///< new requests are kept away from the target
+  bool mReplaced = false;   ///< its exchange was closed by another attempt
+
+private:
+  AttemptOwner& mOwner;
+  Attempt* const mOuter;
+  WaitingExchange* mWaiting = nullptr; ///< set while an inner attempt runs
+};
+
+} // namespace hibiscushold
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -89,4 +89,23 @@
       { "detail", aReport.mDetail } });
 }
 
+void
+LogCut(const GatewayDependencies& aDependencies,
+       const GatewayRequest& aRequest,
+       const CutResponse& aCut)
+{
+  const TimePoint now = aDependencies.mClock.Now();
+  aDependencies.mMetrics.CountCut(aCut.mReason);
+  LogEvent(EventId::ResponseCut,
+           { { "request", aRequest.mId },
+             { "route", aRequest.mRoute->mName },
+             { "reason", std::string(aCut.mReason) },
+             { "started", aCut.mStarted ? "yes" : "no" },
+             { "attempts", std::to_string(aCut.mAttempts) },
+             { "last_event", std::to_string(aCut.mLastEvent) },
+             { "ms", std::to_string(ToMillis(now - aRequest.mArrivedAt)) },
+             { "left_ms", std::to_string(ToMillis(aRequest.mDeadline - now)) },
+             { "version", std::to_string(aRequest.mConfig->mVersion) } });
+}
+
 } // namespace hibiscushold
--- a/src/gateway/attemptrecord.h
+++ b/src/gateway/attemptrecord.h
@@ -27,4 +27,19 @@
            const ExchangeReport& aReport,
            uint32_t aInFlight);
 
+/// Why and where a response was cut.
+struct CutResponse
+{
+  std::string_view mReason; ///< why no further attempt is made; stable
+  bool mStarted = false;    ///< part of the response was sent
+  uint32_t mAttempts = 0;   ///< attempts that sent part of the request
+  uint64_t mLastEvent = 0;  ///< id of the last event sent to the caller
+};
+
+/// Logs and counts a response that ends by a reset of the caller's connection.
+void
+LogCut(const GatewayDependencies& aDependencies,
+       const GatewayRequest& aRequest,
+       const CutResponse& aCut);
+
 } // namespace hibiscushold
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,9 +1,9 @@
 #include "gateway/exchange.h"
 
+#include "gateway/announcements.h"
 #include "gateway/bodyreader.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/progress.h"
-#include "observe/events.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -14,7 +14,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <optional>
 #include <sstream>
 
@@ -30,27 +29,9 @@
 constexpr size_t kMaxEventBytes = 1000000;
 /// Unread bytes of a response that are examined for progress.
 constexpr size_t kMaxPeekedBytes = 4096;
-/// Longest time for which a target can keep requests away.
-constexpr double kMaxQuietSeconds = 3600;
-constexpr size_t kMaxLoggedValueBytes = 100;
 /// Responses to earlier requests that are skipped before the expected one.
 constexpr int kMaxStaleResponses = 2;
 
-/// @param aText seconds, which may have a fraction
-/// @return the time, at most kMaxQuietSeconds, or nothing if aText is invalid
-std::optional<Duration>
-ParseQuietTime(std::string_view aText)
-{
-  double seconds = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [pos, ec] = std::from_chars(aText.data(), end, seconds);
-  if (ec != std::errc() || pos != end || !(seconds >= 0)) {
-    return std::nullopt;
-  }
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(std::min(seconds, kMaxQuietSeconds)));
-}
-
 /// Counts the request in the load of its target during its own lifetime.
 class InFlightEntry
 {
@@ -221,7 +202,7 @@
       const std::string id = head.get(mDependencies.mProtocol.mRequestId, "");
       if (id == mRequest.mRequestId ||
           (id.empty() && head.has(mDependencies.mProtocol.mNotRun))) {
-        RecordAnnouncements(head);
+        RecordAnnouncements(mDependencies, mRequest.mTarget, head);
         HandleResponse(head, body);
         return;
       }
@@ -232,30 +213,6 @@
                "no response has the id of this request");
   }
 
-  /// Records what the target announces about itself, whatever it answers.
-  void RecordAnnouncements(const HTTPResponse& aHead)
-  {
-    const ProtocolNames& names = mDependencies.mProtocol;
-    const FleetTarget& target = mRequest.mTarget;
-    if (!names.mLeaving.empty() && aHead.get(names.mLeaving, "") == "1") {
-      mDependencies.mLoads.RecordLeaving(target.mVmId, target.mStartedMillis);
-    }
-    if (aHead.getStatus() != HTTPResponse::HTTP_SERVICE_UNAVAILABLE ||
-        names.mRetryAfter.empty() || !aHead.has(names.mRetryAfter)) {
-      return;
-    }
-    const std::string& text = aHead.get(names.mRetryAfter);
-    if (const std::optional<Duration> time = ParseQuietTime(text)) {
-      mDependencies.mLoads.RecordQuiet(target.mVmId,
-                                       mDependencies.mClock.Now() + *time);
-    } else if (mDependencies.mLoads.RecordBadHeader(target.mVmId)) {
-      LogEvent(EventId::HeaderInvalid,
-               { { "vm", target.mVmId },
-                 { "header", names.mRetryAfter },
-                 { "value", text.substr(0, kMaxLoggedValueBytes) } });
-    }
-  }
-
   void HandleResponse(const HTTPResponse& aHead, BodyReader& aBody)
   {
     const int status = aHead.getStatus();
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 #include "fleet/shedding.h"
+#include "gateway/attempt.h"
 #include "gateway/attemptrecord.h"
 #include "observe/events.h"
 
@@ -47,49 +48,8 @@
           aReport.mOutcome != ExchangeOutcome::Broken);
 }
 
-class RequestForwarder;
-
-/// One attempt of a request. An attempt that is started because the target of
-/// another one is stalled runs within it; that one ends once a response to the
-/// new attempt has begun, and goes on if the new attempt fails.
-class Attempt final : public StreamSink
-{
-public:
-  /// @param aOuter the attempt with the stalled target, or null
-  Attempt(RequestForwarder& aForwarder,
-          const FleetTarget& aTarget,
-          uint32_t aInFlight,
-          Attempt* aOuter)
-    : mTarget(aTarget)
-    , mInFlight(aInFlight)
-    , mForwarder(aForwarder)
-    , mOuter(aOuter)
-  {
-  }
-
-  bool OnHead(int aStatus, const std::vector<HttpField>& aFields) override;
-  bool OnEvents(std::string_view aEvents, uint64_t aLastId) override;
-  bool IsCallerDisconnected() override;
-  bool OnStall(WaitingExchange& aExchange) override;
-  bool IsSuperseded() override;
-
-  /// Closes the exchanges of the attempts that this one replaces.
-  void TakeOver();
-
-  const FleetTarget& mTarget;
-  const uint32_t mInFlight; ///< requests at the target when it was chosen
-  bool mCounted = false;    ///< in the attempts that were sent
-  bool mAvoided = false;    ///< new requests are kept away from the target
-  bool mReplaced = false;   ///< its exchange was closed by another attempt
-
-private:
-  RequestForwarder& mForwarder;
-  Attempt* const mOuter;
-  WaitingExchange* mWaiting = nullptr; ///< set while an inner attempt runs
-};
-
 /// State of one request over all its attempts.
-class RequestForwarder
+class RequestForwarder final : public AttemptOwner
 {
 public:
   RequestForwarder(const GatewayDependencies& aDependencies,
@@ -142,7 +102,7 @@
     }
   }
 
-  bool OnHead(int aStatus, const std::vector<HttpField>& aFields)
+  bool OnHead(int aStatus, const std::vector<HttpField>& aFields) override
   {
     if (mWriter.HasStarted()) {
       return true; // resumed at another target
@@ -152,20 +112,19 @@
     return mWriter.StartStream(aStatus, aFields);
   }
 
-  bool OnEvents(std::string_view aEvents, uint64_t aLastId)
+  bool OnEvents(std::string_view aEvents, uint64_t aLastId) override
   {
     mLastEvent = aLastId;
     mResumeDeadline.reset();
     return mWriter.SendChunk(aEvents);
   }
 
-  bool IsCallerDisconnected() const { return mWriter.IsCallerDisconnected(); }
+  bool IsCallerDisconnected() const override
+  {
+    return mWriter.IsCallerDisconnected();
+  }
 
-  /// Tries to have another target take over from a stalled one. The stalled
-  /// target keeps the request until a response of the other one has begun, as
-  /// its silence alone doesn't mean that it won't answer.
-  /// @return whether another target has taken over
-  bool TryTakeover(Attempt& aStalled)
+  bool TryTakeover(Attempt& aStalled) override
   {
     const TimePoint now = mDependencies.mClock.Now();
     if (now < mNextTakeoverAt || !mRequest.AllowsRetry()) {
@@ -461,21 +420,11 @@
     return boost::outcome_v2::success();
   }
 
-  void RecordCut(std::string_view aReason)
+  void RecordCut(std::string_view aReason) const
   {
-    const TimePoint now = mDependencies.mClock.Now();
-    mDependencies.mMetrics.CountCut(aReason);
-    LogEvent(
-      EventId::ResponseCut,
-      { { "request", mRequest.mId },
-        { "route", mRequest.mRoute->mName },
-        { "reason", std::string(aReason) },
-        { "started", mWriter.HasStarted() ? "yes" : "no" },
-        { "attempts", std::to_string(mAttemptsSent) },
-        { "last_event", std::to_string(mLastEvent) },
-        { "ms", std::to_string(ToMillis(now - mRequest.mArrivedAt)) },
-        { "left_ms", std::to_string(ToMillis(mRequest.mDeadline - now)) },
-        { "version", std::to_string(mRequest.mConfig->mVersion) } });
+    LogCut(mDependencies,
+           mRequest,
+           { aReason, mWriter.HasStarted(), mAttemptsSent, mLastEvent });
   }
 
   /// @return at least aMillis; longer while all targets ask for quiet
@@ -509,57 +458,6 @@
   std::optional<ExchangeReport> mTakeover;
 };
 
-bool
-Attempt::OnHead(int aStatus, const std::vector<HttpField>& aFields)
-{
-  TakeOver();
-  return mForwarder.OnHead(aStatus, aFields);
-}
-
-bool
-Attempt::OnEvents(std::string_view aEvents, uint64_t aLastId)
-{
-  return mForwarder.OnEvents(aEvents, aLastId);
-}
-
-bool
-Attempt::IsCallerDisconnected()
-{
-  return mForwarder.IsCallerDisconnected();
-}
-
-bool
-Attempt::OnStall(WaitingExchange& aExchange)
-{
-  mWaiting = &aExchange;
-  const bool takenOver = mForwarder.TryTakeover(*this);
-  mWaiting = nullptr;
-  if (takenOver) {
-    aExchange.Close();
-  }
-  return takenOver;
-}
-
-bool
-Attempt::IsSuperseded()
-{
-  for (const Attempt* it = mOuter; it != nullptr; it = it->mOuter) {
-    if (it->mWaiting->HasProgress()) {
-      return true;
-    }
-  }
-  return false;
-}
-
-void
-Attempt::TakeOver()
-{
-  for (Attempt* it = mOuter; it != nullptr; it = it->mOuter) {
-    it->mWaiting->Close();
-    it->mReplaced = true;
-  }
-}
-
 } // namespace
 
 ResultOrRefusal<void>
