--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -37,7 +37,7 @@
 Attempt::IsSuperseded()
 {
   for (const Attempt* it = mOuter; it != nullptr; it = it->mOuter) {
-    if (it->mWaiting->HasProgress()) {
+    if (!it->mReplaced && it->mWaiting->HasProgress()) {
       return true;
     }
   }
@@ -48,8 +48,10 @@
 Attempt::TakeOver()
 {
   for (Attempt* it = mOuter; it != nullptr; it = it->mOuter) {
-    it->mWaiting->Close();
-    it->mReplaced = true;
+    if (!it->mReplaced) {
+      it->mReplaced = true;
+      it->mWaiting->Close();
+    }
   }
 }
 
