Let the pool hand out only usable connections

Http, CallDoesNotFailForAClosedIdleConnection and the tests of exchanges and attempts pass as before.

--- a/src/core/http.cc
+++ b/src/core/http.cc
@@ -100,9 +100,6 @@
                     "" };
   }
   SessionPool::Session session = mPool.Acquire(aEndpoint);
-  if (session->connected() && !session->IsReusable()) {
-    session = mPool.CreateSession(aEndpoint); // closed while it was idle
-  }
   BOOST_OUTCOME_TRY(Connect(*session, aEndpoint, timeLeft));
   try {
     BOOST_OUTCOME_TRY(Send(*session, aRequest));
--- a/src/core/sessionpool.cc
+++ b/src/core/sessionpool.cc
@@ -112,6 +112,14 @@
 
 SessionPool::Session
 SessionPool::Acquire(const Endpoint& aEndpoint)
+{
+  Session session = TakeIdle(aEndpoint);
+  return session != nullptr && session->IsReusable() ? std::move(session)
+                                                     : CreateSession(aEndpoint);
+}
+
+SessionPool::Session
+SessionPool::TakeIdle(const Endpoint& aEndpoint)
 {
   Shard& shard = ShardFor(aEndpoint);
   const std::lock_guard guard(shard.mLock);
@@ -120,7 +128,7 @@
   std::erase_if(idle,
                 [&](const IdleSession& it) { return it.mExpiresAt <= now; });
   if (idle.empty()) {
-    return CreateSession(aEndpoint);
+    return nullptr;
   }
   Session session = std::move(idle.back().mSession);
   idle.pop_back();
--- a/src/core/sessionpool.h
+++ b/src/core/sessionpool.h
@@ -96,7 +96,8 @@
   explicit SessionPool(const Clock& aClock,
                        std::shared_ptr<const TlsContext> aTls = nullptr);
 
-  /// @return an idle connection, or a new one that is not yet open
+  /// @return an idle connection that is still open and has no unread bytes, or
+  ///         a new one that is not yet open
   Session Acquire(const Endpoint& aEndpoint);
 
   /// @return a new connection that is not yet open
@@ -124,6 +125,8 @@
 
   static constexpr size_t kShardCount = 16;
 
+  /// @return the connection that became idle last, or null
+  Session TakeIdle(const Endpoint& aEndpoint);
   Shard& ShardFor(const Endpoint& aEndpoint);
 
   const Clock& mClock;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -125,9 +125,6 @@
     mSession = mRequest.mNewConnection
                  ? mDependencies.mPool.CreateSession(address)
                  : mDependencies.mPool.Acquire(address);
-    if (mSession->connected() && !mSession->IsReusable()) {
-      mSession = mDependencies.mPool.CreateSession(address);
-    }
     mReport.mReused = mSession->connected();
     const Duration remaining =
       TimeLeft(mRequest.mDeadline, mDependencies.mClock.Now());
--- a/src/serve/attempt.cc
+++ b/src/serve/attempt.cc
@@ -41,7 +41,7 @@
     , mRequest(aRequest)
     , mSink(aSink)
     , mSession(aRequest.mNewConnection ? aPool.CreateSession(aRequest.mTarget)
-                                       : TakeUsable(aPool, aRequest.mTarget))
+                                       : aPool.Acquire(aRequest.mTarget))
   {
     mReport.mReused = mSession->connected();
   }
@@ -100,16 +100,6 @@
     return IsUsable(facts);
   }
 
-  /// @return a pooled connection that is still open and has no unread bytes,
-  ///         or a new one
-  static SessionPool::Session TakeUsable(SessionPool& aPool,
-                                         const Endpoint& aTo)
-  {
-    SessionPool::Session session = aPool.Acquire(aTo);
-    const bool usable = !session->connected() || session->IsReusable();
-    return usable ? std::move(session) : aPool.CreateSession(aTo);
-  }
-
   void SetTransferLimits(Duration aLeft)
   {
     mSession->SetTimeouts(aLeft);
