--- a/src/core/sessionpool.cc
+++ b/src/core/sessionpool.cc
@@ -103,6 +103,19 @@
   return n > 0 ? static_cast<size_t>(n) : 0;
 }
 
+std::optional<std::string_view>
+HttpSession::PeekRaw(std::span<char> aBuffer)
+{
+  const ssize_t n = ::recv(socket().impl()->sockfd(),
+                           aBuffer.data(),
+                           aBuffer.size(),
+                           MSG_PEEK | MSG_DONTWAIT);
+  if (n < 0) {
+    return std::nullopt;
+  }
+  return std::string_view(aBuffer.data(), static_cast<size_t>(n));
+}
+
 SessionPool::SessionPool(const Clock& aClock,
                          std::shared_ptr<const TlsContext> aTls)
   : mClock(aClock)
--- a/src/core/sessionpool.h
+++ b/src/core/sessionpool.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -77,6 +78,12 @@
   ///        transfer
   size_t ReadRaw(std::span<char> aBuffer);
 
+  /// Copies bytes that have arrived at the socket and were not read yet. They
+  /// stay unread.
+  /// @return the bytes, which are none at the end of the connection; nothing if
+  ///         none have arrived or the connection failed
+  std::optional<std::string_view> PeekRaw(std::span<char> aBuffer);
+
   /// @return when the session object was created, which precedes its connecting
   TimePoint CreatedAt() const { return mCreatedAt; }
 
--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -5,7 +5,7 @@
 bool
 Attempt::OnHead(int aStatus, const std::vector<HttpField>& aFields)
 {
-  TakeOver();
+  ReplaceOuter();
   return mOwner.OnHead(aStatus, aFields);
 }
 
@@ -22,37 +22,9 @@
 }
 
 bool
-Attempt::OnStall(WaitingExchange& aExchange)
+Attempt::OnStall(WaitingTransfer& aExchange)
 {
-  mWaiting = &aExchange;
-  const bool takenOver = mOwner.TryTakeover(*this);
-  mWaiting = nullptr;
-  if (takenOver) {
-    aExchange.Close();
-  }
-  return takenOver;
-}
-
-bool
-Attempt::IsSuperseded()
-{
-  for (const Attempt* it = mOuter; it != nullptr; it = it->mOuter) {
-    if (!it->mReplaced && it->mWaiting->HasProgress()) {
-      return true;
-    }
-  }
-  return false;
-}
-
-void
-Attempt::TakeOver()
-{
-  for (Attempt* it = mOuter; it != nullptr; it = it->mOuter) {
-    if (!it->mReplaced) {
-      it->mReplaced = true;
-      it->mWaiting->Close();
-    }
-  }
+  return RunInner(aExchange, [this] { return mOwner.TryTakeover(*this); });
 }
 
 } // namespace hibiscushold
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -26,10 +26,10 @@
   virtual bool TryTakeover(Attempt& aStalled) = 0;
 };
 
-/// One attempt of a request. An attempt that is started because the target of
-/// another one is stalled runs within it; that one ends once a response to the
-/// new attempt has begun, and goes on if the new attempt fails.
-class Attempt final : public StreamSink
+/// One attempt of a request at one target.
+class Attempt final
+  : public StreamSink
+  , public NestedAttempt
 {
 public:
   /// @param aOuter the attempt with the stalled target, or null
@@ -37,32 +37,26 @@
           const FleetTarget& aTarget,
           uint32_t aInFlight,
           Attempt* aOuter)
-    : mTarget(aTarget)
+    : NestedAttempt(aOuter)
+    , mTarget(aTarget)
     , mInFlight(aInFlight)
     , mOwner(aOwner)
-    , mOuter(aOuter)
   {
   }
 
   bool OnHead(int aStatus, const std::vector<HttpField>& aFields) override;
   bool OnEvents(std::string_view aEvents, uint64_t aLastId) override;
   bool IsCallerDisconnected() override;
-  bool OnStall(WaitingExchange& aExchange) override;
-  bool IsSuperseded() override;
-
-  /// Closes the exchanges of the attempts that this one replaces.
-  void TakeOver();
+  bool OnStall(WaitingTransfer& aExchange) override;
+  bool IsSuperseded() override { return HasOuterProgress(); }
 
   const FleetTarget& mTarget;
   const uint32_t mInFlight; ///< requests at the target when it was chosen
   bool mCounted = false;    ///< in the attempts that were sent
   bool mAvoided = false;    ///< new requests are kept away from the target
-  bool mReplaced = false;   ///< its exchange was closed by another attempt
 
 private:
   AttemptOwner& mOwner;
-  Attempt* const mOuter;
-  WaitingExchange* mWaiting = nullptr; ///< set while an inner attempt runs
 };
 
 } // namespace hibiscushold
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -8,9 +8,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketImpl.h>
 #include <Poco/String.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -63,7 +61,7 @@
 };
 
 /// State of one exchange.
-class Exchange final : public WaitingExchange
+class Exchange final : public WaitingTransfer
 {
 public:
   Exchange(const ExchangeDependencies& aDependencies,
@@ -100,16 +98,14 @@
   bool HasProgress() const override
   {
     std::array<char, kMaxPeekedBytes> buf;
-    const ssize_t n = ::recv(mSession->socket().impl()->sockfd(),
-                             buf.data(),
-                             buf.size(),
-                             MSG_PEEK | MSG_DONTWAIT);
-    if (n == 0) {
+    const std::optional<std::string_view> unread = mSession->PeekRaw(buf);
+    if (!unread) {
+      return false;
+    }
+    if (unread->empty()) {
       return mAwaited.mEndsWithConnection;
     }
-    return n > 0 && IsProgress({ buf.data(), static_cast<size_t>(n) },
-                               static_cast<size_t>(n) == buf.size(),
-                               mAwaited);
+    return IsProgress(*unread, unread->size() == buf.size(), mAwaited);
   }
 
   void Close() override
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/http.h"
+#include "core/nestedattempt.h"
 #include "core/sessionpool.h"
 #include "fleet/targetchoice.h"
 #include "fleet/targetloads.h"
@@ -77,20 +78,6 @@
   std::string mDetail;     ///< what went wrong, for the log
 };
 
-/// An exchange that waits for its target while another attempt of the same
-/// request runs.
-class WaitingExchange
-{
-public:
-  virtual ~WaitingExchange() = default;
-
-  /// @return whether unread bytes have arrived that can serve the caller
-  virtual bool HasProgress() const = 0;
-
-  /// Closes the connection to the target.
-  virtual void Close() = 0;
-};
-
 /// Receives the events of a stream as they arrive, and decides how long an
 /// exchange waits for its target.
 class StreamSink
@@ -111,7 +98,7 @@
 
   /// Called at intervals while the target is stalled; may run another attempt.
   /// @return whether another target has taken over, which ends this exchange
-  virtual bool OnStall(WaitingExchange& aExchange) = 0;
+  virtual bool OnStall(WaitingTransfer& aExchange) = 0;
 
   /// Called at intervals until the first event.
   /// @return whether the target that this attempt was to replace has made
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -151,7 +151,7 @@
     const bool answered = report.mOutcome == ExchangeOutcome::Answered &&
                           report.mResponse.mStatus < 500 &&
                           !mWriter.HasStarted();
-    if (!mTakeover && (answered || aStalled.mReplaced)) {
+    if (!mTakeover && (answered || aStalled.IsReplaced())) {
       mTakeover = std::move(report);
     }
     return mTakeover.has_value();
--- a/src/serve/attempt.cc
+++ b/src/serve/attempt.cc
@@ -4,11 +4,10 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketImpl.h>
-#include <sys/socket.h>
 
 #include <array>
 #include <istream>
+#include <optional>
 #include <ostream>
 #include <sstream>
 
@@ -68,19 +67,15 @@
   bool HasProgress() const override
   {
     std::array<char, kMaxPeekedBytes> buf;
-    const ssize_t n = ::recv(mSession->socket().impl()->sockfd(),
-                             buf.data(),
-                             buf.size(),
-                             MSG_PEEK | MSG_DONTWAIT);
-    if (n <= 0) {
+    const std::optional<std::string_view> unread = mSession->PeekRaw(buf);
+    if (!unread || unread->empty()) {
       return false;
     }
-    const std::string_view text(buf.data(), static_cast<size_t>(n));
     // The start of the head may have been read already.
-    if (mFacts.mHeaderRead || !text.starts_with(kHeadStart)) {
+    if (mFacts.mHeaderRead || !unread->starts_with(kHeadStart)) {
       return true;
     }
-    return text.find(kHeadEnd) != text.npos && IsUsableHead(text);
+    return unread->find(kHeadEnd) != unread->npos && IsUsableHead(*unread);
   }
 
   void Close() override { mSession->reset(); }
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/http.h"
+#include "core/nestedattempt.h"
 #include "core/sessionpool.h"
 #include "serve/attemptoutcome.h"
 #include "serve/request.h"
@@ -53,19 +54,11 @@
 
 /// An attempt that waits for its silent target while another attempt of the
 /// same request runs.
-class WaitingAttempt
+class WaitingAttempt : public WaitingTransfer
 {
 public:
-  virtual ~WaitingAttempt() = default;
-
   /// @return whether the connection came from the pool
   virtual bool IsReused() const = 0;
-
-  /// @return whether unread bytes of a usable response have arrived
-  virtual bool HasProgress() const = 0;
-
-  /// Closes the connection to the target.
-  virtual void Close() = 0;
 };
 
 /// Receives the events of one attempt, and decides how long it waits for a
--- a/src/serve/requestrun.cc
+++ b/src/serve/requestrun.cc
@@ -18,10 +18,10 @@
 
 class RequestRun;
 
-/// One attempt of a request. An attempt that is started because the target of
-/// another one is silent runs within it; that one ends once a response to the
-/// new attempt has begun, and goes on if the new attempt fails.
-class TargetAttempt final : public AttemptSink
+/// One attempt of a request at one target.
+class TargetAttempt final
+  : public AttemptSink
+  , public NestedAttempt
 {
 public:
   /// @param aOuter the attempt with the silent target, or null
@@ -29,9 +29,9 @@
                 InFlightTable& aInFlight,
                 const Candidate& aCandidate,
                 TargetAttempt* aOuter)
-    : mCandidate(aCandidate)
+    : NestedAttempt(aOuter)
+    , mCandidate(aCandidate)
     , mRun(aRun)
-    , mOuter(aOuter)
     , mInFlight(std::in_place, aInFlight, aCandidate.mId)
   {
   }
@@ -39,10 +39,7 @@
   bool OnEvent(std::string_view aEvent) override;
   bool IsCallerDisconnected() override;
   bool OnSilence(WaitingAttempt& aAttempt) override;
-  bool IsSuperseded() override;
-
-  /// Closes the connections of the attempts that this one replaces.
-  void TakeOver();
+  bool IsSuperseded() override { return HasOuterProgress(); }
 
   /// Ends the count of the attempt as one that runs at its target.
   void LeaveTarget() { mInFlight.reset(); }
@@ -51,13 +48,12 @@
   bool mHasEvents = false;   ///< it has passed an event to the caller
   bool mSilenceSeen = false; ///< the target has been silent before
   bool mReconnected = false; ///< sent again on a new connection
-  bool mReplaced = false;    ///< its connection was closed by another attempt
 
 private:
+  void OnReplaced() override { LeaveTarget(); }
+
   RequestRun& mRun;
-  TargetAttempt* const mOuter;
   std::optional<InFlightTable::ScopedCount> mInFlight; ///< none once replaced
-  WaitingAttempt* mWaiting = nullptr; ///< set while an inner attempt runs
 };
 
 /// State of one request over all its attempts.
@@ -139,7 +135,7 @@
     mIsResumeRejected = mIsResumeRejected ||
                         ending->mReport.mOutcome == AttemptOutcome::NotResumed;
     const bool answered = ending->mReport.mOutcome == AttemptOutcome::Answered;
-    if (!mTakeover && (answered || aSilent.mReplaced)) {
+    if (!mTakeover && (answered || aSilent.IsReplaced())) {
       mTakeover = std::move(ending);
     }
     return mTakeover.has_value();
@@ -329,7 +325,7 @@
 bool
 TargetAttempt::OnEvent(std::string_view aEvent)
 {
-  TakeOver();
+  ReplaceOuter();
   mHasEvents = true;
   return mRun.OnEvent(aEvent);
 }
@@ -343,33 +339,7 @@
 bool
 TargetAttempt::OnSilence(WaitingAttempt& aAttempt)
 {
-  mWaiting = &aAttempt;
-  const bool replaced = mRun.TryTakeover(*this, aAttempt);
-  mWaiting = nullptr;
-  return replaced;
-}
-
-bool
-TargetAttempt::IsSuperseded()
-{
-  for (const TargetAttempt* it = mOuter; it != nullptr; it = it->mOuter) {
-    if (!it->mReplaced && it->mWaiting->HasProgress()) {
-      return true;
-    }
-  }
-  return false;
-}
-
-void
-TargetAttempt::TakeOver()
-{
-  for (TargetAttempt* it = mOuter; it != nullptr; it = it->mOuter) {
-    if (!it->mReplaced) {
-      it->mReplaced = true;
-      it->mWaiting->Close();
-      it->LeaveTarget();
-    }
-  }
+  return RunInner(aAttempt, [&] { return mRun.TryTakeover(*this, aAttempt); });
 }
 
 } // namespace
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -52,7 +52,7 @@
   }
 
   bool IsCallerDisconnected() override { return mDisconnected; }
-  bool OnStall(WaitingExchange&) override { return false; }
+  bool OnStall(WaitingTransfer&) override { return false; }
   bool IsSuperseded() override { return false; }
 
   int mStatus = 0;
