Look up a request's targets and extend a target's times in one place

The look-up of the targets of a service stood in the choice and in the time to retry after, the same extension of a time in three functions of TargetLoads. The outcome of an order looks its VM up once.

--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -111,7 +111,11 @@
   const bool hasLeft =
     aOrder.mKind == OrderKind::Leave && (aOutcome == OrderOutcome::Accepted ||
                                          aOutcome == OrderOutcome::AlreadyDone);
-  if (hasLeft && IsHead(aState, aOrder.mGroup, aOrder.mVmId)) {
+  if (!hasLeft) {
+    return;
+  }
+  PlannedVm& planned = aState.mVms[aOrder.mVmId];
+  if (IsHead(aState, aOrder.mGroup, aOrder.mVmId)) {
     for (auto& [id, vm] : aState.mVms) {
       if (vm.mLockedGroup == aOrder.mGroup) {
         vm.mLockedUntil = {};
@@ -120,9 +124,8 @@
     aState.mUnreachableHeads.erase(aOrder.mGroup);
     aState.mDissolved[aOrder.mGroup] = aTimes.mEndedAt + kOrderRepeatInterval;
     aState.mGroups.erase(aOrder.mGroup);
-  } else if (hasLeft &&
-             aState.mVms[aOrder.mVmId].mLockedGroup == aOrder.mGroup) {
-    aState.mVms[aOrder.mVmId].mHasLeft = true;
+  } else if (planned.mLockedGroup == aOrder.mGroup) {
+    planned.mHasLeft = true;
   }
 }
 
--- a/src/fleet/targetloads.cc
+++ b/src/fleet/targetloads.cc
@@ -199,28 +199,19 @@
 void
 TargetLoads::AvoidUntil(const std::string& aTarget, TimePoint aUntil)
 {
-  Shard& shard = ShardOf(aTarget);
-  const std::lock_guard guard(shard.mLock);
-  TargetLoad& load = shard.mLoads[aTarget];
-  load.mAvoidUntil = std::max(load.mAvoidUntil, aUntil);
+  Extend(aTarget, &TargetLoad::mAvoidUntil, aUntil);
 }
 
 void
 TargetLoads::AvoidStalledUntil(const std::string& aTarget, TimePoint aUntil)
 {
-  Shard& shard = ShardOf(aTarget);
-  const std::lock_guard guard(shard.mLock);
-  TargetLoad& load = shard.mLoads[aTarget];
-  load.mAvoidStalledUntil = std::max(load.mAvoidStalledUntil, aUntil);
+  Extend(aTarget, &TargetLoad::mAvoidStalledUntil, aUntil);
 }
 
 void
 TargetLoads::RecordQuiet(const std::string& aTarget, TimePoint aUntil)
 {
-  Shard& shard = ShardOf(aTarget);
-  const std::lock_guard guard(shard.mLock);
-  TargetLoad& load = shard.mLoads[aTarget];
-  load.mQuietUntil = std::max(load.mQuietUntil, aUntil);
+  Extend(aTarget, &TargetLoad::mQuietUntil, aUntil);
 }
 
 void
@@ -239,6 +230,17 @@
   return !std::exchange(shard.mLoads[aTarget].mSentBadHeader, true);
 }
 
+void
+TargetLoads::Extend(const std::string& aTarget,
+                    TimePoint TargetLoad::*aEnd,
+                    TimePoint aUntil)
+{
+  Shard& shard = ShardOf(aTarget);
+  const std::lock_guard guard(shard.mLock);
+  TimePoint& end = shard.mLoads[aTarget].*aEnd;
+  end = std::max(end, aUntil);
+}
+
 TargetLoads::Shard&
 TargetLoads::ShardOf(const std::string& aTarget)
 {
--- a/src/fleet/targetloads.h
+++ b/src/fleet/targetloads.h
@@ -36,7 +36,9 @@
   TimePoint mFirstEventAt;      ///< when mFirstEventMillis was last updated
 };
 
-/// @return when the target is chosen for new requests again
+/// @return when this node stops avoiding the target for new requests; the
+/// target
+///         may ask for quiet for longer
 TimePoint
 EndOfAvoidance(const TargetLoad& aLoad);
 
@@ -123,6 +125,11 @@
     std::map<std::string, TargetLoad> mLoads;
   };
 
+  /// Moves the end of a time of the target to aUntil, unless it is later.
+  void Extend(const std::string& aTarget,
+              TimePoint TargetLoad::*aEnd,
+              TimePoint aUntil);
+
   Shard& ShardOf(const std::string& aTarget);
   const Shard& ShardOf(const std::string& aTarget) const;
 
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -159,21 +159,26 @@
 
 private:
   const FleetTarget* Choose(const FleetTargets& aTargets)
+  {
+    const std::span<const FleetTarget> targets = TargetsOf(aTargets);
+    return ChooseTarget(
+      targets, mDependencies.mLoads, MakeChoiceInput(targets), mExcluded);
+  }
+
+  /// @return the targets of the request's service
+  std::span<const FleetTarget> TargetsOf(const FleetTargets& aTargets) const
   {
     const auto found = aTargets.mByService.find(mRequest.mService);
-    if (found == aTargets.mByService.end() || found->second.empty()) {
-      return nullptr;
-    }
-    return ChooseTarget(found->second,
-                        mDependencies.mLoads,
-                        MakeChoiceInput(found->second),
-                        mExcluded);
+    return found == aTargets.mByService.end()
+             ? std::span<const FleetTarget>()
+             : std::span<const FleetTarget>(found->second);
   }
 
-  /// @param aTargets of the request's service, at least one
+  /// @param aTargets of the request's service
   ChoiceInput MakeChoiceInput(std::span<const FleetTarget> aTargets) const
   {
-    const bool servesModels = !aTargets.front().mModel.empty();
+    const bool servesModels =
+      !aTargets.empty() && !aTargets.front().mModel.empty();
     return { mDependencies.mZone,
              servesModels ? std::string_view(mRequest.mModel) : "",
              mDependencies.mClock.Now(),
@@ -430,17 +435,15 @@
   /// @return at least aMillis; longer while all targets ask for quiet
   uint32_t RetryAfterMillis(uint32_t aMillis) const
   {
-    const FleetTargetsPtr targets = mDependencies.mTargets();
-    const auto found = targets->mByService.find(mRequest.mService);
-    Duration quiet{ 0 };
-    if (found != targets->mByService.end() && !found->second.empty()) {
-      const ChoiceInput input = MakeChoiceInput(found->second);
-      const std::optional<TimePoint> end =
-        EndOfQuiet(found->second, mDependencies.mLoads, input);
-      quiet = end ? *end - input.mNow : quiet;
-    }
-    const auto quietMillis = static_cast<uint32_t>(ToMillis(quiet));
-    return std::max({ aMillis, kOverloadRetryMillis, quietMillis });
+    const FleetTargetsPtr all = mDependencies.mTargets();
+    const std::span<const FleetTarget> targets = TargetsOf(*all);
+    const ChoiceInput input = MakeChoiceInput(targets);
+    const std::optional<TimePoint> end =
+      EndOfQuiet(targets, mDependencies.mLoads, input);
+    const Duration quiet = end ? *end - input.mNow : Duration::zero();
+    return std::max({ aMillis,
+                      kOverloadRetryMillis,
+                      static_cast<uint32_t>(ToMillis(quiet)) });
   }
 
   const GatewayDependencies& mDependencies;
