--- a/src/core/workqueue.cc
+++ b/src/core/workqueue.cc
@@ -2,11 +2,9 @@
 
 namespace hibiscushold {
 
-WorkQueue::WorkQueue(size_t aThreads)
+WorkQueue::WorkQueue(size_t aMaxThreads)
+  : mMaxThreads(aMaxThreads)
 {
-  for (size_t n = 0; n < aThreads; ++n) {
-    mThreads.emplace_back([this] { Run(); });
-  }
 }
 
 WorkQueue::~WorkQueue()
@@ -24,6 +22,9 @@
   {
     const std::lock_guard guard(mLock);
     mTasks.push_back(std::move(aTask));
+    if (mTasks.size() > mIdleThreads && mThreads.size() < mMaxThreads) {
+      mThreads.emplace_back([this] { Run(); });
+    }
   }
   mChanged.notify_one();
 }
@@ -35,7 +36,9 @@
     std::function<void()> task;
     {
       std::unique_lock guard(mLock);
+      ++mIdleThreads;
       mChanged.wait(guard, [this] { return mStopping || !mTasks.empty(); });
+      --mIdleThreads;
       if (mStopping) {
         return;
       }
--- a/src/core/workqueue.h
+++ b/src/core/workqueue.h
@@ -9,12 +9,13 @@
 
 namespace hibiscushold {
 
-/// A thread pool with a FIFO queue. The destructor waits for running tasks and
-/// discards queued ones.
+/// A thread pool with a FIFO queue, which starts its threads when there is work
+/// for them. The destructor waits for running tasks and discards queued ones.
 class WorkQueue
 {
 public:
-  explicit WorkQueue(size_t aThreads);
+  /// @param aMaxThreads tasks that run at once
+  explicit WorkQueue(size_t aMaxThreads);
   ~WorkQueue();
 
   WorkQueue(const WorkQueue&) = delete;
@@ -25,9 +26,11 @@
 private:
   void Run();
 
-  std::mutex mLock;
+  const size_t mMaxThreads;
+  std::mutex mLock; ///< guards the members below
   std::condition_variable mChanged;
   std::deque<std::function<void()>> mTasks;
+  size_t mIdleThreads = 0;
   bool mStopping = false;
   std::vector<std::jthread> mThreads;
 };
--- /dev/null
+++ b/test/workqueue-test.cc
@@ -0,0 +1,81 @@
+#include "core/clock.h"
+#include "core/workqueue.h"
+
+#include <atomic>
+#include <filesystem>
+#include <iterator>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+
+namespace {
+
+size_t
+CountThreads()
+{
+  const std::filesystem::directory_iterator tasks("/proc/self/task");
+  return static_cast<size_t>(std::distance(begin(tasks), end(tasks)));
+}
+
+} // namespace
+
+TEST_GROUP(WorkQueue)
+{
+  std::atomic<int> mRunning{ 0 };
+  std::atomic<int> mMostRunning{ 0 };
+  std::atomic<int> mDone{ 0 };
+
+  void Work()
+  {
+    const int running = ++mRunning;
+    int most = mMostRunning;
+    while (running > most &&
+           !mMostRunning.compare_exchange_weak(most, running)) {
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    --mRunning;
+    ++mDone;
+  }
+
+  void WaitUntilDone(int aTasks) const
+  {
+    for (int n = 0; n < 500 && mDone < aTasks; ++n) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK_EQUAL(aTasks, mDone.load());
+  }
+};
+
+// Guards against threads that every node starts and only the planner uses.
+TEST(WorkQueue, StartsNoThreadWithoutWork)
+{
+  const size_t before = CountThreads();
+  const WorkQueue queue(24);
+  CHECK(CountThreads() <= before); // those of earlier tests may end
+}
+
+// Guards against tasks that wait although fewer than the limit run, and against
+// more than the limit.
+TEST(WorkQueue, RunsAsManyTasksAtOnceAsItMay)
+{
+  WorkQueue queue(3);
+  for (int n = 0; n < 7; ++n) {
+    queue.Add([this] { Work(); });
+  }
+  WaitUntilDone(7);
+  CHECK_EQUAL(3, mMostRunning.load());
+}
+
+// Guards against a thread for each task while others are idle.
+TEST(WorkQueue, UsesAnIdleThreadAgain)
+{
+  WorkQueue queue(24);
+  queue.Add([this] { Work(); });
+  WaitUntilDone(1);
+  std::this_thread::sleep_for(milliseconds(50));
+  const size_t before = CountThreads();
+  queue.Add([this] { Work(); });
+  WaitUntilDone(2);
+  CHECK(CountThreads() <= before); // those of earlier tests may end
+}
