Log the start, the listing and the parts of a prompt when a target breaks off

Neither the parts nor the start of the VM, which tells the ends of one id apart, were in the log, nor whether the platform still listed the target. Event 5010 has all three. The last part of a prompt belongs to the request and is left out.

--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -87,6 +87,21 @@
   return targets;
 }
 
+bool
+IsListed(const FleetTargets& aTargets,
+         std::string_view aService,
+         const FleetTarget& aTarget)
+{
+  const auto found = aTargets.mByService.find(aService);
+  return found != aTargets.mByService.end() &&
+         std::any_of(
+           found->second.begin(), found->second.end(), [&](const auto& it) {
+             return it.mVmId == aTarget.mVmId &&
+                    it.mStartedMillis == aTarget.mStartedMillis &&
+                    it.mGroup == aTarget.mGroup;
+           });
+}
+
 double
 RequestCost(const LoadedTarget& aTarget, const ChoiceInput& aInput)
 {
--- a/src/fleet/targetchoice.h
+++ b/src/fleet/targetchoice.h
@@ -40,6 +40,13 @@
 FleetTargets
 FindTargets(const FleetVms& aVms, const FleetConfig& aConfig);
 
+/// @return whether the targets of the service include this start of the VM, in
+///         the same group
+bool
+IsListed(const FleetTargets& aTargets,
+         std::string_view aService,
+         const FleetTarget& aTarget);
+
 /// A target and its known load.
 struct LoadedTarget
 {
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -2,6 +2,10 @@
 
 #include "observe/events.h"
 
+#include <algorithm>
+#include <span>
+#include <sstream>
+
 namespace hibiscushold {
 
 namespace {
@@ -10,6 +14,20 @@
 constexpr auto kStalledTargetAvoidance = milliseconds(1500);
 /// How long a target gets no requests after another VM answered at its address.
 constexpr auto kWrongVmAvoidance = milliseconds(1000);
+constexpr size_t kMaxLoggedParts = 8;
+
+/// @return the parts in hexadecimal, separated by commas
+std::string
+PartsText(std::span<const uint64_t> aParts)
+{
+  std::ostringstream text;
+  text << std::hex;
+  for (const uint64_t it :
+       aParts.first(std::min(aParts.size(), kMaxLoggedParts))) {
+    text << (text.tellp() > 0 ? "," : "") << it;
+  }
+  return text.str();
+}
 
 } // namespace
 
@@ -60,6 +78,21 @@
   }
 }
 
+void
+LogBreak(const GatewayDependencies& aDependencies,
+         const GatewayRequest& aRequest,
+         const FleetTarget& aTarget)
+{
+  const bool listed =
+    IsListed(*aDependencies.mTargets(), aRequest.mService, aTarget);
+  LogEvent(EventId::TargetBrokeOff,
+           { { "request", aRequest.mId },
+             { "vm", aTarget.mVmId },
+             { "start", std::to_string(aTarget.mStartedMillis) },
+             { "listed", listed ? "yes" : "no" },
+             { "parts", PartsText(aRequest.mSharedParts) } });
+}
+
 void
 LogAttempt(const GatewayDependencies& aDependencies,
            const GatewayRequest& aRequest,
--- a/src/gateway/attemptrecord.h
+++ b/src/gateway/attemptrecord.h
@@ -18,6 +18,12 @@
                    const FleetRoute& aRoute,
                    const FleetTarget& aTarget);
 
+/// Logs that a target ended its connection before the response was complete.
+void
+LogBreak(const GatewayDependencies& aDependencies,
+         const GatewayRequest& aRequest,
+         const FleetTarget& aTarget);
+
 /// Logs an attempt and counts its outcome.
 /// @param aInFlight requests at the target when it was chosen
 void
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -4,6 +4,7 @@
 #include "gateway/bodyreader.h"
 #include "gateway/callersession.h"
 #include "gateway/exchange.h"
+#include "gateway/promptparts.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
@@ -192,6 +193,8 @@
   request.mLastEvent = ParseNumber(aRequest.get(aProtocol.mLastEvent, "0"));
   request.mPromptTokens = static_cast<uint32_t>(
     ParseNumber(aRequest.get(aProtocol.mTokenCounts, "0")));
+  request.mSharedParts =
+    ParseSharedParts(aRequest.get(aProtocol.mPromptParts, ""));
   CopyFields(aRequest, aProtocol, request);
   if (!request.mAccount.empty()) {
     request.mFields.push_back({ aProtocol.mAccount, request.mAccount });
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -23,6 +23,8 @@
   std::string mModel;
   uint64_t mLastEvent = 0; ///< id of the last event the caller has received
   uint32_t mPromptTokens = 0;
+  /// Parts of the prompt that other requests may share; see ParseSharedParts.
+  std::vector<uint64_t> mSharedParts;
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   const FleetRoute* mRoute = nullptr; ///< points into mConfig
--- a/src/gateway/protocolnames.h
+++ b/src/gateway/protocolnames.h
@@ -21,9 +21,10 @@
     mTokenCounts;        ///< request: prompt tokens and maximum output tokens
   std::string mPriority; ///< request to an engine: its priority
   int mMisdirected = 0;  ///< status code: the address now belongs to another VM
-  std::string mLeaving{};    ///< response: "1" if the target is about to leave
-  std::string mRetryAfter{}; ///< response with status 503: seconds for which
-                             ///< the target wants no requests from this node
+  std::string mLeaving{};     ///< response: "1" if the target is about to leave
+  std::string mRetryAfter{};  ///< response with status 503: seconds for which
+                              ///< the target wants no requests from this node
+  std::string mPromptParts{}; ///< request: the parts of its prompt, in order
 };
 
 } // namespace hibiscushold
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -291,6 +291,9 @@
     RecordOutcome(mDependencies, aTarget, report);
     LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mInFlight);
     if (WasSent(report)) {
+      if (report.mOutcome == ExchangeOutcome::Broken) {
+        LogBreak(mDependencies, mRequest, aTarget);
+      }
       CountAttempt(attempt);
       const bool notRun = report.mOutcome == ExchangeOutcome::NotRun ||
                           report.mOutcome == ExchangeOutcome::WrongVm;
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -102,6 +102,9 @@
   EventType{ EventId::HeaderInvalid,
              "header_invalid",
              log4cplus::WARN_LOG_LEVEL },
+  EventType{ EventId::TargetBrokeOff,
+             "target_broke_off",
+             log4cplus::INFO_LOG_LEVEL },
 };
 
 std::atomic<bool> gIsJson{ false };
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -47,6 +47,7 @@
   RequestUnreadable = 5007,
   ConnectionsRefused = 5008,
   HeaderInvalid = 5009,
+  TargetBrokeOff = 5010,
 };
 
 /// Name and value of a field of an event.
