--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -169,10 +169,10 @@
   SessionPool mSessions{ mClock };
   TargetLoads mLoads;
   ServiceRetryBudget mRetryBudget{ { 0.2, milliseconds(10000), 100 } };
-  const ProtocolNames mProtocol{ "Id",         "Wait", "Last",    "Proof",
-                                 "Account",    "Vm",   "Not-Run", "Model",
-                                 "Tokens",     "Rank", 421,       "Leaving",
-                                 "Retry-After" };
+  const ProtocolNames mProtocol{ "Id",          "Wait", "Last",    "Proof",
+                                 "Account",     "Vm",   "Not-Run", "Model",
+                                 "Tokens",      "Rank", 421,       "Leaving",
+                                 "Retry-After", "Parts" };
   Metrics mMetrics;
   std::atomic<bool> mStopping{ false };
   std::atomic<bool> mRefusingRequests{ false };
