--- /dev/null
+++ b/src/fleet/crashevidence.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace hibiscushold {
+
+/// What requests can have in common that crashes targets: a shared part of
+/// their prompts, or their whole content.
+using TraitId = uint64_t;
+
+/// The traits of one request.
+struct RequestTraits
+{
+  TraitId mContent = 0; ///< hash of the whole request; repeats have the same
+  std::vector<TraitId> mParts; ///< shared parts of its prompt, in order
+};
+
+/// The rank of a request's whole content; parts of a prompt rank by their
+/// position, so that later ones, which fewer requests share, rank higher.
+inline constexpr uint8_t kContentRank = 255;
+inline constexpr uint8_t kMaxPartRank = 254;
+
+/// The end of a target while a request with a trait was at it.
+struct Crash
+{
+  uint64_t mTarget = 0;  ///< identifies one start of a VM
+  TraitId mContent = 0;  ///< of the request
+  TimePoint mAt;         ///< when it was first noticed
+  bool mRefuted = false; ///< the trait or the target turned out to be sound
+
+  bool operator==(const Crash&) const = default;
+};
+
+/// What speaks against a trait.
+struct Suspect
+{
+  uint8_t mRank = 0;
+  std::vector<Crash> mCrashes; ///< at most one for each target
+};
+
+using Suspects = std::map<TraitId, Suspect>;
+
+/// Crashes that a trait needs to count as their cause.
+inline constexpr size_t kMinCrashes = 3;
+/// Targets that end within this time of each other may have one common cause,
+/// such as the loss of a zone, and count as one crash.
+inline constexpr auto kMinCrashDistance = milliseconds(100);
+
+/// Counts crashes that happened apart from each other. A part of a prompt needs
+/// another request for each of them, as one request alone doesn't tell which of
+/// its traits is the cause.
+/// @param aRank of the trait
+/// @param aCrashes without refuted ones
+size_t
+CountCrashes(uint8_t aRank, std::span<const Crash> aCrashes);
+
+/// Finds the traits that explain the most crashes. A crash that one of them
+/// explains says nothing about the other requests at the same target, so traits
+/// that were only nearby are left out.
+/// @param aKnown culprits found before, which are kept while enough crashes
+///               speak against them: as they no longer reach targets, others
+///               may have more by now
+/// @return the traits that crash targets
+std::set<TraitId>
+FindCulprits(const Suspects& aSuspects, const std::set<TraitId>& aKnown);
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/fleet/quarantine.cc
@@ -0,0 +1,334 @@
+#include "fleet/quarantine.h"
+
+#include "core/hash.h"
+#include "observe/events.h"
+
+#include <algorithm>
+#include <sstream>
+#include <string>
+
+namespace hibiscushold {
+
+namespace {
+
+/// How long crashes of a trait count that is not quarantined.
+constexpr auto kSuspicionTime = seconds(60);
+/// How long a trait is quarantined after the crashes that prove it.
+constexpr auto kQuarantineTime = seconds(300);
+constexpr size_t kMaxCrashesPerSuspect = 8;
+constexpr size_t kMaxPartsPerCrash = 64;
+constexpr size_t kMaxStrongNotices = 96;
+
+std::string
+Hex(TraitId aTrait)
+{
+  std::ostringstream text;
+  text << std::hex << aTrait;
+  return text.str();
+}
+
+std::vector<Crash>
+NotRefuted(const Suspect& aSuspect)
+{
+  std::vector<Crash> crashes;
+  std::copy_if(aSuspect.mCrashes.begin(),
+               aSuspect.mCrashes.end(),
+               std::back_inserter(crashes),
+               [](const Crash& it) { return !it.mRefuted; });
+  return crashes;
+}
+
+/// @return when too few crashes will be left to keep the trait quarantined
+TimePoint
+EndOf(const Suspect& aCulprit)
+{
+  std::vector<Crash> crashes = NotRefuted(aCulprit);
+  std::sort(crashes.begin(), crashes.end(), [](const auto& aL, const auto& aR) {
+    return aL.mAt > aR.mAt;
+  });
+  return crashes[kMinCrashes - 1].mAt + kQuarantineTime;
+}
+
+void
+AppendNotices(TraitId aTrait,
+              const Suspect& aSuspect,
+              std::vector<CrashNotice>& aInto)
+{
+  for (const Crash& it : aSuspect.mCrashes) {
+    aInto.push_back({ aTrait, aSuspect.mRank, it });
+  }
+}
+
+} // namespace
+
+uint64_t
+TargetStartId(std::string_view aVmId, uint64_t aStartedMillis)
+{
+  return Hash64(std::to_string(aStartedMillis), Hash64(aVmId));
+}
+
+void
+Quarantine::RecordCrash(const RequestTraits& aTraits,
+                        uint64_t aTarget,
+                        TimePoint aNow)
+{
+  const Crash crash{ aTarget, aTraits.mContent, aNow };
+  const std::lock_guard guard(mLock);
+  const auto accuse = [&](TraitId aTrait, uint8_t aRank, SoundTraits& aSound) {
+    const bool sound = aSound.IsSound(aTrait, aNow);
+    aSound.RecordCrash(aTrait, aNow);
+    if (!sound) {
+      Add({ aTrait, aRank, crash }, aNow);
+    }
+  };
+  accuse(aTraits.mContent, kContentRank, mSoundContents);
+  for (size_t n = 0; n < std::min(aTraits.mParts.size(), kMaxPartsPerCrash);
+       ++n) {
+    const size_t rank = std::min<size_t>(n, kMaxPartRank);
+    accuse(aTraits.mParts[n], static_cast<uint8_t>(rank), mSoundParts);
+  }
+  UpdateCulprits();
+}
+
+void
+Quarantine::RecordAnswer(const RequestTraits& aTraits, TimePoint aNow)
+{
+  mSoundContents.RecordAnswer(aTraits.mContent, aNow);
+  for (const TraitId it : aTraits.mParts) {
+    mSoundParts.RecordAnswer(it, aNow);
+  }
+  if (mSuspectCount == 0) {
+    return;
+  }
+  const std::lock_guard guard(mLock);
+  const auto always = [](const Crash&) { return true; };
+  Refute(aTraits.mContent, always, aNow);
+  for (const TraitId it : aTraits.mParts) {
+    Refute(it, always, aNow);
+  }
+  UpdateCulprits();
+}
+
+void
+Quarantine::RecordAlive(uint64_t aTarget, TimePoint aSentAt, TimePoint aNow)
+{
+  if (mSuspectCount == 0) {
+    return;
+  }
+  const std::lock_guard guard(mLock);
+  if (!mEndedTargets.contains(aTarget)) {
+    return;
+  }
+  for (const auto& [trait, suspect] : mSuspects) {
+    Refute(
+      trait,
+      [&](const Crash& it) {
+        return it.mTarget == aTarget && it.mAt < aSentAt;
+      },
+      aNow);
+  }
+  UpdateCulprits();
+}
+
+void
+Quarantine::Merge(std::span<const CrashNotice> aNotices, TimePoint aNow)
+{
+  const std::lock_guard guard(mLock);
+  for (CrashNotice it : aNotices) {
+    SoundTraits& sound =
+      it.mRank == kContentRank ? mSoundContents : mSoundParts;
+    it.mCrash.mRefuted = it.mCrash.mRefuted || sound.IsSound(it.mTrait, aNow);
+    Add(it, aNow);
+  }
+  UpdateCulprits();
+}
+
+void
+Quarantine::DropExpired(TimePoint aNow)
+{
+  if (mSuspectCount == 0) {
+    return;
+  }
+  const std::lock_guard guard(mLock);
+  mEndedTargets.clear();
+  for (auto it = mSuspects.begin(); it != mSuspects.end();) {
+    const Duration lifetime =
+      mCulprits.contains(it->first) ? kQuarantineTime : kSuspicionTime;
+    std::erase_if(it->second.mCrashes, [&](const Crash& aCrash) {
+      return aCrash.mAt + lifetime <= aNow;
+    });
+    for (const Crash& crash : it->second.mCrashes) {
+      mEndedTargets.insert(crash.mTarget);
+    }
+    if (it->second.mCrashes.empty()) {
+      mChangedAt.erase(it->first);
+      it = mSuspects.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  UpdateCulprits();
+}
+
+std::optional<TimePoint>
+Quarantine::EndOfQuarantine(const RequestTraits& aTraits) const
+{
+  if (mCulpritCount == 0) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> end;
+  const std::lock_guard guard(mLock);
+  const auto check = [&](TraitId aTrait) {
+    const auto found = mCulprits.find(aTrait);
+    if (found != mCulprits.end()) {
+      end = std::max(end.value_or(found->second), found->second);
+    }
+  };
+  check(aTraits.mContent);
+  std::for_each(aTraits.mParts.begin(), aTraits.mParts.end(), check);
+  return end;
+}
+
+std::vector<CrashNotice>
+Quarantine::ChangesSince(TimePoint aSince) const
+{
+  std::vector<CrashNotice> notices;
+  if (mSuspectCount == 0) {
+    return notices;
+  }
+  const std::lock_guard guard(mLock);
+  for (const auto& [trait, at] : mChangedAt) {
+    if (at >= aSince) {
+      AppendNotices(trait, mSuspects.at(trait), notices);
+    }
+  }
+  return notices;
+}
+
+std::vector<CrashNotice>
+Quarantine::StrongEvidence() const
+{
+  std::vector<CrashNotice> notices;
+  if (mSuspectCount == 0) {
+    return notices;
+  }
+  const std::lock_guard guard(mLock);
+  for (const auto& [trait, end] : mCulprits) {
+    AppendNotices(trait, mSuspects.at(trait), notices);
+  }
+  for (const auto& [trait, suspect] : mSuspects) {
+    if (!mCulprits.contains(trait) &&
+        CountCrashes(suspect.mRank, NotRefuted(suspect)) + 1 >= kMinCrashes) {
+      AppendNotices(trait, suspect, notices);
+    }
+  }
+  notices.resize(std::min(notices.size(), kMaxStrongNotices));
+  return notices;
+}
+
+void
+Quarantine::Add(const CrashNotice& aNotice, TimePoint aNow)
+{
+  if (!mSuspects.contains(aNotice.mTrait) && mSuspects.size() >= kMaxSuspects) {
+    MakeRoom();
+  }
+  Suspect& suspect = mSuspects[aNotice.mTrait];
+  suspect.mRank = std::max(suspect.mRank, aNotice.mRank);
+  std::vector<Crash>& crashes = suspect.mCrashes;
+  const auto known =
+    std::find_if(crashes.begin(), crashes.end(), [&](const Crash& it) {
+      return it.mTarget == aNotice.mCrash.mTarget;
+    });
+  if (known != crashes.end()) {
+    // The earliest time and the smallest id are the same on all nodes in the
+    // end, whatever the order of the reports.
+    const Crash merged{ known->mTarget,
+                        std::min(known->mContent, aNotice.mCrash.mContent),
+                        std::min(known->mAt, aNotice.mCrash.mAt),
+                        known->mRefuted || aNotice.mCrash.mRefuted };
+    const bool changed =
+      merged.mContent != known->mContent || merged.mRefuted != known->mRefuted;
+    *known = merged;
+    if (changed) {
+      mChangedAt[aNotice.mTrait] = aNow;
+    }
+    return;
+  }
+  if (crashes.size() >= kMaxCrashesPerSuspect) {
+    const auto refuted =
+      std::find_if(crashes.begin(), crashes.end(), [](const Crash& it) {
+        return it.mRefuted;
+      });
+    if (refuted == crashes.end()) {
+      return;
+    }
+    crashes.erase(refuted);
+  }
+  crashes.push_back(aNotice.mCrash);
+  mEndedTargets.insert(aNotice.mCrash.mTarget);
+  mChangedAt[aNotice.mTrait] = aNow;
+}
+
+void
+Quarantine::MakeRoom()
+{
+  const auto evidence = [this](const auto& aIt) {
+    return std::tuple(mCulprits.contains(aIt.first),
+                      NotRefuted(aIt.second).size(),
+                      mChangedAt.at(aIt.first));
+  };
+  const auto weakest = std::min_element(
+    mSuspects.begin(), mSuspects.end(), [&](const auto& aL, const auto& aR) {
+      return evidence(aL) < evidence(aR);
+    });
+  mChangedAt.erase(weakest->first);
+  mSuspects.erase(weakest);
+}
+
+template<class Predicate>
+void
+Quarantine::Refute(TraitId aTrait, Predicate aApplies, TimePoint aNow)
+{
+  const auto found = mSuspects.find(aTrait);
+  if (found == mSuspects.end()) {
+    return;
+  }
+  for (Crash& it : found->second.mCrashes) {
+    if (!it.mRefuted && aApplies(it)) {
+      it.mRefuted = true;
+      mChangedAt[aTrait] = aNow;
+    }
+  }
+}
+
+void
+Quarantine::UpdateCulprits()
+{
+  std::set<TraitId> known;
+  for (const auto& [trait, end] : mCulprits) {
+    known.insert(trait);
+  }
+  std::map<TraitId, TimePoint> culprits;
+  for (const TraitId it : FindCulprits(mSuspects, known)) {
+    culprits[it] = EndOf(mSuspects.at(it));
+  }
+  for (const auto& [trait, end] : culprits) {
+    if (!mCulprits.contains(trait)) {
+      const Suspect& suspect = mSuspects.at(trait);
+      LogEvent(EventId::QuarantineStarted,
+               { { "trait", Hex(trait) },
+                 { "kind", suspect.mRank == kContentRank ? "request" : "part" },
+                 { "crashes", std::to_string(NotRefuted(suspect).size()) } });
+    }
+  }
+  for (const auto& [trait, end] : mCulprits) {
+    if (!culprits.contains(trait)) {
+      LogEvent(EventId::QuarantineEnded, { { "trait", Hex(trait) } });
+    }
+  }
+  mCulprits = std::move(culprits);
+  mSuspectCount = mSuspects.size();
+  mCulpritCount = mCulprits.size();
+}
+
+} // namespace hibiscushold
--- /dev/null
+++ b/src/fleet/quarantine.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "fleet/crashevidence.h"
+#include "fleet/soundtraits.h"
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string_view>
+
+namespace hibiscushold {
+
+/// A crash as nodes report it to each other.
+struct CrashNotice
+{
+  TraitId mTrait = 0;
+  uint8_t mRank = 0;
+  Crash mCrash;
+};
+
+/// Identifies one start of a VM.
+/// @param aStartedMillis start of the VM, Unix time in milliseconds
+uint64_t
+TargetStartId(std::string_view aVmId, uint64_t aStartedMillis);
+
+/// Finds out which requests crash targets, and keeps them away from further
+/// ones for a time. Nodes exchange what they saw and merge it in any order and
+/// any number of times, so that all come to the same result. Thread-safe.
+class Quarantine
+{
+public:
+  /// Records that a target ended while a request was at it.
+  /// @param aTarget see TargetStartId
+  void RecordCrash(const RequestTraits& aTraits,
+                   uint64_t aTarget,
+                   TimePoint aNow);
+
+  /// Records a complete answer, which shows that the traits of its request
+  /// crash no target.
+  void RecordAnswer(const RequestTraits& aTraits, TimePoint aNow);
+
+  /// Records a response of a target to a request that was sent at aSentAt,
+  /// which shows that the target had not ended by then.
+  void RecordAlive(uint64_t aTarget, TimePoint aSentAt, TimePoint aNow);
+
+  /// Merges what another node reports.
+  void Merge(std::span<const CrashNotice> aNotices, TimePoint aNow);
+
+  /// Forgets old crashes.
+  void DropExpired(TimePoint aNow);
+
+  /// @return when requests with these traits may be sent to targets again, or
+  ///         nothing if they may be sent now
+  std::optional<TimePoint> EndOfQuarantine(const RequestTraits& aTraits) const;
+
+  /// @return the crashes of the traits for which something changed since aSince
+  std::vector<CrashNotice> ChangesSince(TimePoint aSince) const;
+
+  /// @return some crashes of the traits that are quarantined or close to it,
+  ///         for nodes that start or have missed reports
+  std::vector<CrashNotice> StrongEvidence() const;
+
+  /// @return the number of traits that are quarantined
+  size_t CountQuarantined() const { return mCulpritCount; }
+
+  /// Suspects that are remembered at the same time.
+  static constexpr size_t kMaxSuspects = 1024;
+
+private:
+  /// Adds a crash to a suspect, or merges it with what is known of the target.
+  void Add(const CrashNotice& aNotice, TimePoint aNow);
+  /// Forgets the suspect with the least evidence against it.
+  void MakeRoom();
+  /// Refutes the crashes of a suspect for which aApplies returns true.
+  template<class Predicate>
+  void Refute(TraitId aTrait, Predicate aApplies, TimePoint aNow);
+  void UpdateCulprits();
+
+  mutable std::mutex mLock; ///< guards the members below, but not the counts
+  Suspects mSuspects;
+  std::map<TraitId, TimePoint> mChangedAt; ///< latest change of each suspect
+  std::set<uint64_t> mEndedTargets;        ///< that have crashes not refuted
+  std::map<TraitId, TimePoint> mCulprits;  ///< end of their quarantine
+  std::atomic<size_t> mSuspectCount{ 0 };  ///< spares most requests the lock
+  std::atomic<size_t> mCulpritCount{ 0 };
+  SoundTraits mSoundParts;
+  SoundTraits mSoundContents;
+};
+
+} // namespace hibiscushold
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -18,6 +18,8 @@
   /// See StreamSink.
   virtual bool OnEvents(std::string_view aEvents, uint64_t aLastId) = 0;
   virtual bool IsCallerDisconnected() const = 0;
+  /// See StreamSink.
+  virtual bool IsQuarantined() const = 0;
 
   /// Tries to have another target take over from a stalled one. The stalled
   /// target keeps the request until a response of the other one has begun, as
@@ -49,6 +51,7 @@
   bool IsCallerDisconnected() override;
   bool OnStall(WaitingTransfer& aExchange) override;
   bool IsSuperseded() override { return HasOuterProgress(); }
+  bool IsQuarantined() override { return mOwner.IsQuarantined(); }
 
   const FleetTarget& mTarget;
   const uint32_t mInFlight; ///< requests at the target when it was chosen
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -29,6 +29,21 @@
   return text.str();
 }
 
+/// Logs that a target ended its connection before the response was complete.
+/// @param aExpected whether the target was to end for another reason
+void
+LogBreak(const GatewayRequest& aRequest,
+         const FleetTarget& aTarget,
+         bool aExpected)
+{
+  LogEvent(EventId::TargetBrokeOff,
+           { { "request", aRequest.mId },
+             { "vm", aTarget.mVmId },
+             { "start", std::to_string(aTarget.mStartedMillis) },
+             { "expected", aExpected ? "yes" : "no" },
+             { "parts", PartsText(aRequest.mTraits.mParts) } });
+}
+
 } // namespace
 
 void
@@ -58,6 +73,7 @@
       return;
     case ExchangeOutcome::Stalled: // recorded when the stall began
     case ExchangeOutcome::Superseded:
+    case ExchangeOutcome::Quarantined:
     case ExchangeOutcome::Deadline:
     case ExchangeOutcome::CallerDisconnected:
       return;
@@ -79,18 +95,36 @@
 }
 
 void
-LogBreak(const GatewayDependencies& aDependencies,
-         const GatewayRequest& aRequest,
-         const FleetTarget& aTarget)
+RecordEvidence(const GatewayDependencies& aDependencies,
+               const GatewayRequest& aRequest,
+               const FleetTarget& aTarget,
+               const ExchangeReport& aReport,
+               TimePoint aSentAt)
 {
-  const bool listed =
-    IsListed(*aDependencies.mTargets(), aRequest.mService, aTarget);
-  LogEvent(EventId::TargetBrokeOff,
-           { { "request", aRequest.mId },
-             { "vm", aTarget.mVmId },
-             { "start", std::to_string(aTarget.mStartedMillis) },
-             { "listed", listed ? "yes" : "no" },
-             { "parts", PartsText(aRequest.mSharedParts) } });
+  Quarantine& quarantine = aDependencies.mQuarantine;
+  const TimePoint now = aDependencies.mClock.Now();
+  const uint64_t target = TargetStartId(aTarget.mVmId, aTarget.mStartedMillis);
+  if (aReport.mOutcome == ExchangeOutcome::Broken && aReport.mSentBytes > 0) {
+    // A target that leaves, or whose group was dissolved, ends for that reason.
+    const bool expected =
+      !IsListed(*aDependencies.mTargets(), aRequest.mService, aTarget) ||
+      IsLeaving(aTarget, aDependencies.mLoads.Get(aTarget.mVmId));
+    LogBreak(aRequest, aTarget, expected);
+    if (!expected) {
+      quarantine.RecordCrash(aRequest.mTraits, target, now);
+    }
+    return;
+  }
+  const bool answered = aReport.mOutcome == ExchangeOutcome::Answered;
+  if (!aReport.mMarksItsEnd ||
+      (!answered && aReport.mOutcome != ExchangeOutcome::NotRun)) {
+    return;
+  }
+  quarantine.RecordAlive(target, aSentAt, now);
+  const int status = aReport.mResponse.mStatus;
+  if (answered && status >= 200 && status < 300) {
+    quarantine.RecordAnswer(aRequest.mTraits, now);
+  }
 }
 
 void
--- a/src/gateway/attemptrecord.h
+++ b/src/gateway/attemptrecord.h
@@ -18,11 +18,15 @@
                    const FleetRoute& aRoute,
                    const FleetTarget& aTarget);
 
-/// Logs that a target ended its connection before the response was complete.
+/// Records what the outcome of an attempt says about whether the request
+/// crashes targets.
+/// @param aSentAt start of the attempt
 void
-LogBreak(const GatewayDependencies& aDependencies,
-         const GatewayRequest& aRequest,
-         const FleetTarget& aTarget);
+RecordEvidence(const GatewayDependencies& aDependencies,
+               const GatewayRequest& aRequest,
+               const FleetTarget& aTarget,
+               const ExchangeReport& aReport,
+               TimePoint aSentAt);
 
 /// Logs an attempt and counts its outcome.
 /// @param aInFlight requests at the target when it was chosen
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -1,5 +1,6 @@
 #include "gateway/callerrequest.h"
 
+#include "core/hash.h"
 #include "core/sessionpool.h"
 #include "gateway/bodyreader.h"
 #include "gateway/callersession.h"
@@ -193,8 +194,16 @@
   request.mLastEvent = ParseNumber(aRequest.get(aProtocol.mLastEvent, "0"));
   request.mPromptTokens = static_cast<uint32_t>(
     ParseNumber(aRequest.get(aProtocol.mTokenCounts, "0")));
-  request.mSharedParts =
-    ParseSharedParts(aRequest.get(aProtocol.mPromptParts, ""));
+  const std::string& parts = aRequest.get(aProtocol.mPromptParts, "");
+  request.mTraits.mParts = ParseSharedParts(parts);
+  request.mTraits.mContent = kHashStart;
+  for (const std::string& it : { request.mAccount,
+                                 request.mMethod,
+                                 request.mUri,
+                                 request.mModel,
+                                 parts }) {
+    request.mTraits.mContent = Hash64(it, request.mTraits.mContent);
+  }
   CopyFields(aRequest, aProtocol, request);
   if (!request.mAccount.empty()) {
     request.mFields.push_back({ aProtocol.mAccount, request.mAccount });
@@ -239,6 +248,7 @@
   } catch (const Poco::Exception& e) {
     return Invalid("body: " + e.displayText());
   }
+  aInto.mTraits.mContent = Hash64(aInto.mBody, aInto.mTraits.mContent);
   return boost::outcome_v2::success();
 }
 
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -2,6 +2,7 @@
 
 #include "core/http.h"
 #include "fleet/config.h"
+#include "fleet/crashevidence.h"
 #include "gateway/protocolnames.h"
 #include "serve/refusal.h"
 
@@ -23,8 +24,7 @@
   std::string mModel;
   uint64_t mLastEvent = 0; ///< id of the last event the caller has received
   uint32_t mPromptTokens = 0;
-  /// Parts of the prompt that other requests may share; see ParseSharedParts.
-  std::vector<uint64_t> mSharedParts;
+  RequestTraits mTraits;
   TimePoint mArrivedAt;
   TimePoint mDeadline;
   const FleetRoute* mRoute = nullptr; ///< points into mConfig
@@ -51,7 +51,8 @@
          TimePoint aNow,
          double aFraction);
 
-/// Reads the whole body into aInto.mBody.
+/// Reads the whole body into aInto.mBody and adds it to the hash of the
+/// content.
 /// @param aRequest must belong to a CallerSession
 /// @return InvalidRequest if the body is cut off or its chunks are malformed,
 ///         BodyTooLarge if it exceeds the configured limit, DeadlinePassed if
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -146,6 +146,10 @@
       mAbandonedAs = ExchangeOutcome::Superseded;
       return true;
     }
+    if (!mReport.mStreamed && mSink.IsQuarantined()) {
+      mAbandonedAs = ExchangeOutcome::Quarantined;
+      return true;
+    }
     return IsTargetStalled() && mSink.OnStall(*this);
   }
 
@@ -223,6 +227,7 @@
     CopyFields(aHead);
     mAwaited.mStatus = status;
     mAwaited.mEndsWithConnection = !aBody.KeepsConnectionOpen();
+    mReport.mMarksItsEnd = aBody.KeepsConnectionOpen();
     if (mRequest.mStream && success &&
         aHead.getContentType().starts_with("text/event-stream")) {
       ReceiveEvents(aHead, aBody);
@@ -406,6 +411,8 @@
       return "stalled";
     case ExchangeOutcome::Superseded:
       return "superseded";
+    case ExchangeOutcome::Quarantined:
+      return "quarantined";
     case ExchangeOutcome::Deadline:
       return "deadline";
     case ExchangeOutcome::CallerDisconnected:
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -26,6 +26,7 @@
   Invalid,       ///< the response is malformed or belongs to another request
   Stalled,       ///< the target made no progress, and another one took over
   Superseded,    ///< the target it was to replace made progress first
+  Quarantined,   ///< such requests have crashed targets since it was sent
   Deadline,      ///< the deadline of the request passed
   CallerDisconnected,
 };
@@ -75,7 +76,9 @@
   bool mReused = false;            ///< the connection came from the pool
   uint64_t mLastEvent = 0;         ///< id of the last event that was forwarded
   uint64_t mSentBytes = 0; ///< zero: the target cannot have run the request
-  std::string mDetail;     ///< what went wrong, for the log
+  /// The end of the connection alone would not have ended the response.
+  bool mMarksItsEnd = false;
+  std::string mDetail; ///< what went wrong, for the log
 };
 
 /// Receives the events of a stream as they arrive, and decides how long an
@@ -104,6 +107,11 @@
   /// @return whether the target that this attempt was to replace has made
   ///         progress, which ends this exchange
   virtual bool IsSuperseded() = 0;
+
+  /// Called at intervals until the first event.
+  /// @return whether the request is no longer to reach a target, which ends
+  ///         this exchange
+  virtual bool IsQuarantined() = 0;
 };
 
 /// Dependencies of an exchange.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/quarantine.h"
 #include "fleet/retrybudget.h"
 #include "fleet/targetchoice.h"
 #include "fleet/watcher.h"
@@ -23,6 +24,7 @@
   std::function<FleetTargetsPtr()> mTargets;
   SessionPool& mSessions;
   TargetLoads& mLoads;
+  Quarantine& mQuarantine;
   ServiceRetryBudget& mRetryBudget;
   const ProtocolNames& mProtocol;
   Metrics& mMetrics;
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -67,6 +67,9 @@
     mDependencies.mRetryBudget.AddRequest(mRequest.mService,
                                           mDependencies.mClock.Now());
     for (;;) {
+      if (const auto end = EndOfQuarantine()) {
+        return FailQuarantined(*end);
+      }
       const FleetTargetsPtr targets = mDependencies.mTargets();
       const FleetTarget* target = Choose(*targets);
       if (target == nullptr && WaitToResume()) {
@@ -124,10 +127,12 @@
     return mWriter.IsCallerDisconnected();
   }
 
+  bool IsQuarantined() const override { return EndOfQuarantine().has_value(); }
+
   bool TryTakeover(Attempt& aStalled) override
   {
     const TimePoint now = mDependencies.mClock.Now();
-    if (now < mNextTakeoverAt || !mRequest.AllowsRetry()) {
+    if (now < mNextTakeoverAt || !mRequest.AllowsRetry() || IsQuarantined()) {
       return false;
     }
     mNextTakeoverAt = now + kTakeoverInterval;
@@ -158,6 +163,11 @@
   }
 
 private:
+  std::optional<TimePoint> EndOfQuarantine() const
+  {
+    return mDependencies.mQuarantine.EndOfQuarantine(mRequest.mTraits);
+  }
+
   const FleetTarget* Choose(const FleetTargets& aTargets)
   {
     const std::span<const FleetTarget> targets = TargetsOf(aTargets);
@@ -282,6 +292,7 @@
                     aTarget,
                     mDependencies.mLoads.Get(aTarget.mVmId).mInFlight,
                     aOuter);
+    const TimePoint sentAt = mDependencies.mClock.Now();
     ExchangeReport report = RunExchange({ mDependencies.mSessions,
                                           mDependencies.mLoads,
                                           mDependencies.mProtocol,
@@ -290,10 +301,8 @@
                                         attempt);
     RecordOutcome(mDependencies, aTarget, report);
     LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mInFlight);
+    RecordEvidence(mDependencies, mRequest, aTarget, report, sentAt);
     if (WasSent(report)) {
-      if (report.mOutcome == ExchangeOutcome::Broken) {
-        LogBreak(mDependencies, mRequest, aTarget);
-      }
       CountAttempt(attempt);
       const bool notRun = report.mOutcome == ExchangeOutcome::NotRun ||
                           report.mOutcome == ExchangeOutcome::WrongVm;
@@ -411,7 +420,9 @@
       const RefusalKind kind =
         StatusOf(aKind) == 503 ? aKind : RefusalKind::NoTarget;
       return Refusal{ kind,
-                      "no target took the request",
+                      kind == RefusalKind::Quarantined
+                        ? "such requests have crashed targets"
+                        : "no target took the request",
                       Ran::No,
                       RetryAfterMillis(aRetryMillis) };
     }
@@ -420,6 +431,15 @@
     return Refusal{ kind, "the target did not answer", Ran::Unknown, 0 };
   }
 
+  /// @param aEnd when such requests may be sent to targets again
+  ResultOrRefusal<void> FailQuarantined(TimePoint aEnd)
+  {
+    const Duration left = TimeLeft(aEnd, mDependencies.mClock.Now());
+    return Fail(RefusalKind::Quarantined,
+                static_cast<uint32_t>(ToMillis(left)),
+                "quarantined");
+  }
+
   /// Ends a request whose caller has disconnected.
   ResultOrRefusal<void> AbortForCaller()
   {
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -105,6 +105,12 @@
   EventType{ EventId::TargetBrokeOff,
              "target_broke_off",
              log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::QuarantineStarted,
+             "quarantine_started",
+             log4cplus::WARN_LOG_LEVEL },
+  EventType{ EventId::QuarantineEnded,
+             "quarantine_ended",
+             log4cplus::INFO_LOG_LEVEL },
 };
 
 std::atomic<bool> gIsJson{ false };
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -48,6 +48,8 @@
   ConnectionsRefused = 5008,
   HeaderInvalid = 5009,
   TargetBrokeOff = 5010,
+  QuarantineStarted = 5011,
+  QuarantineEnded = 5012,
 };
 
 /// Name and value of a field of an event.
--- a/src/relay/demandexchange.cc
+++ b/src/relay/demandexchange.cc
@@ -1,6 +1,7 @@
 #include "relay/demandexchange.h"
 
 #include "observe/events.h"
+#include "relay/crashreport.h"
 
 #include <Poco/Net/NetException.h>
 
@@ -26,6 +27,13 @@
 /// How often the preferred parent is tried again.
 constexpr auto kPreferredParentRetryInterval = milliseconds(3000);
 constexpr size_t kMaxDatagramBytes = 4096;
+constexpr auto kCrashReportInterval = milliseconds(70);
+/// A change is repeated for this long, as datagrams may be lost.
+constexpr auto kCrashRepeatTime = milliseconds(350);
+/// Nodes that start or were cut off learn of earlier crashes within this time.
+constexpr auto kStrongEvidenceInterval = milliseconds(1000);
+/// Nodes that have not reported for this long are forgotten.
+constexpr auto kScheduleLifetime = seconds(10);
 
 SocketAddress
 AddressOf(const Endpoint& aEndpoint)
@@ -100,6 +108,9 @@
 {
   const TimePoint now = mDependencies.mClock.Now();
   mDependencies.mLoads.Aggregator().DropExpired(now);
+  std::erase_if(mCrashSchedules, [&](const auto& it) {
+    return it.second.mNextAt + kScheduleLifetime <= now;
+  });
   ChooseParent(now);
   const bool crossZone = mParent && mParent->mZone != mSelf.mZone;
   mNextReportAt =
@@ -107,15 +118,16 @@
   if (!mParent) {
     return;
   }
+  const SocketAddress to = AddressOf(mParent->mAddress);
+  const std::string token = TokenSet(mParent->mToken).AuthorizationValue();
+  SendCrashes(to, token);
   const Demands demands = mDependencies.mLoads.Aggregator().SumForParent(
     mDependencies.mLoads.OwnDemands(now));
   if (demands.empty() && now < mNextIdleReportAt) {
     return;
   }
   mNextIdleReportAt = now + kIdleReportInterval;
-  SendDemands(AddressOf(mParent->mAddress),
-              TokenSet(mParent->mToken).AuthorizationValue(),
-              demands);
+  SendDemands(to, token, demands);
 }
 
 void
@@ -126,13 +138,7 @@
   const TimePoint now = mDependencies.mClock.Now();
   DemandReport report{ aToken, {} };
   const auto flush = [&] {
-    const std::string bytes = EncodeReport(report, now);
-    try {
-      mSocket.sendTo(bytes.data(), static_cast<int>(bytes.size()), aTo);
-    } catch (const Poco::Exception&) {
-      // The next report replaces this one; the metric counts the lost ones.
-      mDependencies.mMetrics.CountRelayEvent("report_unsent");
-    }
+    Send(EncodeReport(report, now), aTo);
     report.mDemands.clear();
   };
   for (const auto& [vm, demand] : aDemands) {
@@ -146,6 +152,42 @@
   }
 }
 
+void
+DemandExchange::SendCrashes(const SocketAddress& aTo, const std::string& aToken)
+{
+  const TimePoint now = mDependencies.mClock.Now();
+  CrashSchedule& schedule = mCrashSchedules[aTo.toString()];
+  if (now < schedule.mNextAt) {
+    return;
+  }
+  schedule.mNextAt = now + kCrashReportInterval;
+  std::vector<CrashNotice> notices =
+    mDependencies.mQuarantine.ChangesSince(now - kCrashRepeatTime);
+  if (now >= schedule.mNextStrongAt) {
+    schedule.mNextStrongAt = now + kStrongEvidenceInterval;
+    const std::vector<CrashNotice> strong =
+      mDependencies.mQuarantine.StrongEvidence();
+    notices.insert(notices.end(), strong.begin(), strong.end());
+  }
+  for (size_t n = 0; n < notices.size(); n += kMaxNoticesPerReport) {
+    const auto first = notices.begin() + static_cast<ptrdiff_t>(n);
+    const auto count = static_cast<ptrdiff_t>(
+      std::min(kMaxNoticesPerReport, notices.size() - n));
+    Send(EncodeCrashReport({ aToken, { first, first + count } }, now), aTo);
+  }
+}
+
+void
+DemandExchange::Send(const std::string& aBytes, const SocketAddress& aTo)
+{
+  try {
+    mSocket.sendTo(aBytes.data(), static_cast<int>(aBytes.size()), aTo);
+  } catch (const Poco::Exception&) {
+    // A later report replaces this one; the metric counts the lost ones.
+    mDependencies.mMetrics.CountRelayEvent("report_unsent");
+  }
+}
+
 void
 DemandExchange::ReceiveReport()
 {
@@ -160,24 +202,57 @@
     mDependencies.mMetrics.CountRelayEvent("report_undelivered");
     return;
   }
+  const std::string_view bytes(buf.data(), static_cast<size_t>(n));
+  if (!HandleCrashReport(bytes, from) && !HandleDemandReport(bytes, from)) {
+    mDependencies.mMetrics.CountRelayEvent("report_refused");
+  }
+}
+
+bool
+DemandExchange::HandleDemandReport(std::string_view aBytes,
+                                   const SocketAddress& aFrom)
+{
   const TimePoint now = mDependencies.mClock.Now();
-  const std::optional<DemandReport> report =
-    DecodeReport({ buf.data(), static_cast<size_t>(n) }, now);
-  const std::string node = from.toString();
-  if (report && mParent && from == AddressOf(mParent->mAddress) &&
-      TokenSet(mParent->mToken).Accepts(report->mToken)) {
+  const std::optional<DemandReport> report = DecodeReport(aBytes, now);
+  const std::string node = aFrom.toString();
+  if (report && IsFromParent(aFrom, report->mToken)) {
     mParentSeenAt = now;
     mDependencies.mLoads.Aggregator().StoreFromParent(report->mDemands, now);
-  } else if (report && mDependencies.mTokens.Accepts(report->mToken)) {
-    mDependencies.mLoads.Aggregator().StoreFromChild(
-      node, report->mDemands, now);
-    SendDemands(from,
-                mDependencies.mTokens.AuthorizationValue(),
-                mDependencies.mLoads.Aggregator().SumForChild(
-                  node, mDependencies.mLoads.OwnDemands(now)));
-  } else {
-    mDependencies.mMetrics.CountRelayEvent("report_refused");
+    return true;
+  }
+  if (!report || !mDependencies.mTokens.Accepts(report->mToken)) {
+    return false;
   }
+  mDependencies.mLoads.Aggregator().StoreFromChild(node, report->mDemands, now);
+  const std::string token = mDependencies.mTokens.AuthorizationValue();
+  SendDemands(aFrom,
+              token,
+              mDependencies.mLoads.Aggregator().SumForChild(
+                node, mDependencies.mLoads.OwnDemands(now)));
+  SendCrashes(aFrom, token);
+  return true;
+}
+
+bool
+DemandExchange::HandleCrashReport(std::string_view aBytes,
+                                  const SocketAddress& aFrom)
+{
+  const TimePoint now = mDependencies.mClock.Now();
+  const std::optional<CrashReport> report = DecodeCrashReport(aBytes, now);
+  if (!report || (!IsFromParent(aFrom, report->mToken) &&
+                  !mDependencies.mTokens.Accepts(report->mToken))) {
+    return false;
+  }
+  mDependencies.mQuarantine.Merge(report->mNotices, now);
+  return true;
+}
+
+bool
+DemandExchange::IsFromParent(const SocketAddress& aFrom,
+                             std::string_view aToken) const
+{
+  return mParent && aFrom == AddressOf(mParent->mAddress) &&
+         TokenSet(mParent->mToken).Accepts(std::string(aToken));
 }
 
 } // namespace hibiscushold
--- a/src/relay/demandexchange.h
+++ b/src/relay/demandexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/quarantine.h"
 #include "fleet/targetloads.h"
 #include "relay/relayedplatform.h"
 
@@ -10,7 +11,9 @@
 /// Exchanges reports of the load on targets with other nodes. This node sends
 /// the demands of itself and of the nodes below it to its parent node, receives
 /// the demands of all other nodes in return, and replies likewise to the nodes
-/// that report to it. Reports are UDP datagrams, as a late report is useless.
+/// that report to it. Crashes of targets travel the same way. Reports are UDP
+/// datagrams: a late report of demands is useless, and one of crashes is sent
+/// several times.
 class DemandExchange
 {
 public:
@@ -18,6 +21,7 @@
   {
     const TokenSet& mTokens; ///< of this node's roster entry
     TargetLoads& mLoads;
+    Quarantine& mQuarantine;
     const RelayedPlatform& mRelay;
     Metrics& mMetrics;
     const Clock& mClock;
@@ -37,10 +41,29 @@
 private:
   void SendReport();
   void ReceiveReport();
+  /// @return whether the datagram was a valid report of demands
+  bool HandleDemandReport(std::string_view aBytes,
+                          const Poco::Net::SocketAddress& aFrom);
+  /// @return whether the datagram was a valid report of crashes
+  bool HandleCrashReport(std::string_view aBytes,
+                         const Poco::Net::SocketAddress& aFrom);
+  bool IsFromParent(const Poco::Net::SocketAddress& aFrom,
+                    std::string_view aToken) const;
   void ChooseParent(TimePoint aNow);
   void SendDemands(const Poco::Net::SocketAddress& aTo,
                    const std::string& aToken,
                    const Demands& aDemands);
+  /// Sends the crashes that the node may not know yet.
+  void SendCrashes(const Poco::Net::SocketAddress& aTo,
+                   const std::string& aToken);
+  void Send(const std::string& aBytes, const Poco::Net::SocketAddress& aTo);
+
+  /// When another node gets the next report of crashes.
+  struct CrashSchedule
+  {
+    TimePoint mNextAt;
+    TimePoint mNextStrongAt; ///< with the strong evidence, whatever its age
+  };
 
   const RosterEntry mSelf;
   const Dependencies mDependencies;
@@ -50,6 +73,7 @@
   TimePoint mRetryPreferredAt; ///< when to try the preferred parent again
   TimePoint mNextReportAt;     ///< when the next report is due
   TimePoint mNextIdleReportAt; ///< no empty reports are sent before this
+  std::map<std::string, CrashSchedule> mCrashSchedules; ///< by address
 };
 
 } // namespace hibiscushold
--- a/src/serve/refusal.cc
+++ b/src/serve/refusal.cc
@@ -14,7 +14,7 @@
   const char* mName;
 };
 
-constexpr std::array<KindText, 16> kKinds = { {
+constexpr std::array<KindText, 17> kKinds = { {
   { 400, "invalid_request" },
   { 401, "unauthorized" },
   { 404, "no_route" },
@@ -31,6 +31,7 @@
   { 504, "deadline_passed" },
   { 503, "config_not_fresh" },
   { 503, "config_undecided" },
+  { 503, "quarantined" },
 } };
 
 } // namespace
--- a/src/serve/refusal.h
+++ b/src/serve/refusal.h
@@ -34,6 +34,7 @@
   DeadlinePassed,
   ConfigNotFresh,      ///< the active rules may be out of date
   ConfigChangePending, ///< a pending change of the rules affects the request
+  Quarantined,         ///< such requests have crashed targets
 };
 
 /// Error response to a caller.
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -54,6 +54,7 @@
   bool IsCallerDisconnected() override { return mDisconnected; }
   bool OnStall(WaitingTransfer&) override { return false; }
   bool IsSuperseded() override { return false; }
+  bool IsQuarantined() override { return false; }
 
   int mStatus = 0;
   bool mDisconnected = false;
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -168,6 +168,7 @@
   size_t mTargetCount = 0;
   SessionPool mSessions{ mClock };
   TargetLoads mLoads;
+  Quarantine mQuarantine;
   ServiceRetryBudget mRetryBudget{ { 0.2, milliseconds(10000), 100 } };
   const ProtocolNames mProtocol{ "Id",          "Wait", "Last",    "Proof",
                                  "Account",     "Vm",   "Not-Run", "Model",
@@ -195,6 +196,7 @@
              },
              mSessions,
              mLoads,
+             mQuarantine,
              mRetryBudget,
              mProtocol,
              mMetrics,
