--- a/src/fleet/crashevidence.cc
+++ b/src/fleet/crashevidence.cc
@@ -39,20 +39,33 @@
   std::map<uint64_t, std::optional<TraitId>> mExceptContent;
 };
 
+/// @return the number of crashes that speak against the trait at this time, or
+///         zero if they are too few to count
 size_t
-CountUnexplained(const Suspect& aSuspect, const Explained& aExplained)
+CountAgainst(const Suspect& aSuspect,
+             const Explained& aExplained,
+             TimePoint aNow)
 {
+  const TimePoint until = aSuspect.mWasAnswered ? aNow - kTimeToRefute : aNow;
   std::vector<Crash> crashes;
   for (const Crash& it : aSuspect.mCrashes) {
-    if (!it.mRefuted && !aExplained.Covers(it)) {
+    if (!it.mRefuted && it.mAt <= until && !aExplained.Covers(it)) {
       crashes.push_back(it);
     }
   }
-  return CountCrashes(aSuspect.mRank, crashes);
+  const bool enough =
+    CountCrashes(aSuspect.mRank, crashes) >= MinCrashesOf(aSuspect);
+  return enough ? crashes.size() : 0;
 }
 
 } // namespace
 
+size_t
+MinCrashesOf(const Suspect& aSuspect)
+{
+  return aSuspect.mWasAnswered ? kMinCrashesAfterAnswers : kMinCrashes;
+}
+
 size_t
 CountCrashes(uint8_t aRank, std::span<const Crash> aCrashes)
 {
@@ -62,46 +75,52 @@
   });
   std::set<TraitId> contents;
   std::optional<TimePoint> last;
-  size_t n = 0;
+  size_t apart = 0;
   for (const Crash& it : sorted) {
-    const bool apart = !last || it.mAt - *last >= kMinCrashDistance;
-    const bool repeat = aRank != kContentRank && contents.contains(it.mContent);
-    if (apart && !repeat) {
-      contents.insert(it.mContent);
+    contents.insert(it.mContent);
+    if (!last || it.mAt - *last >= kMinCrashDistance) {
       last = it.mAt;
-      ++n;
+      ++apart;
     }
   }
-  return n;
+  return aRank == kContentRank ? apart : std::min(apart, contents.size());
 }
 
 std::set<TraitId>
-FindCulprits(const Suspects& aSuspects, const std::set<TraitId>& aKnown)
+FindCulprits(const Suspects& aSuspects,
+             const std::set<TraitId>& aKnown,
+             TimePoint aNow)
 {
   std::set<TraitId> culprits;
   Explained explained;
   for (const TraitId it : aKnown) {
     const auto found = aSuspects.find(it);
     if (found != aSuspects.end() &&
-        CountUnexplained(found->second, Explained()) >= kMinCrashes) {
+        CountAgainst(found->second, Explained(), aNow) > 0) {
       culprits.insert(it);
       explained.Add(found->second);
     }
   }
   for (;;) {
-    std::tuple<size_t, uint8_t, TraitId> best{ 0, 0, 0 };
+    // Of traits with as many crashes, one without answers is the better
+    // explanation, then the one that fewer requests share.
+    std::tuple<size_t, bool, uint8_t, TraitId> best{ 0, false, 0, 0 };
     for (const auto& [trait, suspect] : aSuspects) {
-      if (suspect.mCrashes.size() >= kMinCrashes && !culprits.contains(trait)) {
-        best = std::max(
-          best, { CountUnexplained(suspect, explained), suspect.mRank, trait });
+      if (suspect.mCrashes.size() >= MinCrashesOf(suspect) &&
+          !culprits.contains(trait)) {
+        best = std::max(best,
+                        { CountAgainst(suspect, explained, aNow),
+                          !suspect.mWasAnswered,
+                          suspect.mRank,
+                          trait });
       }
     }
-    const auto& [count, rank, trait] = best;
-    if (count < kMinCrashes) {
+    if (std::get<0>(best) == 0) {
       return culprits;
     }
-    culprits.insert(trait);
-    explained.Add(aSuspects.at(trait));
+    const TraitId culprit = std::get<3>(best);
+    culprits.insert(culprit);
+    explained.Add(aSuspects.at(culprit));
   }
 }
 
--- a/src/fleet/crashevidence.h
+++ b/src/fleet/crashevidence.h
@@ -41,20 +41,30 @@
 struct Suspect
 {
   uint8_t mRank = 0;
+  bool mWasAnswered = false;   ///< there were answers shortly before a crash
   std::vector<Crash> mCrashes; ///< at most one for each target
 };
 
 using Suspects = std::map<TraitId, Suspect>;
 
-/// Crashes that a trait needs to count as their cause.
+/// Crashes that a trait without answers needs to count as their cause.
 inline constexpr size_t kMinCrashes = 3;
+/// Likewise for a trait with answers, which has to have turned bad.
+inline constexpr size_t kMinCrashesAfterAnswers = 5;
+/// How long these crashes stand against a trait with answers before they count,
+/// as an answer that refutes them takes its time.
+inline constexpr auto kTimeToRefute = seconds(1);
 /// Targets that end within this time of each other may have one common cause,
 /// such as the loss of a zone, and count as one crash.
-inline constexpr auto kMinCrashDistance = milliseconds(100);
+inline constexpr auto kMinCrashDistance = milliseconds(40);
+
+/// @return the number of crashes that the trait needs to count as their cause
+size_t
+MinCrashesOf(const Suspect& aSuspect);
 
 /// Counts crashes that happened apart from each other. A part of a prompt needs
-/// another request for each of them, as one request alone doesn't tell which of
-/// its traits is the cause.
+/// as many different requests, as one request alone doesn't tell which of its
+/// traits is the cause.
 /// @param aRank of the trait
 /// @param aCrashes without refuted ones
 size_t
@@ -68,6 +78,8 @@
 ///               may have more by now
 /// @return the traits that crash targets
 std::set<TraitId>
-FindCulprits(const Suspects& aSuspects, const std::set<TraitId>& aKnown);
+FindCulprits(const Suspects& aSuspects,
+             const std::set<TraitId>& aKnown,
+             TimePoint aNow);
 
 } // namespace hibiscushold
--- a/src/fleet/quarantine.cc
+++ b/src/fleet/quarantine.cc
@@ -15,7 +15,7 @@
 constexpr auto kSuspicionTime = seconds(60);
 /// How long a trait is quarantined after the crashes that prove it.
 constexpr auto kQuarantineTime = seconds(300);
-constexpr size_t kMaxCrashesPerSuspect = 8;
+constexpr size_t kMaxCrashesPerSuspect = 16;
 constexpr size_t kMaxPartsPerCrash = 64;
 constexpr size_t kMaxStrongNotices = 96;
 
@@ -46,7 +46,7 @@
   std::sort(crashes.begin(), crashes.end(), [](const auto& aL, const auto& aR) {
     return aL.mAt > aR.mAt;
   });
-  return crashes[kMinCrashes - 1].mAt + kQuarantineTime;
+  return crashes[MinCrashesOf(aCulprit) - 1].mAt + kQuarantineTime;
 }
 
 void
@@ -55,7 +55,7 @@
               std::vector<CrashNotice>& aInto)
 {
   for (const Crash& it : aSuspect.mCrashes) {
-    aInto.push_back({ aTrait, aSuspect.mRank, it });
+    aInto.push_back({ aTrait, aSuspect.mRank, aSuspect.mWasAnswered, it });
   }
 }
 
@@ -74,24 +74,19 @@
 {
   const Crash crash{ aTarget, aTraits.mContent, aNow };
   const std::lock_guard guard(mLock);
-  const auto accuse = [&](TraitId aTrait, uint8_t aRank, SoundTraits& aSound) {
-    const bool sound = aSound.IsSound(aTrait, aNow);
-    aSound.RecordCrash(aTrait, aNow);
-    if (!sound) {
-      Add({ aTrait, aRank, crash }, aNow);
-    }
-  };
-  accuse(aTraits.mContent, kContentRank, mSoundContents);
+  Add({ aTraits.mContent, kContentRank, false, crash }, aNow);
   for (size_t n = 0; n < std::min(aTraits.mParts.size(), kMaxPartsPerCrash);
        ++n) {
     const size_t rank = std::min<size_t>(n, kMaxPartRank);
-    accuse(aTraits.mParts[n], static_cast<uint8_t>(rank), mSoundParts);
+    Add({ aTraits.mParts[n], static_cast<uint8_t>(rank), false, crash }, aNow);
   }
-  UpdateCulprits();
+  UpdateCulprits(aNow);
 }
 
 void
-Quarantine::RecordAnswer(const RequestTraits& aTraits, TimePoint aNow)
+Quarantine::RecordAnswer(const RequestTraits& aTraits,
+                         TimePoint aBeganAt,
+                         TimePoint aNow)
 {
   mSoundContents.RecordAnswer(aTraits.mContent, aNow);
   for (const TraitId it : aTraits.mParts) {
@@ -101,12 +96,12 @@
     return;
   }
   const std::lock_guard guard(mLock);
-  const auto always = [](const Crash&) { return true; };
-  Refute(aTraits.mContent, always, aNow);
+  const auto precedes = [&](const Crash& it) { return it.mAt < aBeganAt; };
+  Refute(aTraits.mContent, precedes, aNow);
   for (const TraitId it : aTraits.mParts) {
-    Refute(it, always, aNow);
+    Refute(it, precedes, aNow);
   }
-  UpdateCulprits();
+  UpdateCulprits(aNow);
 }
 
 void
@@ -127,24 +122,21 @@
       },
       aNow);
   }
-  UpdateCulprits();
+  UpdateCulprits(aNow);
 }
 
 void
 Quarantine::Merge(std::span<const CrashNotice> aNotices, TimePoint aNow)
 {
   const std::lock_guard guard(mLock);
-  for (CrashNotice it : aNotices) {
-    SoundTraits& sound =
-      it.mRank == kContentRank ? mSoundContents : mSoundParts;
-    it.mCrash.mRefuted = it.mCrash.mRefuted || sound.IsSound(it.mTrait, aNow);
+  for (const CrashNotice& it : aNotices) {
     Add(it, aNow);
   }
-  UpdateCulprits();
+  UpdateCulprits(aNow);
 }
 
 void
-Quarantine::DropExpired(TimePoint aNow)
+Quarantine::Refresh(TimePoint aNow)
 {
   if (mSuspectCount == 0) {
     return;
@@ -167,7 +159,7 @@
       ++it;
     }
   }
-  UpdateCulprits();
+  UpdateCulprits(aNow);
 }
 
 std::optional<TimePoint>
@@ -234,6 +226,14 @@
   }
   Suspect& suspect = mSuspects[aNotice.mTrait];
   suspect.mRank = std::max(suspect.mRank, aNotice.mRank);
+  const SoundTraits& sound =
+    aNotice.mRank == kContentRank ? mSoundContents : mSoundParts;
+  const bool wasAnswered = suspect.mWasAnswered || aNotice.mWasAnswered ||
+                           sound.WasAnswered(aNotice.mTrait, aNow);
+  if (wasAnswered != suspect.mWasAnswered) {
+    suspect.mWasAnswered = wasAnswered;
+    mChangedAt[aNotice.mTrait] = aNow;
+  }
   std::vector<Crash>& crashes = suspect.mCrashes;
   const auto known =
     std::find_if(crashes.begin(), crashes.end(), [&](const Crash& it) {
@@ -255,14 +255,15 @@
     return;
   }
   if (crashes.size() >= kMaxCrashesPerSuspect) {
-    const auto refuted =
-      std::find_if(crashes.begin(), crashes.end(), [](const Crash& it) {
-        return it.mRefuted;
+    // Old crashes may have found another explanation.
+    const auto oldest = std::min_element(
+      crashes.begin(), crashes.end(), [](const auto& aL, const auto& aR) {
+        return aL.mAt < aR.mAt;
       });
-    if (refuted == crashes.end()) {
+    if (aNotice.mCrash.mAt <= oldest->mAt) {
       return;
     }
-    crashes.erase(refuted);
+    crashes.erase(oldest);
   }
   crashes.push_back(aNotice.mCrash);
   mEndedTargets.insert(aNotice.mCrash.mTarget);
@@ -302,14 +303,14 @@
 }
 
 void
-Quarantine::UpdateCulprits()
+Quarantine::UpdateCulprits(TimePoint aNow)
 {
   std::set<TraitId> known;
   for (const auto& [trait, end] : mCulprits) {
     known.insert(trait);
   }
   std::map<TraitId, TimePoint> culprits;
-  for (const TraitId it : FindCulprits(mSuspects, known)) {
+  for (const TraitId it : FindCulprits(mSuspects, known, aNow)) {
     culprits[it] = EndOf(mSuspects.at(it));
   }
   for (const auto& [trait, end] : culprits) {
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -16,6 +16,7 @@
 {
   TraitId mTrait = 0;
   uint8_t mRank = 0;
+  bool mWasAnswered = false; ///< see Suspect
   Crash mCrash;
 };
 
@@ -37,8 +38,10 @@
                    TimePoint aNow);
 
   /// Records a complete answer, which shows that the traits of its request
-  /// crash no target.
-  void RecordAnswer(const RequestTraits& aTraits, TimePoint aNow);
+  /// crashed no target when the answer began.
+  void RecordAnswer(const RequestTraits& aTraits,
+                    TimePoint aBeganAt,
+                    TimePoint aNow);
 
   /// Records a response of a target to a request that was sent at aSentAt,
   /// which shows that the target had not ended by then.
@@ -47,8 +50,9 @@
   /// Merges what another node reports.
   void Merge(std::span<const CrashNotice> aNotices, TimePoint aNow);
 
-  /// Forgets old crashes.
-  void DropExpired(TimePoint aNow);
+  /// Forgets old crashes, and quarantines traits that had time to be refuted.
+  /// To be called several times a second.
+  void Refresh(TimePoint aNow);
 
   /// @return when requests with these traits may be sent to targets again, or
   ///         nothing if they may be sent now
@@ -75,7 +79,7 @@
   /// Refutes the crashes of a suspect for which aApplies returns true.
   template<class Predicate>
   void Refute(TraitId aTrait, Predicate aApplies, TimePoint aNow);
-  void UpdateCulprits();
+  void UpdateCulprits(TimePoint aNow);
 
   mutable std::mutex mLock; ///< guards the members below, but not the counts
   Suspects mSuspects;
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -123,7 +123,8 @@
   quarantine.RecordAlive(target, aSentAt, now);
   const int status = aReport.mResponse.mStatus;
   if (answered && status >= 200 && status < 300) {
-    quarantine.RecordAnswer(aRequest.mTraits, now);
+    quarantine.RecordAnswer(
+      aRequest.mTraits, aSentAt + aReport.mTimeToFirstEvent, now);
   }
 }
 
--- a/src/relay/crashreport.cc
+++ b/src/relay/crashreport.cc
@@ -25,8 +25,9 @@
       << static_cast<uint16_t>(aReport.mNotices.size());
   for (const CrashNotice& it : aReport.mNotices) {
     const int64_t age = std::max<int64_t>(0, ToMillis(aNow - it.mCrash.mAt));
-    out << it.mTrait << it.mRank << it.mCrash.mTarget << it.mCrash.mContent
-        << static_cast<uint32_t>(age) << it.mCrash.mRefuted;
+    out << it.mTrait << it.mRank << it.mWasAnswered << it.mCrash.mTarget
+        << it.mCrash.mContent << static_cast<uint32_t>(age)
+        << it.mCrash.mRefuted;
   }
   out.flush();
   return stream.str();
@@ -48,8 +49,9 @@
   for (uint16_t i = 0; i < n && in.good(); ++i) {
     CrashNotice notice;
     uint32_t age = 0;
-    in >> notice.mTrait >> notice.mRank >> notice.mCrash.mTarget >>
-      notice.mCrash.mContent >> age >> notice.mCrash.mRefuted;
+    in >> notice.mTrait >> notice.mRank >> notice.mWasAnswered >>
+      notice.mCrash.mTarget >> notice.mCrash.mContent >> age >>
+      notice.mCrash.mRefuted;
     notice.mCrash.mAt = aNow - milliseconds(age);
     report.mNotices.push_back(notice);
   }
--- a/src/relay/demandexchange.cc
+++ b/src/relay/demandexchange.cc
@@ -108,6 +108,7 @@
 {
   const TimePoint now = mDependencies.mClock.Now();
   mDependencies.mLoads.Aggregator().DropExpired(now);
+  mDependencies.mQuarantine.Refresh(now);
   std::erase_if(mCrashSchedules, [&](const auto& it) {
     return it.second.mNextAt + kScheduleLifetime <= now;
   });
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -1,4 +1,5 @@
 #include "callers.h"
+#include "gateway/promptparts.h"
 
 #include <thread>
 
@@ -34,6 +35,8 @@
     }
   }
 
+  std::atomic<int> mLookUps{ 0 }; ///< of the targets
+
   size_t RequestsAtTargets() const
   {
     size_t n = 0;
@@ -73,3 +76,96 @@
   STRCMP_CONTAINS("HTTP/1.1 503", refusal.c_str());
   STRCMP_CONTAINS("Retry-After: ", refusal.c_str());
 }
+
+// Guards against one request that ends target after target, as callers send it
+// again with the same path, account and body.
+TEST(Quarantine, RepeatedRequestThatEndsTargetsReachesNoFurtherTarget)
+{
+  AddEndingTargets(10);
+  mGateway.mConfig.mRoutes[0].mAttempts = 1;
+  mGateway.Start();
+  for (int n = 1; n <= 3; ++n) {
+    (void)Ask("c1:40,d1:9");
+  }
+  STRCMP_CONTAINS("HTTP/1.1 503", Ask("c1:40,d1:9").c_str());
+  CHECK_EQUAL(3U, RequestsAtTargets());
+  STRCMP_CONTAINS("HTTP/1.1 502", Ask("c1:40,d2:9").c_str());
+  CHECK_EQUAL(4U, RequestsAtTargets());
+}
+
+// Guards against a request that is tried again after its part has been found to
+// end targets.
+TEST(Quarantine, RequestIsNotRepeatedOnceItsPartIsKnown)
+{
+  AddEndingTargets(10);
+  mGateway.mConfig.mRoutes[0].mAttempts = 1;
+  mGateway.Start();
+  (void)Ask("c1:40,bad:7,d1:9");
+  (void)Ask("c1:40,bad:7,d2:9");
+  mGateway.mConfig.mRoutes[0].mAttempts = 5;
+  mGateway.ChangeConfig();
+  STRCMP_CONTAINS("HTTP/1.1 502", Ask("c1:40,bad:7,d3:9").c_str());
+  CHECK_EQUAL(3U, RequestsAtTargets());
+}
+
+// Guards against parts that are blamed for targets which the platform has taken
+// from its list.
+TEST(Quarantine, TargetThatIsNoLongerListedAccusesNobody)
+{
+  AddEndingTargets(1);
+  mGateway.mConfig.mRoutes[0].mAttempts = 1;
+  mGateway.mBeforeTargets = [this] {
+    if (++mLookUps > 1) { // after the break
+      const std::lock_guard guard(mGateway.mTargetsLock);
+      mGateway.mTargets.mByService.clear();
+    }
+  };
+  mGateway.Start();
+  STRCMP_CONTAINS("HTTP/1.1 502", Ask("c1:40,bad:7,d1:9").c_str());
+  CHECK_EQUAL(1U, RequestsAtTargets());
+  CHECK(mGateway.mQuarantine.ChangesSince({}).empty());
+}
+
+// Guards against a request that waits at a target until it ends it, although
+// its part has been quarantined meanwhile.
+TEST(Quarantine, WaitingAttemptIsGivenUp)
+{
+  ScriptedServer silent({ { "" } });
+  mGateway.AddTarget(silent);
+  mGateway.Start();
+  std::thread others([this] {
+    std::this_thread::sleep_for(kBetweenEnds);
+    const std::vector<TraitId> parts = ParseSharedParts("c1:40,bad:7,d1:9");
+    TimePoint at = mGateway.mClock.Now() - milliseconds(1000);
+    for (TraitId n = 1; n <= kMinCrashes; ++n) {
+      mGateway.mQuarantine.RecordCrash({ n, parts }, n, at += kBetweenEnds);
+    }
+  });
+  const TimePoint start = mGateway.mClock.Now();
+  const ReceivedResponse got =
+    mGateway.Ask(StreamRequest("c1:40,bad:7,d9:9"), "}");
+  others.join();
+  STRCMP_CONTAINS("HTTP/1.1 502", got.mBytes.c_str());
+  CHECK(mGateway.mClock.Now() - start < milliseconds(2000));
+  CHECK_EQUAL(0U, silent.WaitUntilClosed());
+}
+
+// Guards against a target that breaks off an answer without a length, which
+// then looks complete and clears the part that ended the target.
+TEST(Quarantine, AnswerThatEndsWithItsConnectionClearsNothing)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n"
+                           "Content-Type: text/event-stream\r\n\r\n";
+  ScriptedServer ending({ { head + "id: 1\n\n", true } });
+  mGateway.AddTarget(ending);
+  mGateway.Start();
+  const std::vector<TraitId> parts = ParseSharedParts("c1:40,bad:7,d1:9");
+  TimePoint at = mGateway.mClock.Now() - milliseconds(1000);
+  for (TraitId n = 1; n < kMinCrashes; ++n) {
+    mGateway.mQuarantine.RecordCrash({ n, parts }, n, at += kBetweenEnds);
+  }
+  (void)mGateway.Ask(StreamRequest("c1:40,bad:7,d9:9"), kEnd);
+  for (const CrashNotice& it : mGateway.mQuarantine.ChangesSince({})) {
+    CHECK(!it.mCrash.mRefuted);
+  }
+}
