--- a/src/fleet/crashevidence.cc
+++ b/src/fleet/crashevidence.cc
@@ -1,8 +1,9 @@
 #include "fleet/crashevidence.h"
 
 #include <algorithm>
+#include <array>
+#include <compare>
 #include <optional>
-#include <tuple>
 
 namespace hibiscushold {
 
@@ -39,51 +40,106 @@
   std::map<uint64_t, std::optional<TraitId>> mExceptContent;
 };
 
-/// @return the number of crashes that speak against the trait at this time, or
-///         zero if they are too few to count
-size_t
-CountAgainst(const Suspect& aSuspect,
-             const Explained& aExplained,
-             TimePoint aNow)
+/// Crashes that are enough to count a trait as their cause. A part of a prompt
+/// needs several requests, as one alone doesn't tell which of its traits is the
+/// cause.
+struct Proof
+{
+  bool mOnlyAtBeginning;  ///< others don't count
+  size_t mCrashes;        ///< apart from each other
+  size_t mContents;       ///< different requests
+  milliseconds mStanding; ///< how long they must have stood
+};
+
+/// Targets crash when they begin to write an answer, so crashes at that moment
+/// weigh more.
+constexpr std::array<Proof, 2> kWithoutAnswers{
+  { { false, kMinCrashes, 3, milliseconds(0) },
+    { true, kMinCrashes, 2, milliseconds(0) } }
+};
+constexpr std::array<Proof, 2> kWithAnswers{
+  { { false, 5, 3, kTimeToRefute },
+    { true, kMinCrashes, 2, kTimeToRefute / 2 } }
+};
+
+bool
+IsMet(const Proof& aProof,
+      uint8_t aRank,
+      std::span<const Crash> aCrashes,
+      TimePoint aNow)
+{
+  std::vector<Crash> counted;
+  std::set<TraitId> contents;
+  for (const Crash& it : aCrashes) {
+    if (it.mAt + aProof.mStanding <= aNow &&
+        (it.mAtBeginning || !aProof.mOnlyAtBeginning)) {
+      counted.push_back(it);
+      contents.insert(it.mContent);
+    }
+  }
+  return CountApart(counted) >= aProof.mCrashes &&
+         (aRank == kContentRank || contents.size() >= aProof.mContents);
+}
+
+/// How well a trait explains crashes; the larger, the better.
+struct Explanation
+{
+  size_t mAtBeginning = 0; ///< crashes while an answer had just begun
+  size_t mCrashes = 0;     ///< zero if they prove nothing
+  bool mNoAnswers = false;
+  uint8_t mRank = 0;
+  TraitId mTrait = 0;
+
+  auto operator<=>(const Explanation&) const = default;
+};
+
+/// @param aExplained crashes that don't count against the trait
+Explanation
+Explain(TraitId aTrait,
+        const Suspect& aSuspect,
+        const Explained& aExplained,
+        TimePoint aNow)
 {
-  const TimePoint until = aSuspect.mWasAnswered ? aNow - kTimeToRefute : aNow;
   std::vector<Crash> crashes;
+  size_t atBeginning = 0;
   for (const Crash& it : aSuspect.mCrashes) {
-    if (!it.mRefuted && it.mAt <= until && !aExplained.Covers(it)) {
+    if (!it.mRefuted && !aExplained.Covers(it)) {
       crashes.push_back(it);
+      atBeginning += it.mAtBeginning ? 1 : 0;
     }
   }
-  const bool enough =
-    CountCrashes(aSuspect.mRank, crashes) >= MinCrashesOf(aSuspect);
-  return enough ? crashes.size() : 0;
+  const auto& proofs = aSuspect.mWasAnswered ? kWithAnswers : kWithoutAnswers;
+  const bool proven =
+    std::any_of(proofs.begin(), proofs.end(), [&](const Proof& it) {
+      return IsMet(it, aSuspect.mRank, crashes, aNow);
+    });
+  if (!proven) {
+    return {};
+  }
+  return {
+    atBeginning, crashes.size(), !aSuspect.mWasAnswered, aSuspect.mRank, aTrait
+  };
 }
 
 } // namespace
 
 size_t
-MinCrashesOf(const Suspect& aSuspect)
+CountApart(std::span<const Crash> aCrashes)
 {
-  return aSuspect.mWasAnswered ? kMinCrashesAfterAnswers : kMinCrashes;
-}
-
-size_t
-CountCrashes(uint8_t aRank, std::span<const Crash> aCrashes)
-{
-  std::vector<Crash> sorted(aCrashes.begin(), aCrashes.end());
-  std::sort(sorted.begin(), sorted.end(), [](const Crash& aL, const Crash& aR) {
-    return aL.mAt < aR.mAt;
-  });
-  std::set<TraitId> contents;
-  std::optional<TimePoint> last;
-  size_t apart = 0;
-  for (const Crash& it : sorted) {
-    contents.insert(it.mContent);
-    if (!last || it.mAt - *last >= kMinCrashDistance) {
-      last = it.mAt;
-      ++apart;
+  std::vector<TimePoint> times;
+  for (const Crash& it : aCrashes) {
+    times.push_back(it.mAt);
+  }
+  std::sort(times.begin(), times.end());
+  size_t n = 0;
+  TimePoint last;
+  for (const TimePoint it : times) {
+    if (n == 0 || it - last >= kMinCrashDistance) {
+      last = it;
+      ++n;
     }
   }
-  return aRank == kContentRank ? apart : std::min(apart, contents.size());
+  return n;
 }
 
 std::set<TraitId>
@@ -96,31 +152,23 @@
   for (const TraitId it : aKnown) {
     const auto found = aSuspects.find(it);
     if (found != aSuspects.end() &&
-        CountAgainst(found->second, Explained(), aNow) > 0) {
+        Explain(it, found->second, Explained(), aNow).mCrashes > 0) {
       culprits.insert(it);
       explained.Add(found->second);
     }
   }
   for (;;) {
-    // Of traits with as many crashes, one without answers is the better
-    // explanation, then the one that fewer requests share.
-    std::tuple<size_t, bool, uint8_t, TraitId> best{ 0, false, 0, 0 };
+    Explanation best;
     for (const auto& [trait, suspect] : aSuspects) {
-      if (suspect.mCrashes.size() >= MinCrashesOf(suspect) &&
-          !culprits.contains(trait)) {
-        best = std::max(best,
-                        { CountAgainst(suspect, explained, aNow),
-                          !suspect.mWasAnswered,
-                          suspect.mRank,
-                          trait });
+      if (suspect.mCrashes.size() >= kMinCrashes && !culprits.contains(trait)) {
+        best = std::max(best, Explain(trait, suspect, explained, aNow));
       }
     }
-    if (std::get<0>(best) == 0) {
+    if (best.mCrashes == 0) {
       return culprits;
     }
-    const TraitId culprit = std::get<3>(best);
-    culprits.insert(culprit);
-    explained.Add(aSuspects.at(culprit));
+    culprits.insert(best.mTrait);
+    explained.Add(aSuspects.at(best.mTrait));
   }
 }
 
--- a/src/fleet/crashevidence.h
+++ b/src/fleet/crashevidence.h
@@ -29,10 +29,11 @@
 /// The end of a target while a request with a trait was at it.
 struct Crash
 {
-  uint64_t mTarget = 0;  ///< identifies one start of a VM
-  TraitId mContent = 0;  ///< of the request
-  TimePoint mAt;         ///< when it was first noticed
-  bool mRefuted = false; ///< the trait or the target turned out to be sound
+  uint64_t mTarget = 0;      ///< identifies one start of a VM
+  TraitId mContent = 0;      ///< of the request
+  TimePoint mAt;             ///< when it was first noticed
+  bool mRefuted = false;     ///< the trait or the target turned out to be sound
+  bool mAtBeginning = false; ///< the answer to the request had just begun
 
   bool operator==(const Crash&) const = default;
 };
@@ -47,28 +48,19 @@
 
 using Suspects = std::map<TraitId, Suspect>;
 
-/// Crashes that a trait without answers needs to count as their cause.
+/// Crashes that a trait needs at least to count as their cause.
 inline constexpr size_t kMinCrashes = 3;
-/// Likewise for a trait with answers, which has to have turned bad.
-inline constexpr size_t kMinCrashesAfterAnswers = 5;
-/// How long these crashes stand against a trait with answers before they count,
-/// as an answer that refutes them takes its time.
-inline constexpr auto kTimeToRefute = seconds(1);
+/// How long crashes stand against a trait with answers before they count, as an
+/// answer that refutes them takes its time.
+inline constexpr auto kTimeToRefute = milliseconds(1000);
 /// Targets that end within this time of each other may have one common cause,
 /// such as the loss of a zone, and count as one crash.
 inline constexpr auto kMinCrashDistance = milliseconds(40);
 
-/// @return the number of crashes that the trait needs to count as their cause
-size_t
-MinCrashesOf(const Suspect& aSuspect);
-
-/// Counts crashes that happened apart from each other. A part of a prompt needs
-/// as many different requests, as one request alone doesn't tell which of its
-/// traits is the cause.
-/// @param aRank of the trait
+/// Counts crashes that happened apart from each other.
 /// @param aCrashes without refuted ones
 size_t
-CountCrashes(uint8_t aRank, std::span<const Crash> aCrashes);
+CountApart(std::span<const Crash> aCrashes);
 
 /// Finds the traits that explain the most crashes. A crash that one of them
 /// explains says nothing about the other requests at the same target, so traits
--- a/src/fleet/quarantine.cc
+++ b/src/fleet/quarantine.cc
@@ -15,6 +15,8 @@
 constexpr auto kSuspicionTime = seconds(60);
 /// How long a trait is quarantined after the crashes that prove it.
 constexpr auto kQuarantineTime = seconds(300);
+/// A target that crashes under an answer does so this soon after it has begun.
+constexpr auto kBeginningTime = milliseconds(500);
 constexpr size_t kMaxCrashesPerSuspect = 16;
 constexpr size_t kMaxPartsPerCrash = 64;
 constexpr size_t kMaxStrongNotices = 96;
@@ -46,7 +48,7 @@
   std::sort(crashes.begin(), crashes.end(), [](const auto& aL, const auto& aR) {
     return aL.mAt > aR.mAt;
   });
-  return crashes[MinCrashesOf(aCulprit) - 1].mAt + kQuarantineTime;
+  return crashes[kMinCrashes - 1].mAt + kQuarantineTime;
 }
 
 void
@@ -70,9 +72,11 @@
 void
 Quarantine::RecordCrash(const RequestTraits& aTraits,
                         uint64_t aTarget,
+                        std::optional<TimePoint> aBeganAt,
                         TimePoint aNow)
 {
-  const Crash crash{ aTarget, aTraits.mContent, aNow };
+  const bool atBeginning = aBeganAt && aNow - *aBeganAt < kBeginningTime;
+  const Crash crash{ aTarget, aTraits.mContent, aNow, false, atBeginning };
   const std::lock_guard guard(mLock);
   Add({ aTraits.mContent, kContentRank, false, crash }, aNow);
   for (size_t n = 0; n < std::min(aTraits.mParts.size(), kMaxPartsPerCrash);
@@ -210,7 +214,7 @@
   }
   for (const auto& [trait, suspect] : mSuspects) {
     if (!mCulprits.contains(trait) &&
-        CountCrashes(suspect.mRank, NotRefuted(suspect)) + 1 >= kMinCrashes) {
+        CountApart(NotRefuted(suspect)) + 1 >= kMinCrashes) {
       AppendNotices(trait, suspect, notices);
     }
   }
@@ -245,9 +249,11 @@
     const Crash merged{ known->mTarget,
                         std::min(known->mContent, aNotice.mCrash.mContent),
                         std::min(known->mAt, aNotice.mCrash.mAt),
-                        known->mRefuted || aNotice.mCrash.mRefuted };
-    const bool changed =
-      merged.mContent != known->mContent || merged.mRefuted != known->mRefuted;
+                        known->mRefuted || aNotice.mCrash.mRefuted,
+                        known->mAtBeginning || aNotice.mCrash.mAtBeginning };
+    const bool changed = merged.mContent != known->mContent ||
+                         merged.mRefuted != known->mRefuted ||
+                         merged.mAtBeginning != known->mAtBeginning;
     *known = merged;
     if (changed) {
       mChangedAt[aNotice.mTrait] = aNow;
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -33,8 +33,10 @@
 public:
   /// Records that a target ended while a request was at it.
   /// @param aTarget see TargetStartId
+  /// @param aBeganAt when the answer began, if it had
   void RecordCrash(const RequestTraits& aTraits,
                    uint64_t aTarget,
+                   std::optional<TimePoint> aBeganAt,
                    TimePoint aNow);
 
   /// Records a complete answer, which shows that the traits of its request
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -111,7 +111,7 @@
       IsLeaving(aTarget, aDependencies.mLoads.Get(aTarget.mVmId));
     LogBreak(aRequest, aTarget, expected);
     if (!expected) {
-      quarantine.RecordCrash(aRequest.mTraits, target, now);
+      quarantine.RecordCrash(aRequest.mTraits, target, aReport.mBeganAt, now);
     }
     return;
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -199,6 +199,7 @@
       const std::string id = head.get(mDependencies.mProtocol.mRequestId, "");
       if (id == mRequest.mRequestId ||
           (id.empty() && head.has(mDependencies.mProtocol.mNotRun))) {
+        mReport.mBeganAt = mDependencies.mClock.Now();
         RecordAnnouncements(mDependencies, mRequest.mTarget, head);
         HandleResponse(head, body);
         return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,6 +9,7 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -71,10 +72,11 @@
   ExchangeOutcome mOutcome = ExchangeOutcome::ConnectFailed;
   TargetResponse mResponse; ///< for Answered and NotRun; no body if streamed
   bool mStreamed = false;   ///< a stream was forwarded to the caller
-  Duration mTimeToFirstEvent{ 0 }; ///< from the start of the attempt
-  Duration mLongestEventGap{ 0 };  ///< between two events
-  bool mReused = false;            ///< the connection came from the pool
-  uint64_t mLastEvent = 0;         ///< id of the last event that was forwarded
+  Duration mTimeToFirstEvent{ 0 };   ///< from the start of the attempt
+  std::optional<TimePoint> mBeganAt; ///< when the head of a response arrived
+  Duration mLongestEventGap{ 0 };    ///< between two events
+  bool mReused = false;              ///< the connection came from the pool
+  uint64_t mLastEvent = 0; ///< id of the last event that was forwarded
   uint64_t mSentBytes = 0; ///< zero: the target cannot have run the request
   /// The end of the connection alone would not have ended the response.
   bool mMarksItsEnd = false;
--- a/src/relay/crashreport.cc
+++ b/src/relay/crashreport.cc
@@ -27,7 +27,7 @@
     const int64_t age = std::max<int64_t>(0, ToMillis(aNow - it.mCrash.mAt));
     out << it.mTrait << it.mRank << it.mWasAnswered << it.mCrash.mTarget
         << it.mCrash.mContent << static_cast<uint32_t>(age)
-        << it.mCrash.mRefuted;
+        << it.mCrash.mRefuted << it.mCrash.mAtBeginning;
   }
   out.flush();
   return stream.str();
@@ -51,7 +51,7 @@
     uint32_t age = 0;
     in >> notice.mTrait >> notice.mRank >> notice.mWasAnswered >>
       notice.mCrash.mTarget >> notice.mCrash.mContent >> age >>
-      notice.mCrash.mRefuted;
+      notice.mCrash.mRefuted >> notice.mCrash.mAtBeginning;
     notice.mCrash.mAt = aNow - milliseconds(age);
     report.mNotices.push_back(notice);
   }
--- a/test/crashevidence-test.cc
+++ b/test/crashevidence-test.cc
@@ -28,7 +28,7 @@
   void EndTarget(std::vector<TraitId> aParts)
   {
     mNow += kApart;
-    mNode.RecordCrash({ ++mContent, std::move(aParts) }, ++mTarget, mNow);
+    mNode.RecordCrash({ ++mContent, std::move(aParts) }, ++mTarget, {}, mNow);
   }
 
   void EndTargets(int aCount, const std::vector<TraitId>& aParts)
@@ -89,7 +89,7 @@
 {
   for (int n = 0; n < 3; ++n) {
     EndTarget({ kFirst, kBad });
-    mNode.RecordCrash({ ++mContent, { kFirst, 5 } }, mTarget, mNow);
+    mNode.RecordCrash({ ++mContent, { kFirst, 5 } }, mTarget, {}, mNow);
   }
   CHECK(IsQuarantined({ kBad }));
   CHECK(!IsQuarantined({ 5 }));
@@ -114,7 +114,7 @@
 {
   for (int n = 0; n < 20; ++n) {
     mNode.RecordCrash(
-      { ++mContent, { kFirst } }, ++mTarget, mNow + milliseconds(n * 4));
+      { ++mContent, { kFirst } }, ++mTarget, {}, mNow + milliseconds(n * 4));
   }
   CHECK(!IsQuarantined({ kFirst }));
 }
@@ -135,7 +135,7 @@
 {
   for (int n = 0; n < 3; ++n) {
     mNow += kApart;
-    mNode.RecordCrash({ 55, { kFirst, kBad } }, ++mTarget, mNow);
+    mNode.RecordCrash({ 55, { kFirst, kBad } }, ++mTarget, {}, mNow);
   }
   CHECK(mNode.EndOfQuarantine({ 55, {} }).has_value());
   CHECK(!IsQuarantined({ kFirst, kBad }));
@@ -148,7 +148,7 @@
   for (const TraitId content : { 51, 52, 53 }) {
     for (int n = 0; n < 3; ++n) {
       mNow += kApart;
-      mNode.RecordCrash({ content, { kFirst, kBad } }, ++mTarget, mNow);
+      mNode.RecordCrash({ content, { kFirst, kBad } }, ++mTarget, {}, mNow);
     }
   }
   CHECK(IsQuarantined({ kBad }));
@@ -187,7 +187,7 @@
   }
   for (Quarantine& it : nodes) {
     mNow += kApart;
-    it.RecordCrash({ ++mContent, { kFirst, kBad } }, ++mTarget, mNow);
+    it.RecordCrash({ ++mContent, { kFirst, kBad } }, ++mTarget, {}, mNow);
     mNow += milliseconds(10);
     it.RecordAnswer({ ++mContent, { kFirst } }, mNow, mNow);
   }
@@ -203,6 +203,25 @@
   }
 }
 
+// Guards against a part that ends five targets before it is found, although the
+// targets end just when they begin to answer.
+TEST(CrashEvidence, EndsAtTheBeginningOfAnAnswerWeighMore)
+{
+  Answer({ kBad });
+  Answer({ kFirst });
+  for (int n = 0; n < 3; ++n) {
+    mNow += kApart;
+    ++mTarget;
+    mNode.RecordCrash(
+      { ++mContent, { kFirst } }, mTarget, mNow - seconds(2), mNow);
+    mNode.RecordCrash(
+      { ++mContent, { kBad } }, mTarget, mNow - milliseconds(80), mNow);
+  }
+  mNode.Refresh(mNow + kTimeToRefute / 2);
+  CHECK(IsQuarantined({ kBad }));
+  CHECK(!IsQuarantined({ kFirst }));
+}
+
 TEST(CrashEvidence, QuarantineEndsInTime)
 {
   EndTargets(3, { kBad });
@@ -228,7 +247,7 @@
 {
   EndTargets(3, { kBad });
   for (TraitId n = 0; n < 3 * Quarantine::kMaxSuspects; ++n) {
-    mNode.RecordCrash({ 100000 + n, { 200000 + n } }, ++mTarget, mNow);
+    mNode.RecordCrash({ 100000 + n, { 200000 + n } }, ++mTarget, {}, mNow);
   }
   CHECK(IsQuarantined({ kBad }));
   const auto all = mNode.ChangesSince(kStart);
@@ -242,7 +261,7 @@
   Quarantine nodes[3];
   for (Quarantine& it : nodes) {
     mNow += kApart;
-    it.RecordCrash({ ++mContent, { kFirst, kBad } }, ++mTarget, mNow);
+    it.RecordCrash({ ++mContent, { kFirst, kBad } }, ++mTarget, {}, mNow);
     CHECK(!IsQuarantined(it, { kBad }));
   }
   nodes[0].RecordAnswer({ ++mContent, { kFirst } }, mNow, mNow);
--- a/test/crashreport-test.cc
+++ b/test/crashreport-test.cc
@@ -17,8 +17,8 @@
 {
   const CrashReport sent{
     "token",
-    { { 1, 2, true, { 3, 4, kNow - milliseconds(90000), true } },
-      { ~uint64_t{ 0 }, kContentRank, false, { 6, 7, kNow, false } } }
+    { { 1, 2, true, { 3, 4, kNow - milliseconds(90000), true, true } },
+      { ~uint64_t{ 0 }, kContentRank, false, { 6, 7, kNow, false, false } } }
   };
   const auto got =
     DecodeCrashReport(EncodeCrashReport(sent, kNow), kNow + seconds(5));
@@ -30,10 +30,12 @@
   CHECK_EQUAL(2, first.mRank);
   CHECK(first.mWasAnswered);
   // Nodes share no clock, so the encoding preserves the age.
-  CHECK(Crash({ 3, 4, kNow - milliseconds(85000), true }) == first.mCrash);
+  CHECK(Crash({ 3, 4, kNow - milliseconds(85000), true, true }) ==
+        first.mCrash);
   CHECK(~uint64_t{ 0 } == got->mNotices[1].mTrait);
   CHECK(!got->mNotices[1].mWasAnswered);
   CHECK(!got->mNotices[1].mCrash.mRefuted);
+  CHECK(!got->mNotices[1].mCrash.mAtBeginning);
 }
 
 // Guards against a node that takes a report of one kind for the other.
--- a/test/quarantine-soak-test.cc
+++ b/test/quarantine-soak-test.cc
@@ -251,7 +251,10 @@
     const std::vector<Running> broken = std::move(aTarget.mRunning);
     aTarget.mRunning.clear();
     for (const Running& it : broken) {
-      mNodes[it.mNode].RecordCrash(it.mTraits, aTarget.mStart, mNow);
+      const auto beganAt = it.mBeginsAt <= mNow
+                             ? std::optional<TimePoint>(it.mBeginsAt)
+                             : std::nullopt;
+      mNodes[it.mNode].RecordCrash(it.mTraits, aTarget.mStart, beganAt, mNow);
     }
     aTarget.mDownUntil = mNow + kStep;
     for (Running it : broken) {
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -138,7 +138,7 @@
     const std::vector<TraitId> parts = ParseSharedParts("c1:40,bad:7,d1:9");
     TimePoint at = mGateway.mClock.Now() - milliseconds(1000);
     for (TraitId n = 1; n <= kMinCrashes; ++n) {
-      mGateway.mQuarantine.RecordCrash({ n, parts }, n, at += kBetweenEnds);
+      mGateway.mQuarantine.RecordCrash({ n, parts }, n, {}, at += kBetweenEnds);
     }
   });
   const TimePoint start = mGateway.mClock.Now();
@@ -162,7 +162,7 @@
   const std::vector<TraitId> parts = ParseSharedParts("c1:40,bad:7,d1:9");
   TimePoint at = mGateway.mClock.Now() - milliseconds(1000);
   for (TraitId n = 1; n < kMinCrashes; ++n) {
-    mGateway.mQuarantine.RecordCrash({ n, parts }, n, at += kBetweenEnds);
+    mGateway.mQuarantine.RecordCrash({ n, parts }, n, {}, at += kBetweenEnds);
   }
   (void)mGateway.Ask(StreamRequest("c1:40,bad:7,d9:9"), kEnd);
   for (const CrashNotice& it : mGateway.mQuarantine.ChangesSince({})) {
