Let a sound trait out of quarantine by a trial, and blame no part for a cascade

Callers would see: after a cascade (six of thirteen targets that end 20 to 200 ms after each other, for a reason of their own), the requests with one or two popular parts were refused for up to five minutes, as no request could show that they are sound.

For what remains one node, the first of the tree, lets one request through after 30 s, then after 120 s; its answer ends the quarantine at all nodes (CrashEvidence, OneRequestIsTriedAfterAWhile; Quarantine, AnswerToATrialEndsTheQuarantine).

--- a/src/fleet/crashevidence.cc
+++ b/src/fleet/crashevidence.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <compare>
 #include <optional>
+#include <tuple>
 
 namespace hibiscushold {
 
@@ -52,14 +52,14 @@
 };
 
 /// Targets crash when they begin to write an answer, so crashes at that moment
-/// weigh more.
+/// weigh more, if they explain most of the ends of that time.
 constexpr std::array<Proof, 2> kWithoutAnswers{
   { { false, kMinCrashes, 3, milliseconds(0) },
     { true, kMinCrashes, 2, milliseconds(0) } }
 };
 constexpr std::array<Proof, 2> kWithAnswers{
   { { false, 5, 3, kTimeToRefute },
-    { true, kMinCrashes, 2, kTimeToRefute / 2 } }
+    { true, kMinCrashes, 2, kTimeToRefute / 4 } }
 };
 
 bool
@@ -90,14 +90,55 @@
   uint8_t mRank = 0;
   TraitId mTrait = 0;
 
-  auto operator<=>(const Explanation&) const = default;
+  auto Key() const
+  {
+    return std::tie(mAtBeginning, mCrashes, mNoAnswers, mRank, mTrait);
+  }
 };
 
+/// The targets that ended and are not explained, with the time of each end.
+using Ends = std::map<uint64_t, TimePoint>;
+
+Ends
+FindEnds(const Suspects& aSuspects, const Explained& aExplained)
+{
+  Ends ends;
+  for (const auto& [trait, suspect] : aSuspects) {
+    for (const Crash& it : suspect.mCrashes) {
+      if (!it.mRefuted && !aExplained.Covers(it)) {
+        TimePoint& at = ends.try_emplace(it.mTarget, it.mAt).first->second;
+        at = std::min(at, it.mAt);
+      }
+    }
+  }
+  return ends;
+}
+
+/// @return whether the crashes while an answer had just begun are most of the
+///         ends since the first of them
+bool
+ExplainMostEnds(std::span<const Crash> aCrashes, const Ends& aEnds)
+{
+  size_t explained = 0;
+  TimePoint first = TimePoint::max();
+  for (const Crash& it : aCrashes) {
+    if (it.mAtBeginning) {
+      ++explained;
+      first = std::min(first, aEnds.at(it.mTarget));
+    }
+  }
+  const auto n = std::count_if(aEnds.begin(), aEnds.end(), [&](const auto& it) {
+    return it.second >= first;
+  });
+  return explained * 4 >= static_cast<size_t>(n) * 3;
+}
+
 /// @param aExplained crashes that don't count against the trait
 Explanation
 Explain(TraitId aTrait,
         const Suspect& aSuspect,
         const Explained& aExplained,
+        const Ends& aEnds,
         TimePoint aNow)
 {
   std::vector<Crash> crashes;
@@ -111,7 +152,8 @@
   const auto& proofs = aSuspect.mWasAnswered ? kWithAnswers : kWithoutAnswers;
   const bool proven =
     std::any_of(proofs.begin(), proofs.end(), [&](const Proof& it) {
-      return IsMet(it, aSuspect.mRank, crashes, aNow);
+      return IsMet(it, aSuspect.mRank, crashes, aNow) &&
+             (!it.mOnlyAtBeginning || ExplainMostEnds(crashes, aEnds));
     });
   if (!proven) {
     return {};
@@ -121,6 +163,16 @@
   };
 }
 
+/// @return whether a trait that was found to be the cause remains one
+bool
+StillCounts(const Suspect& aCulprit)
+{
+  const auto n = std::count_if(aCulprit.mCrashes.begin(),
+                               aCulprit.mCrashes.end(),
+                               [](const Crash& it) { return !it.mRefuted; });
+  return static_cast<size_t>(n) >= kMinCrashes;
+}
+
 } // namespace
 
 size_t
@@ -151,17 +203,19 @@
   Explained explained;
   for (const TraitId it : aKnown) {
     const auto found = aSuspects.find(it);
-    if (found != aSuspects.end() &&
-        Explain(it, found->second, Explained(), aNow).mCrashes > 0) {
+    if (found != aSuspects.end() && StillCounts(found->second)) {
       culprits.insert(it);
       explained.Add(found->second);
     }
   }
   for (;;) {
+    const Ends ends = FindEnds(aSuspects, explained);
     Explanation best;
     for (const auto& [trait, suspect] : aSuspects) {
       if (suspect.mCrashes.size() >= kMinCrashes && !culprits.contains(trait)) {
-        best = std::max(best, Explain(trait, suspect, explained, aNow));
+        const Explanation found =
+          Explain(trait, suspect, explained, ends, aNow);
+        best = best.Key() < found.Key() ? found : best;
       }
     }
     if (best.mCrashes == 0) {
--- a/src/fleet/crashevidence.h
+++ b/src/fleet/crashevidence.h
@@ -52,7 +52,7 @@
 inline constexpr size_t kMinCrashes = 3;
 /// How long crashes stand against a trait with answers before they count, as an
 /// answer that refutes them takes its time.
-inline constexpr auto kTimeToRefute = milliseconds(1000);
+inline constexpr auto kTimeToRefute = milliseconds(2000);
 /// Targets that end within this time of each other may have one common cause,
 /// such as the loss of a zone, and count as one crash.
 inline constexpr auto kMinCrashDistance = milliseconds(40);
--- a/src/fleet/quarantine.cc
+++ b/src/fleet/quarantine.cc
@@ -15,8 +15,10 @@
 constexpr auto kSuspicionTime = seconds(60);
 /// How long a trait is quarantined after the crashes that prove it.
 constexpr auto kQuarantineTime = seconds(300);
+/// When a trait is first tried; each further trial takes four times as long.
+constexpr auto kFirstTrialTime = seconds(30);
 /// A target that crashes under an answer does so this soon after it has begun.
-constexpr auto kBeginningTime = milliseconds(500);
+constexpr auto kBeginningTime = milliseconds(250);
 constexpr size_t kMaxCrashesPerSuspect = 16;
 constexpr size_t kMaxPartsPerCrash = 64;
 constexpr size_t kMaxStrongNotices = 96;
@@ -174,15 +176,50 @@
   }
   std::optional<TimePoint> end;
   const std::lock_guard guard(mLock);
-  const auto check = [&](TraitId aTrait) {
-    const auto found = mCulprits.find(aTrait);
-    if (found != mCulprits.end()) {
-      end = std::max(end.value_or(found->second), found->second);
+  for (const TraitId it : QuarantinedOf(aTraits)) {
+    const TimePoint at = mCulprits.at(it).mEnd;
+    end = std::max(end.value_or(at), at);
+  }
+  return end;
+}
+
+bool
+Quarantine::TryTrial(const RequestTraits& aTraits, TimePoint aNow)
+{
+  if (!mMakesTrials) {
+    return false;
+  }
+  const std::lock_guard guard(mLock);
+  const std::vector<TraitId> traits = QuarantinedOf(aTraits);
+  const bool due = std::all_of(traits.begin(), traits.end(), [&](TraitId aIt) {
+    return mCulprits.at(aIt).mNextTrialAt <= aNow;
+  });
+  if (due) {
+    for (const TraitId it : traits) {
+      Confinement& confinement = mCulprits.at(it);
+      ++confinement.mTrials;
+      confinement.mNextTrialAt =
+        aNow + kFirstTrialTime * (1 << (2 * confinement.mTrials));
     }
+  }
+  return due;
+}
+
+std::vector<TraitId>
+Quarantine::QuarantinedOf(const RequestTraits& aTraits) const
+{
+  std::vector<TraitId> found;
+  const auto isCulprit = [this](TraitId aIt) {
+    return mCulprits.contains(aIt);
   };
-  check(aTraits.mContent);
-  std::for_each(aTraits.mParts.begin(), aTraits.mParts.end(), check);
-  return end;
+  if (isCulprit(aTraits.mContent)) {
+    found.push_back(aTraits.mContent);
+  }
+  std::copy_if(aTraits.mParts.begin(),
+               aTraits.mParts.end(),
+               std::back_inserter(found),
+               isCulprit);
+  return found;
 }
 
 std::vector<CrashNotice>
@@ -209,7 +246,7 @@
     return notices;
   }
   const std::lock_guard guard(mLock);
-  for (const auto& [trait, end] : mCulprits) {
+  for (const auto& [trait, confinement] : mCulprits) {
     AppendNotices(trait, mSuspects.at(trait), notices);
   }
   for (const auto& [trait, suspect] : mSuspects) {
@@ -312,28 +349,29 @@
 Quarantine::UpdateCulprits(TimePoint aNow)
 {
   std::set<TraitId> known;
-  for (const auto& [trait, end] : mCulprits) {
+  for (const auto& [trait, confinement] : mCulprits) {
     known.insert(trait);
   }
-  std::map<TraitId, TimePoint> culprits;
-  for (const TraitId it : FindCulprits(mSuspects, known, aNow)) {
-    culprits[it] = EndOf(mSuspects.at(it));
+  const std::set<TraitId> culprits = FindCulprits(mSuspects, known, aNow);
+  for (const TraitId it : known) {
+    if (!culprits.contains(it)) {
+      LogEvent(EventId::QuarantineEnded, { { "trait", Hex(it) } });
+      mCulprits.erase(it);
+    }
   }
-  for (const auto& [trait, end] : culprits) {
-    if (!mCulprits.contains(trait)) {
-      const Suspect& suspect = mSuspects.at(trait);
+  for (const TraitId it : culprits) {
+    const Suspect& suspect = mSuspects.at(it);
+    const auto [entry, isNew] =
+      mCulprits.try_emplace(it, Confinement{ {}, aNow + kFirstTrialTime });
+    entry->second.mEnd = EndOf(suspect);
+    if (isNew) {
       LogEvent(EventId::QuarantineStarted,
-               { { "trait", Hex(trait) },
+               { { "trait", Hex(it) },
                  { "kind", suspect.mRank == kContentRank ? "request" : "part" },
+                 { "answered", suspect.mWasAnswered ? "yes" : "no" },
                  { "crashes", std::to_string(NotRefuted(suspect).size()) } });
     }
   }
-  for (const auto& [trait, end] : mCulprits) {
-    if (!culprits.contains(trait)) {
-      LogEvent(EventId::QuarantineEnded, { { "trait", Hex(trait) } });
-    }
-  }
-  mCulprits = std::move(culprits);
   mSuspectCount = mSuspects.size();
   mCulpritCount = mCulprits.size();
 }
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -60,6 +60,14 @@
   ///         nothing if they may be sent now
   std::optional<TimePoint> EndOfQuarantine(const RequestTraits& aTraits) const;
 
+  /// Lets a single request with quarantined traits through after a while, so
+  /// that a sound trait can show it. Among all nodes one makes trials.
+  /// @return whether the request may be sent to one target
+  bool TryTrial(const RequestTraits& aTraits, TimePoint aNow);
+
+  /// Sets whether this node makes trials.
+  void SetMakesTrials(bool aMakesTrials) { mMakesTrials = aMakesTrials; }
+
   /// @return the crashes of the traits for which something changed since aSince
   std::vector<CrashNotice> ChangesSince(TimePoint aSince) const;
 
@@ -74,6 +82,15 @@
   static constexpr size_t kMaxSuspects = 1024;
 
 private:
+  struct Confinement
+  {
+    TimePoint mEnd;
+    TimePoint mNextTrialAt;
+    uint32_t mTrials = 0;
+  };
+
+  /// @return the quarantined ones of the traits
+  std::vector<TraitId> QuarantinedOf(const RequestTraits& aTraits) const;
   /// Adds a crash to a suspect, or merges it with what is known of the target.
   void Add(const CrashNotice& aNotice, TimePoint aNow);
   /// Forgets the suspect with the least evidence against it.
@@ -87,8 +104,9 @@
   Suspects mSuspects;
   std::map<TraitId, TimePoint> mChangedAt; ///< latest change of each suspect
   std::set<uint64_t> mEndedTargets;        ///< that have crashes not refuted
-  std::map<TraitId, TimePoint> mCulprits;  ///< end of their quarantine
-  std::atomic<size_t> mSuspectCount{ 0 };  ///< spares most requests the lock
+  std::map<TraitId, Confinement> mCulprits;
+  std::atomic<bool> mMakesTrials{ false };
+  std::atomic<size_t> mSuspectCount{ 0 }; ///< spares most requests the lock
   std::atomic<size_t> mCulpritCount{ 0 };
   SoundTraits mSoundParts;
   SoundTraits mSoundContents;
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -67,8 +67,8 @@
     mDependencies.mRetryBudget.AddRequest(mRequest.mService,
                                           mDependencies.mClock.Now());
     for (;;) {
-      if (const auto end = EndOfQuarantine()) {
-        return FailQuarantined(*end);
+      if (IsHeldInQuarantine()) {
+        return FailQuarantined();
       }
       const FleetTargetsPtr targets = mDependencies.mTargets();
       const FleetTarget* target = Choose(*targets);
@@ -127,12 +127,16 @@
     return mWriter.IsCallerDisconnected();
   }
 
-  bool IsQuarantined() const override { return EndOfQuarantine().has_value(); }
+  bool IsQuarantined() const override
+  {
+    return !mIsTrial && EndOfQuarantine().has_value();
+  }
 
   bool TryTakeover(Attempt& aStalled) override
   {
     const TimePoint now = mDependencies.mClock.Now();
-    if (now < mNextTakeoverAt || !mRequest.AllowsRetry() || IsQuarantined()) {
+    if (now < mNextTakeoverAt || !mRequest.AllowsRetry() || mIsTrial ||
+        IsQuarantined()) {
       return false;
     }
     mNextTakeoverAt = now + kTakeoverInterval;
@@ -168,6 +172,16 @@
     return mDependencies.mQuarantine.EndOfQuarantine(mRequest.mTraits);
   }
 
+  /// Decides before an attempt whether it is to be made. The first attempt may
+  /// be a trial.
+  bool IsHeldInQuarantine()
+  {
+    mIsTrial = EndOfQuarantine() && mAttempts == 0 &&
+               mDependencies.mQuarantine.TryTrial(mRequest.mTraits,
+                                                  mDependencies.mClock.Now());
+    return IsQuarantined();
+  }
+
   const FleetTarget* Choose(const FleetTargets& aTargets)
   {
     const std::span<const FleetTarget> targets = TargetsOf(aTargets);
@@ -292,6 +306,7 @@
                     aTarget,
                     mDependencies.mLoads.Get(aTarget.mVmId).mInFlight,
                     aOuter);
+    ++mAttempts;
     const TimePoint sentAt = mDependencies.mClock.Now();
     ExchangeReport report = RunExchange({ mDependencies.mSessions,
                                           mDependencies.mLoads,
@@ -431,10 +446,11 @@
     return Refusal{ kind, "the target did not answer", Ran::Unknown, 0 };
   }
 
-  /// @param aEnd when such requests may be sent to targets again
-  ResultOrRefusal<void> FailQuarantined(TimePoint aEnd)
+  /// Refuses the request until such requests may be sent to targets again.
+  ResultOrRefusal<void> FailQuarantined()
   {
-    const Duration left = TimeLeft(aEnd, mDependencies.mClock.Now());
+    const TimePoint now = mDependencies.mClock.Now();
+    const Duration left = TimeLeft(EndOfQuarantine().value_or(now), now);
     return Fail(RefusalKind::Quarantined,
                 static_cast<uint32_t>(ToMillis(left)),
                 "quarantined");
@@ -476,6 +492,8 @@
   std::optional<TimePoint> mResumeDeadline; ///< of the wait after a break
   uint64_t mLastEvent;        ///< id of the last event sent to the caller
   uint32_t mAttemptsSent = 0; ///< those that sent part of the request
+  uint32_t mAttempts = 0;     ///< all of them
+  bool mIsTrial = false; ///< the request is quarantined, but may be sent once
   int mConnectFailures = 0;
   bool mMayHaveRun = false;
   bool mBudgetDenied = false;
--- a/src/relay/demandexchange.cc
+++ b/src/relay/demandexchange.cc
@@ -113,6 +113,8 @@
     return it.second.mNextAt + kScheduleLifetime <= now;
   });
   ChooseParent(now);
+  // Only the first node has nobody to report to.
+  mDependencies.mQuarantine.SetMakesTrials(!mParent);
   const bool crossZone = mParent && mParent->mZone != mSelf.mZone;
   mNextReportAt =
     now + (crossZone ? kCrossZoneReportInterval : kReportInterval);
--- a/test/crashevidence-test.cc
+++ b/test/crashevidence-test.cc
@@ -233,6 +233,22 @@
   CHECK(!IsQuarantined({ kBad }));
 }
 
+// Guards against a sound part that stays quarantined because no request can
+// show that it is sound, and against trials at all nodes.
+TEST(CrashEvidence, OneRequestIsTriedAfterAWhile)
+{
+  EndTargets(3, { kBad });
+  const RequestTraits traits{ kOther, { kBad } };
+  CHECK(!mNode.TryTrial(traits, mNow + seconds(30)));
+  mNode.SetMakesTrials(true);
+  CHECK(!mNode.TryTrial(traits, mNow + seconds(29)));
+  CHECK(mNode.TryTrial(traits, mNow + seconds(30)));
+  CHECK(!mNode.TryTrial(traits, mNow + seconds(31)));
+  CHECK(!mNode.TryTrial(traits, mNow + seconds(149)));
+  CHECK(mNode.TryTrial(traits, mNow + seconds(150)));
+  CHECK(IsQuarantined({ kBad }));
+}
+
 TEST(CrashEvidence, FewCrashesAreForgottenSooner)
 {
   EndTargets(2, { kBad });
--- a/test/quarantine-soak-test.cc
+++ b/test/quarantine-soak-test.cc
@@ -34,6 +34,7 @@
   Request,    ///< one request that is sent again and again crashes targets
   Crashes,    ///< targets end in series, whatever they work on
   Loss,       ///< a third of the targets end together, twice
+  Cascade,    ///< half of the targets end shortly after each other, twice
   Resets,     ///< connections are reset while the targets go on
 };
 
@@ -161,6 +162,11 @@
       for (size_t n = mDisturbances; n < kTargets; n += 3) {
         End(mTargets[n]);
       }
+    } else if (mTrouble == Trouble::Cascade && mDisturbances < 12) {
+      ++mDisturbances;
+      mNextDisturbanceAt = mNow + (mDisturbances % 6 == 0 ? Between(4000, 6000)
+                                                          : Between(20, 200));
+      End(mTargets[size_t{ mDisturbances } * 2 % kTargets]);
     } else if (mTrouble == Trouble::Resets && mDisturbances < 30) {
       mNextDisturbanceAt = mNow + Between(20, 300);
       ++mDisturbances;
@@ -377,6 +383,11 @@
   Soak(Trouble::Loss);
 }
 
+TEST(QuarantineSoak, LossOfTargetsShortlyAfterEachOther)
+{
+  Soak(Trouble::Cascade);
+}
+
 TEST(QuarantineSoak, ResetsOfConnections)
 {
   Soak(Trouble::Resets);
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -126,6 +126,27 @@
   CHECK(mGateway.mQuarantine.ChangesSince({}).empty());
 }
 
+// Guards against a sound part that stays quarantined because no node sends a
+// request with it any more.
+TEST(Quarantine, AnswerToATrialEndsTheQuarantine)
+{
+  ScriptedServer sound(
+    { { StreamHead() + Event(1) + kEnd }, { StreamHead() + Event(1) + kEnd } });
+  mGateway.AddTarget(sound);
+  mGateway.Start();
+  const std::vector<TraitId> parts = ParseSharedParts("c1:40,bad:7,d1:9");
+  TimePoint at = mGateway.mClock.Now() - seconds(40);
+  for (TraitId n = 1; n <= kMinCrashes; ++n) {
+    mGateway.mQuarantine.RecordCrash({ n, parts }, n, {}, at += kBetweenEnds);
+  }
+  const std::string request = StreamRequest("c1:40,bad:7,d9:9");
+  STRCMP_CONTAINS("HTTP/1.1 503", mGateway.Ask(request, "}").mBytes.c_str());
+  mGateway.mQuarantine.SetMakesTrials(true);
+  for (int n = 0; n < 2; ++n) {
+    STRCMP_CONTAINS("HTTP/1.1 200", mGateway.Ask(request, kEnd).mBytes.c_str());
+  }
+}
+
 // Guards against a request that waits at a target until it ends it, although
 // its part has been quarantined meanwhile.
 TEST(Quarantine, WaitingAttemptIsGivenUp)
