Call a stream without a length broken if it ends before its first event

Callers got a complete response 200 without an event if a target ended after the head of a stream that has neither a length nor chunks: its end looked like the end of the stream, so it was neither tried elsewhere nor told from a success. Such a stream is broken off now; one that is resumed may be empty. Exchange, StreamThatEndsWithItsConnectionBeforeAnEventIsBroken failed before (answered).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -285,6 +285,11 @@
       SetOutcome(ExchangeOutcome::Broken, "the stream ended within an event");
       return;
     }
+    if (!mReport.mMarksItsEnd && !mReport.mStreamed &&
+        mRequest.mLastEvent == 0) {
+      SetOutcome(ExchangeOutcome::Broken, "the stream ended before an event");
+      return;
+    }
     if (!mReport.mStreamed &&
         !mSink.OnHead(aHead.getStatus(), mReport.mResponse.mFields)) {
       SetOutcome(ExchangeOutcome::CallerDisconnected, "");
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -177,6 +177,21 @@
   STRCMP_EQUAL("id: 1\n\n", mSink.mEvents.c_str());
 }
 
+// Guards against a target that ends before its first event and whose stream,
+// which has no length, reaches the caller as a complete one without events.
+TEST(Exchange, StreamThatEndsWithItsConnectionBeforeAnEventIsBroken)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n"
+                           "Content-Type: text/event-stream\r\n\r\n";
+  ScriptedServer server({ { head, true },
+                          { head + "id: 1\n\n", true },
+                          { head + "data: x\n\n", true } });
+  CHECK(ExchangeOutcome::Broken == Run(server, true).mOutcome);
+  CHECK_EQUAL(0, mSink.mStatus);
+  CHECK(ExchangeOutcome::Answered == Run(server, true).mOutcome);
+  CHECK(ExchangeOutcome::Answered == Run(server, true).mOutcome);
+}
+
 TEST(Exchange, RejectsResumedStreamThatSkipsEvents)
 {
   ScriptedServer server({ { StreamHead("r1") + Chunk("id: 9\n\n") } });
