--- a/test/quarantine-soak-test.cc
+++ b/test/quarantine-soak-test.cc
@@ -3,8 +3,9 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
-#include <deque>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -29,13 +30,14 @@
 
 enum class Trouble
 {
-  NewPart,    ///< a part that no sound request has crashes targets
-  TurnedPart, ///< a part that was sound turns bad
-  Request,    ///< one request that is sent again and again crashes targets
-  Crashes,    ///< targets end in series, whatever they work on
-  Loss,       ///< a third of the targets end together, twice
-  Cascade,    ///< half of the targets end shortly after each other, twice
-  Resets,     ///< connections are reset while the targets go on
+  NewPart,                ///< a part that no sound request has crashes targets
+  TurnedPart,             ///< a part that was sound turns bad
+  TurnedPartAmongCrashes, ///< the same, while other targets end in series
+  Request, ///< one request that is sent again and again crashes targets
+  Crashes, ///< targets end in series, whatever they work on
+  Loss,    ///< a third of the targets end together, twice
+  Cascade, ///< half of the targets end shortly after each other, twice
+  Resets,  ///< connections are reset while the targets go on
 };
 
 struct Running
@@ -63,15 +65,19 @@
   World(uint64_t aSeed, Trouble aTrouble)
     : mRandom(aSeed)
     , mTrouble(aTrouble)
-    , mNodes(kNodes)
     , mCutUntil(kNodes)
     , mStrongAt(kNodes * kNodes)
   {
+    for (size_t n = 0; n < kNodes; ++n) {
+      mNodes.push_back(std::make_unique<Quarantine>());
+      mStartedAt.emplace_back();
+    }
     for (size_t n = 0; n < kTargets; ++n) {
       mTargets.push_back({ ++mStarts, {}, {} });
     }
     mBadFrom = mNow + milliseconds(8000);
-    mBadPerSecond = std::uniform_real_distribution<>(1, 8)(mRandom);
+    mBadPerSecond =
+      std::exp(std::uniform_real_distribution<>(-1.2, 2.1)(mRandom));
     mRepeatsAllowed = Chance(0.5);
   }
 
@@ -106,6 +112,12 @@
     return milliseconds(std::uniform_int_distribution<>(aMin, aMax)(mRandom));
   }
 
+  bool HasTurnedPart() const
+  {
+    return mTrouble == Trouble::TurnedPart ||
+           mTrouble == Trouble::TurnedPartAmongCrashes;
+  }
+
   bool IsBadTime() const { return mNow >= mBadFrom; }
 
   /// @return one of the parts that sound requests share, some often
@@ -113,9 +125,8 @@
   {
     const double u = std::uniform_real_distribution<>(0, 1)(mRandom);
     const auto n = static_cast<TraitId>(u * u * kFirstParts);
-    return n == 17 && mTrouble == Trouble::TurnedPart
-             ? (IsBadTime() ? TraitId{ 18 } : kBadPart)
-             : n + 1;
+    return n == 17 && HasTurnedPart() ? (IsBadTime() ? TraitId{ 18 } : kBadPart)
+                                      : n + 1;
   }
 
   void Arrive()
@@ -133,6 +144,7 @@
         Send({ ++mContents, { FirstPart(), kBadPart } }, true);
         break;
       case Trouble::TurnedPart:
+      case Trouble::TurnedPartAmongCrashes:
         Send({ ++mContents, { kBadPart } }, true);
         break;
       case Trouble::Request:
@@ -152,7 +164,9 @@
     const auto victim = [this] {
       return std::uniform_int_distribution<size_t>(0, kTargets - 1)(mRandom);
     };
-    if (mTrouble == Trouble::Crashes && mDisturbances < 8) {
+    const bool inSeries = mTrouble == Trouble::Crashes ||
+                          mTrouble == Trouble::TurnedPartAmongCrashes;
+    if (inSeries && mDisturbances < 8) {
       mNextDisturbanceAt = mNow + Between(100, 1500);
       ++mDisturbances;
       End(mTargets[victim()]);
@@ -189,7 +203,7 @@
     aRequest.mCrashes =
       aRequest.mCrashes ||
       (IsBadTime() && aRequest.mTraits.mParts.front() == kBadPart);
-    if (mNodes[aRequest.mNode].EndOfQuarantine(aRequest.mTraits)) {
+    if (mNodes[aRequest.mNode]->EndOfQuarantine(aRequest.mTraits)) {
       mSoundRefused += aRequest.mCrashes ? 0 : 1;
       return;
     }
@@ -212,7 +226,8 @@
       (aRequest.mCrashes ? Between(50, 120) : Between(50, 2000));
     target.mRunning.push_back(aRequest);
     if (aRequest.mCrashes && mFifthCrashAt != TimePoint{} &&
-        mNow > mFifthCrashAt + kReactionTime) {
+        mNow > mFifthCrashAt + kReactionTime &&
+        mNow > mStartedAt[aRequest.mNode] + kReactionTime) {
       ++mArrivalsAfter;
     }
   }
@@ -222,7 +237,7 @@
     const auto crashed = std::find_if(
       aTarget.mRunning.begin(), aTarget.mRunning.end(), [&](const auto& it) {
         return it.mCrashes && it.mEndsAt <= mNow &&
-               !mNodes[it.mNode].EndOfQuarantine(it.mTraits);
+               !mNodes[it.mNode]->EndOfQuarantine(it.mTraits);
       });
     if (crashed != aTarget.mRunning.end()) {
       if (++mBadCrashes == 5) {
@@ -240,8 +255,8 @@
       return ends;
     });
     for (const Running& it : answered) {
-      mNodes[it.mNode].RecordAlive(aTarget.mStart, it.mSentAt, mNow);
-      mNodes[it.mNode].RecordAnswer(it.mTraits, it.mBeginsAt, mNow);
+      mNodes[it.mNode]->RecordAlive(aTarget.mStart, it.mSentAt, mNow);
+      mNodes[it.mNode]->RecordAnswer(it.mTraits, it.mBeginsAt, mNow);
     }
   }
 
@@ -260,7 +275,7 @@
       const auto beganAt = it.mBeginsAt <= mNow
                              ? std::optional<TimePoint>(it.mBeginsAt)
                              : std::nullopt;
-      mNodes[it.mNode].RecordCrash(it.mTraits, aTarget.mStart, beganAt, mNow);
+      mNodes[it.mNode]->RecordCrash(it.mTraits, aTarget.mStart, beganAt, mNow);
     }
     aTarget.mDownUntil = mNow + kStep;
     for (Running it : broken) {
@@ -271,9 +286,12 @@
   }
 
   /// Each node reports to the first, which replies; a third of the reports is
-  /// lost, and a node may be cut off for two seconds.
+  /// lost, and a node may start again or be cut off for two seconds.
   void Exchange()
   {
+    if (Chance(0.005)) {
+      Restart(std::uniform_int_distribution<size_t>(0, kNodes - 1)(mRandom));
+    }
     if (Chance(0.01)) {
       mCutUntil[std::uniform_int_distribution<size_t>(1, kNodes - 1)(mRandom)] =
         mNow + milliseconds(2000);
@@ -284,29 +302,37 @@
         Report(0, n);
       }
     }
-    for (Quarantine& it : mNodes) {
-      it.Refresh(mNow);
+    for (const auto& it : mNodes) {
+      it->Refresh(mNow);
     }
   }
 
+  /// A node that starts again knows nothing.
+  void Restart(size_t aNode)
+  {
+    mNodes[aNode] = std::make_unique<Quarantine>();
+    mStartedAt[aNode] = mNow;
+  }
+
   void Report(size_t aFrom, size_t aTo)
   {
     std::vector<CrashNotice> notices =
-      mNodes[aFrom].ChangesSince(mNow - kRepeatTime);
+      mNodes[aFrom]->ChangesSince(mNow - kRepeatTime);
     TimePoint& strongAt = mStrongAt[aFrom * kNodes + aTo];
     if (mNow >= strongAt) {
       strongAt = mNow + kStrongInterval;
-      const auto strong = mNodes[aFrom].StrongEvidence();
+      const auto strong = mNodes[aFrom]->StrongEvidence();
       notices.insert(notices.end(), strong.begin(), strong.end());
     }
     if (!Chance(0.33)) {
-      mNodes[aTo].Merge(notices, mNow);
+      mNodes[aTo]->Merge(notices, mNow);
     }
   }
 
   std::mt19937_64 mRandom;
   const Trouble mTrouble;
-  std::vector<Quarantine> mNodes;
+  std::vector<std::unique_ptr<Quarantine>> mNodes;
+  std::vector<TimePoint> mStartedAt; ///< of the nodes
   std::vector<TimePoint> mCutUntil;
   std::vector<TimePoint> mStrongAt;
   std::vector<Target> mTargets;
@@ -366,6 +392,11 @@
   Soak(Trouble::TurnedPart);
 }
 
+TEST(QuarantineSoak, PartThatTurnsBadAmongCrashes)
+{
+  Soak(Trouble::TurnedPartAmongCrashes);
+}
+
 TEST(QuarantineSoak, RequestThatIsRepeated)
 {
   Soak(Trouble::Request);
