--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -205,7 +205,8 @@
         return;
       }
       mNoStaleResponse = false;
-      (void)ReadAll(body);
+      BudgetedBytes held(mDependencies.mBuffers);
+      (void)ReadAll(body, held);
     }
     SetOutcome(ExchangeOutcome::Invalid,
                "no response has the id of this request");
@@ -234,7 +235,8 @@
       ReceiveEvents(aHead, aBody);
       return;
     }
-    mReport.mResponse.mBody = ReadAll(aBody);
+    mReport.mResponse.mHeldBytes = BudgetedBytes(mDependencies.mBuffers);
+    mReport.mResponse.mBody = ReadAll(aBody, mReport.mResponse.mHeldBytes);
     mReport.mResponse.mStatus = status;
     mDependencies.mLoads.RecordProgress(mRequest.mTarget.mVmId,
                                         mDependencies.mClock.Now());
@@ -254,7 +256,8 @@
     mReport.mResponse.mStatus = aHead.getStatus();
   }
 
-  static std::string ReadAll(BodyReader& aBody)
+  /// @param aHeld grows with the body
+  static std::string ReadAll(BodyReader& aBody, BudgetedBytes& aHeld)
   {
     std::string body;
     std::array<char, 16384> buf;
@@ -263,6 +266,9 @@
       if (body.size() > kMaxResponseBytes) {
         throw Poco::Net::MessageException("the answer is too large");
       }
+      if (!aHeld.TryGrowTo(body.capacity())) {
+        throw Poco::Net::MessageException("too many bytes wait for callers");
+      }
     }
     return body;
   }
@@ -270,10 +276,12 @@
   void ReceiveEvents(const HTTPResponse& aHead, BodyReader& aBody)
   {
     EventSplitter splitter(mReport.mLastEvent);
+    BudgetedBytes held(mDependencies.mBuffers);
     std::array<char, 16384> buf;
     for (size_t n = aBody.Read(buf); n > 0; n = aBody.Read(buf)) {
       splitter.Add({ buf.data(), n });
-      if (splitter.PendingBytes() > kMaxEventBytes) {
+      if (splitter.PendingBytes() > kMaxEventBytes ||
+          !held.TryGrowTo(splitter.PendingBytes())) {
         SetOutcome(ExchangeOutcome::Invalid, "an event is too large");
         return;
       }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/bytebudget.h"
 #include "core/http.h"
 #include "core/nestedattempt.h"
 #include "core/sessionpool.h"
@@ -64,6 +65,7 @@
   int mStatus = 0;
   std::vector<HttpField> mFields; ///< without hop-by-hop headers
   std::string mBody;
+  BudgetedBytes mHeldBytes; ///< for the body
 };
 
 /// Result of one attempt.
@@ -121,6 +123,7 @@
 {
   SessionPool& mPool;
   TargetLoads& mLoads;
+  ByteBudget& mBuffers; ///< for what is received and not yet forwarded
   const ProtocolNames& mProtocol;
   const Clock& mClock;
 };
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,7 @@
   SessionPool& mSessions;
   TargetLoads& mLoads;
   Quarantine& mQuarantine;
+  ByteBudget& mBuffers;
   ServiceRetryBudget& mRetryBudget;
   const ProtocolNames& mProtocol;
   Metrics& mMetrics;
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -310,6 +310,7 @@
     const TimePoint sentAt = mDependencies.mClock.Now();
     ExchangeReport report = RunExchange({ mDependencies.mSessions,
                                           mDependencies.mLoads,
+                                          mDependencies.mBuffers,
                                           mDependencies.mProtocol,
                                           mDependencies.mClock },
                                         MakeExchange(aTarget, aOuter),
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -68,6 +68,7 @@
   SystemClock mClock;
   SessionPool mPool{ mClock };
   TargetLoads mLoads;
+  ByteBudget mBuffers{ 1000000 };
   RecordingSink mSink;
 
   ExchangeReport Run(const ScriptedServer& aServer,
@@ -84,7 +85,8 @@
                              false };
     request.mStream = aStream;
     request.mLastEvent = aLastEvent;
-    return RunExchange({ mPool, mLoads, kProtocol, mClock }, request, mSink);
+    return RunExchange(
+      { mPool, mLoads, mBuffers, kProtocol, mClock }, request, mSink);
   }
 };
 
@@ -192,6 +194,32 @@
   CHECK(ExchangeOutcome::Answered == Run(server, true).mOutcome);
 }
 
+// Guards against targets that send bytes without end and together fill the
+// memory of a node.
+TEST(Exchange, ResponsesTogetherKeepTheirBudgetOfMemory)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n";
+  const std::string rest = std::string(1200000, 'x');
+  ScriptedServer body(
+    { { head + "Content-Length: 99999999999\r\n\r\n" + rest } });
+  CHECK(ExchangeOutcome::Invalid == Run(body, false, seconds(5)).mOutcome);
+  CHECK_EQUAL(0U, mBuffers.Taken());
+  ScriptedServer open({ { head + "\r\n" + rest } });
+  CHECK(ExchangeOutcome::Invalid == Run(open, false, seconds(5)).mOutcome);
+  CHECK(mBuffers.TryTake(500000));
+  ScriptedServer event({ { StreamHead("r1") + "f4240\r\n" + rest } });
+  CHECK(ExchangeOutcome::Invalid == Run(event, true, seconds(5)).mOutcome);
+  CHECK_EQUAL(500000U, mBuffers.Taken());
+}
+
+// Guards against a small response that is refused because large ones wait.
+TEST(Exchange, SmallResponsesNeedNoBudget)
+{
+  CHECK(mBuffers.TryTake(1000000));
+  ScriptedServer server({ { Reply("r1", std::string(60000, 'x')) } });
+  CHECK(ExchangeOutcome::Answered == Run(server).mOutcome);
+}
+
 TEST(Exchange, RejectsResumedStreamThatSkipsEvents)
 {
   ScriptedServer server({ { StreamHead("r1") + Chunk("id: 9\n\n") } });
@@ -222,7 +250,7 @@
     {},     0,     false, false
   };
   const ExchangeReport report =
-    RunExchange({ mPool, mLoads, kProtocol, mClock }, request, mSink);
+    RunExchange({ mPool, mLoads, mBuffers, kProtocol, mClock }, request, mSink);
   CHECK(ExchangeOutcome::ConnectFailed == report.mOutcome);
   CHECK_EQUAL(0U, report.mSentBytes);
   CHECK_EQUAL(0U, mLoads.Get("vm-1").mInFlight);
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -169,6 +169,7 @@
   SessionPool mSessions{ mClock };
   TargetLoads mLoads;
   Quarantine mQuarantine;
+  ByteBudget mBuffers{ 64000000 };
   ServiceRetryBudget mRetryBudget{ { 0.2, milliseconds(10000), 100 } };
   const ProtocolNames mProtocol{ "Id",          "Wait", "Last",    "Proof",
                                  "Account",     "Vm",   "Not-Run", "Model",
@@ -197,6 +198,7 @@
              mSessions,
              mLoads,
              mQuarantine,
+             mBuffers,
              mRetryBudget,
              mProtocol,
              mMetrics,
