Look for explanations of crashes only where a trait has enough of them

With crashes in memory, each change and each report went through all of them, 40 times a second; a trait needs three to count. The result is the same.

--- a/src/fleet/crashevidence.cc
+++ b/src/fleet/crashevidence.cc
@@ -208,13 +208,18 @@
       explained.Add(found->second);
     }
   }
-  for (;;) {
+  const auto isCandidate = [&](const auto& aIt) {
+    return aIt.second.mCrashes.size() >= kMinCrashes &&
+           !culprits.contains(aIt.first);
+  };
+  // Most of the time there are few crashes and nothing to explain.
+  while (std::any_of(aSuspects.begin(), aSuspects.end(), isCandidate)) {
     const Ends ends = FindEnds(aSuspects, explained);
     Explanation best;
-    for (const auto& [trait, suspect] : aSuspects) {
-      if (suspect.mCrashes.size() >= kMinCrashes && !culprits.contains(trait)) {
+    for (const auto& it : aSuspects) {
+      if (isCandidate(it)) {
         const Explanation found =
-          Explain(trait, suspect, explained, ends, aNow);
+          Explain(it.first, it.second, explained, ends, aNow);
         best = best.Key() < found.Key() ? found : best;
       }
     }
@@ -224,6 +229,7 @@
     culprits.insert(best.mTrait);
     explained.Add(aSuspects.at(best.mTrait));
   }
+  return culprits;
 }
 
 } // namespace hibiscushold
