--- a/src/fleet/crashevidence.cc
+++ b/src/fleet/crashevidence.cc
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// The crashes that the culprits found so far explain, by target.
+/// The crashes that the culprits found so far explain, by target. They say
+/// nothing about the other requests at the same targets.
 class Explained
 {
 public:
@@ -37,6 +38,7 @@
   }
 
 private:
+  /// By target; the content of the request that is not excused, if any.
   std::map<uint64_t, std::optional<TraitId>> mExceptContent;
 };
 
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -82,9 +82,10 @@
   static constexpr size_t kMaxSuspects = 1024;
 
 private:
+  /// The quarantine of one trait.
   struct Confinement
   {
-    TimePoint mEnd;
+    TimePoint mEnd; ///< unless further crashes extend it
     TimePoint mNextTrialAt;
     uint32_t mTrials = 0;
   };
@@ -98,6 +99,7 @@
   /// Refutes the crashes of a suspect for which aApplies returns true.
   template<class Predicate>
   void Refute(TraitId aTrait, Predicate aApplies, TimePoint aNow);
+  /// Finds the culprits anew, and logs which are new or no longer quarantined.
   void UpdateCulprits(TimePoint aNow);
 
   mutable std::mutex mLock; ///< guards the members below, but not the counts
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -493,7 +493,7 @@
   std::optional<TimePoint> mResumeDeadline; ///< of the wait after a break
   uint64_t mLastEvent;        ///< id of the last event sent to the caller
   uint32_t mAttemptsSent = 0; ///< those that sent part of the request
-  uint32_t mAttempts = 0;     ///< all of them
+  uint32_t mAttempts = 0;     ///< those that were begun
   bool mIsTrial = false; ///< the request is quarantined, but may be sent once
   int mConnectFailures = 0;
   bool mMayHaveRun = false;
