--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -194,7 +194,7 @@
   request.mLastEvent = ParseNumber(aRequest.get(aProtocol.mLastEvent, "0"));
   request.mPromptTokens = static_cast<uint32_t>(
     ParseNumber(aRequest.get(aProtocol.mTokenCounts, "0")));
-  const std::string& parts = aRequest.get(aProtocol.mPromptParts, "");
+  const std::string parts = aRequest.get(aProtocol.mPromptParts, "");
   request.mTraits.mParts = ParseSharedParts(parts);
   request.mTraits.mContent = kHashStart;
   for (const std::string& it : { request.mAccount,
