Look for culprits after an answer only if it refuted a crash

Each answer went through all suspects while there were any, although Refresh does so some 40 times a second and an answer changes the result only by refuting a crash. All unit tests pass as before.

--- a/src/fleet/quarantine.cc
+++ b/src/fleet/quarantine.cc
@@ -103,11 +103,13 @@
   }
   const std::lock_guard guard(mLock);
   const auto precedes = [&](const Crash& it) { return it.mAt < aBeganAt; };
-  Refute(aTraits.mContent, precedes, aNow);
+  bool refuted = Refute(aTraits.mContent, precedes, aNow);
   for (const TraitId it : aTraits.mParts) {
-    Refute(it, precedes, aNow);
+    refuted = Refute(it, precedes, aNow) || refuted;
+  }
+  if (refuted) {
+    UpdateCulprits(aNow);
   }
-  UpdateCulprits(aNow);
 }
 
 void
@@ -330,19 +332,22 @@
 }
 
 template<class Predicate>
-void
+bool
 Quarantine::Refute(TraitId aTrait, Predicate aApplies, TimePoint aNow)
 {
   const auto found = mSuspects.find(aTrait);
   if (found == mSuspects.end()) {
-    return;
+    return false;
   }
+  bool refuted = false;
   for (Crash& it : found->second.mCrashes) {
     if (!it.mRefuted && aApplies(it)) {
       it.mRefuted = true;
+      refuted = true;
       mChangedAt[aTrait] = aNow;
     }
   }
+  return refuted;
 }
 
 void
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -97,8 +97,9 @@
   /// Forgets the suspect with the least evidence against it.
   void MakeRoom();
   /// Refutes the crashes of a suspect for which aApplies returns true.
+  /// @return whether there were any
   template<class Predicate>
-  void Refute(TraitId aTrait, Predicate aApplies, TimePoint aNow);
+  bool Refute(TraitId aTrait, Predicate aApplies, TimePoint aNow);
   /// Finds the culprits anew, and logs which are new or no longer quarantined.
   void UpdateCulprits(TimePoint aNow);
 
