--- a/src/core/http.cc
+++ b/src/core/http.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/String.h>
 
 #include <array>
 #include <istream>
@@ -59,6 +60,9 @@
   std::istream& in = aSession.receiveResponse(head);
   HttpReply reply;
   reply.mStatus = head.getStatus();
+  for (const auto& [name, value] : head) {
+    reply.mFields.push_back({ name, value });
+  }
   const int64_t length = head.getContentLength64();
   if (length < 0 || length > static_cast<int64_t>(kMaxReplyBytes)) {
     return Failure{ Error::ReplyInvalid,
@@ -119,6 +123,17 @@
   }
 }
 
+std::optional<std::string>
+FindField(const HttpReply& aReply, const std::string& aName)
+{
+  for (const HttpField& it : aReply.mFields) {
+    if (Poco::icompare(it.mName, aName) == 0) {
+      return it.mValue;
+    }
+  }
+  return std::nullopt;
+}
+
 uint64_t
 HttpClient::BytesTransferred() const
 {
--- a/src/core/http.h
+++ b/src/core/http.h
@@ -6,6 +6,7 @@
 #include "core/settings.h"
 
 #include <atomic>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,9 +31,14 @@
 struct HttpReply
 {
   int mStatus = 0;
+  std::vector<HttpField> mFields;
   std::string mBody;
 };
 
+/// @return the value of the first field of that name in any case, or nothing
+std::optional<std::string>
+FindField(const HttpReply& aReply, const std::string& aName);
+
 /// HTTP client for small control calls to the platform, to peers and to
 /// engines. Connections are kept alive for a short time and reused; a failed
 /// one is closed. Thread-safe.
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -23,6 +23,8 @@
   StoreLost = 3001,
   StoreBack = 3002,
   StoreHistoryGone = 3003,
+  StoreRestored = 3004,
+  StoreEraInvalid = 3005,
   MemberRegistered = 3101,
   UpstreamLost = 3102,
   RosterFailed = 3103,
