--- a/src/relay/feed.h
+++ b/src/relay/feed.h
@@ -3,7 +3,9 @@
 #include "core/clock.h"
 #include "store/platform.h"
 
+#include <compare>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,6 +19,26 @@
   uint64_t mRevision = 0;
 };
 
+/// Compares two contents of one object by what their writer states of them,
+/// such as a sequence number; unordered if they state nothing.
+using ContentOrder =
+  std::function<std::partial_ordering(const Object& aL, const Object& aR)>;
+
+/// What was known of the objects before the store returned from an older copy.
+struct RestoredObjects
+{
+  /// Recently deleted objects, oldest first.
+  std::deque<Object> mDeleted;
+  /// Last known contents by key, until the store has newer ones.
+  std::map<std::string, Object> mEarlier;
+  /// The same of deleted objects, until mWithholdUntil.
+  std::map<std::string, Object> mEarlierDeleted;
+  /// Objects that returned although they had been deleted. The store removes
+  /// them again if nobody renews them.
+  std::map<std::string, Object> mWithheld;
+  TimePoint mWithholdUntil;
+};
+
 /// The objects under one prefix as of a revision of the store, with the most
 /// recent deletions.
 struct Feed
@@ -26,23 +48,37 @@
   std::map<std::string, Object> mObjects;
   std::deque<Deletion> mDeletions; ///< in order of their revisions
   TimePoint mConfirmedAt;          ///< the store had nothing newer at this time
+  RestoredObjects mRestored;
   /// Set after a failed read: the feed is unavailable to followers from then.
   std::optional<TimePoint> mUnavailableFrom;
 };
 
+/// Makes a read of a restored store consistent with what the feed knew before:
+/// an object older than its last known content gets that content, and a deleted
+/// object that has returned without a newer content is left out for some time.
+/// @param aOrder may be empty if no contents can be compared
+/// @param aConfirmedAt time at which the store had nothing newer
+/// @return the corrected read
+Listing
+CorrectRestored(Feed& aFeed,
+                Listing aRead,
+                const ContentOrder& aOrder,
+                TimePoint aConfirmedAt);
+
 /// Replaces the objects by those of a full listing; objects missing from it
 /// count as deleted. A listing older than the feed is ignored.
 /// @param aConfirmedAt time at which the store had nothing newer
 void
 ApplySnapshot(Feed& aFeed, const Listing& aListing, TimePoint aConfirmedAt);
 
-/// Applies the changes since the feed's revision.
+/// Applies the changes since the feed's revision. Changes of another era than
+/// the feed's are ignored.
 /// @param aConfirmedAt time at which the store had nothing newer
 void
 ApplyChanges(Feed& aFeed, const Listing& aChanges, TimePoint aConfirmedAt);
 
 /// @return the changes after revision aSince, or nothing if the feed's history
-///         starts later
+///         starts later or aSince is of another era
 std::optional<Listing>
 ChangesSince(const Feed& aFeed, uint64_t aSince);
 
--- a/src/relay/feedcache.cc
+++ b/src/relay/feedcache.cc
@@ -20,20 +20,22 @@
 
 } // namespace
 
-FeedCache::FeedCache(const Clock& aClock)
+FeedCache::FeedCache(const Clock& aClock, ContentOrder aOrder)
   : mClock(aClock)
+  , mOrder(std::move(aOrder))
 {
 }
 
-void
+Listing
 FeedCache::Update(std::string_view aPrefix,
-                  const Listing& aListing,
+                  Listing aListing,
                   bool aIsSnapshot,
                   TimePoint aConfirmedAt)
 {
   {
     const std::lock_guard guard(mLock);
     Feed& feed = mFeeds[std::string(aPrefix)];
+    aListing = CorrectRestored(feed, std::move(aListing), mOrder, aConfirmedAt);
     if (aIsSnapshot) {
       ApplySnapshot(feed, aListing, aConfirmedAt);
     } else {
@@ -41,6 +43,15 @@
     }
   }
   mChanged.notify_all();
+  return aListing;
+}
+
+uint64_t
+FeedCache::RevisionOf(std::string_view aPrefix) const
+{
+  const std::lock_guard guard(mLock);
+  const auto it = mFeeds.find(aPrefix);
+  return it == mFeeds.end() ? 0 : it->second.mRevision;
 }
 
 void
--- a/src/relay/feedcache.h
+++ b/src/relay/feedcache.h
@@ -22,15 +22,21 @@
 class FeedCache
 {
 public:
-  explicit FeedCache(const Clock& aClock);
+  /// @param aOrder tells which of two contents of an object is the newer one;
+  ///        empty if none can be compared
+  explicit FeedCache(const Clock& aClock, ContentOrder aOrder = {});
 
   /// Applies the result of a read to the feed of aPrefix.
   /// @param aIsSnapshot whether aListing has all objects, not only changes
   /// @param aConfirmedAt time at which the store had nothing newer
-  void Update(std::string_view aPrefix,
-              const Listing& aListing,
-              bool aIsSnapshot,
-              TimePoint aConfirmedAt);
+  /// @return the read, corrected by what a restored store has lost
+  Listing Update(std::string_view aPrefix,
+                 Listing aListing,
+                 bool aIsSnapshot,
+                 TimePoint aConfirmedAt);
+
+  /// @return the revision of the feed of aPrefix, 0 before its first listing
+  uint64_t RevisionOf(std::string_view aPrefix) const;
 
   /// Records that a read of this node failed.
   /// @param aFrom from when on followers get an error, unless a read succeeds
@@ -49,7 +55,8 @@
   Result<Listing> ReadFeed(const Feed& aFeed, uint64_t aSince) const;
 
   const Clock& mClock;
-  std::mutex mLock; ///< guards mFeeds
+  const ContentOrder mOrder;
+  mutable std::mutex mLock; ///< guards mFeeds
   std::condition_variable mChanged;
   std::map<std::string, Feed, std::less<>> mFeeds;
 };
--- a/src/relay/registrar.cc
+++ b/src/relay/registrar.cc
@@ -34,8 +34,11 @@
 {
   if (mRevision == 0) {
     // A stale listing does no harm: the first watch continues from its
-    // revision.
-    return mRelay.List(kRosterPrefix, CallPriority::Status);
+    // revision. After a return of the store it may be from before it, with
+    // revisions that are used again.
+    return mRelay.List(kRosterPrefix,
+                       mHistoryGone ? CallPriority::Lease
+                                    : CallPriority::Status);
   }
   return mRelay.Watch(kRosterPrefix, mRevision, kMaxRosterWait);
 }
@@ -50,11 +53,13 @@
     // The entries are listed again next time. The relay has already logged a
     // failed upstream.
     mRevision = 0;
-    if (read.error().mError != Error::StoreHistoryGone) {
+    mHistoryGone = read.error().mError == Error::StoreHistoryGone;
+    if (!mHistoryGone) {
       LogFailure("read", read.error());
     }
     return;
   }
+  mHistoryGone = false;
   mRevision = read.value().mRevision;
   ApplyListing(read.value(), isSnapshot);
   SyncOwnEntry();
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -1,6 +1,7 @@
 #include "relay/relayedplatform.h"
 
 #include "observe/events.h"
+#include "store/revision.h"
 
 #include <algorithm>
 
@@ -134,24 +135,32 @@
                       " ms ago",
                     "" };
   }
+  const uint64_t known = mDependencies.mFeeds.RevisionOf(aPrefix);
+  if (EraOf(response.value().mListing.mRevision) < EraOf(known)) {
+    return Failure{ Error::StoreUnavailable,
+                    aPeer.mId + " has the store's state from an earlier era",
+                    "" };
+  }
   ClearBackoff(aPeer);
   Listing listing = std::move(response.value().mListing);
   listing.mMaxAge = response.value().mAge;
   return listing;
 }
 
-void
+Result<Listing>
 RelayedPlatform::RecordRead(std::string_view aPrefix,
-                            const Result<Listing>& aRead,
+                            Result<Listing> aRead,
                             bool aIsSnapshot,
                             TimePoint aConfirmedAt)
 {
   if (aRead) {
-    mDependencies.mFeeds.Update(
-      aPrefix, aRead.value(), aIsSnapshot, aConfirmedAt);
-  } else if (aRead.error().mError != Error::StoreHistoryGone) {
+    return mDependencies.mFeeds.Update(
+      aPrefix, std::move(aRead.value()), aIsSnapshot, aConfirmedAt);
+  }
+  if (aRead.error().mError != Error::StoreHistoryGone) {
     mDependencies.mFeeds.MarkUnavailable(aPrefix, mDependencies.mClock.Now());
   }
+  return aRead;
 }
 
 bool
@@ -182,8 +191,8 @@
   if (peer && aPriority == CallPriority::Config) {
     Result<Listing> listing = ReadFromPeer(*peer, aPrefix, 0, milliseconds(0));
     if (listing) {
-      RecordRead(aPrefix, listing, true, startedAt - listing.value().mMaxAge);
-      return listing;
+      const TimePoint confirmedAt = startedAt - listing.value().mMaxAge;
+      return RecordRead(aPrefix, std::move(listing), true, confirmedAt);
     }
     StartBackoff(*peer, aPrefix, listing.error());
   }
@@ -192,9 +201,8 @@
   }
   const TimePoint storeReadAt = mDependencies.mClock.Now();
   Result<Listing> listing = mDependencies.mStore.List(aPrefix, aPriority);
-  RecordRead(aPrefix, listing, true, storeReadAt);
   RecordStoreResult(aPrefix, listing.has_value());
-  return listing;
+  return RecordRead(aPrefix, std::move(listing), true, storeReadAt);
 }
 
 Result<Listing>
@@ -207,8 +215,8 @@
   if (peer) {
     Result<Listing> changes = ReadFromPeer(*peer, aPrefix, aSince, aWait);
     if (changes) {
-      RecordRead(aPrefix, changes, false, startedAt - changes.value().mMaxAge);
-      return changes;
+      const TimePoint confirmedAt = startedAt - changes.value().mMaxAge;
+      return RecordRead(aPrefix, std::move(changes), false, confirmedAt);
     }
     if (changes.error().mError == Error::StoreHistoryGone) {
       return changes;
@@ -220,10 +228,10 @@
   }
   const TimePoint storeReadAt = mDependencies.mClock.Now();
   Result<Listing> changes = mDependencies.mStore.Watch(aPrefix, aSince, aWait);
-  RecordRead(aPrefix, changes, false, storeReadAt);
   RecordStoreResult(aPrefix,
                     changes.has_value() ||
                       changes.error().mError == Error::StoreHistoryGone);
+  changes = RecordRead(aPrefix, std::move(changes), false, storeReadAt);
   if (changes) {
     // Ages count from the start of this call, but the store was read later,
     // after the upstream had failed; hence a negative age.
--- a/src/relay/relayedplatform.h
+++ b/src/relay/relayedplatform.h
@@ -86,10 +86,11 @@
                     const Failure& aFailure);
   bool MayReadStore(std::string_view aPrefix) const;
   void RecordStoreResult(std::string_view aPrefix, bool aSucceeded);
-  void RecordRead(std::string_view aPrefix,
-                  const Result<Listing>& aRead,
-                  bool aIsSnapshot,
-                  TimePoint aConfirmedAt);
+  /// @return the read, corrected by what a restored store has lost
+  Result<Listing> RecordRead(std::string_view aPrefix,
+                             Result<Listing> aRead,
+                             bool aIsSnapshot,
+                             TimePoint aConfirmedAt);
 
   const Dependencies mDependencies;
   mutable std::mutex mLock; ///< guards the three below
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -112,6 +112,28 @@
     { "config/main", 1, R"({"version":1,"routes":[{"kind":"new"}]})" }));
 }
 
+// Guards against a restored entry or configuration that is taken for newer than
+// the one known before, and against a comparison of what states no order.
+TEST(Decode, ComparesContentsByWhatTheirWriterStates)
+{
+  const auto compare = [](const char* aKey, const char* aL, const char* aR) {
+    return CompareContents({ aKey, 9, aL }, { aKey, 3, aR });
+  };
+  const auto less = std::partial_ordering::less;
+  const auto unordered = std::partial_ordering::unordered;
+  CHECK(less == compare("config/main", R"({"version":7})", R"({"version":9})"));
+  CHECK(less ==
+        compare("servers/a", R"({"born":5,"seq":2})", R"({"born":5,"seq":4})"));
+  CHECK(less ==
+        compare("servers/a", R"({"born":5,"seq":9})", R"({"born":6,"seq":1})"));
+  for (const char* it : { "", "7", "{}", R"({"born":5})", R"({"seq":2})" }) {
+    CHECK(unordered == compare("servers/a", it, R"({"born":5,"seq":4})"));
+    CHECK(unordered == compare("config/main", it, R"({"version":9})"));
+  }
+  CHECK(unordered ==
+        compare("lease/x", R"({"version":7})", R"({"version":9})"));
+}
+
 TEST_GROUP(ObjectStore)
 {
   SystemClock mClock;
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -168,3 +168,143 @@
   CHECK(Error::StoreHistoryGone ==
         store.List("a/", CallPriority::Config).error().mError);
 }
+
+namespace {
+
+/// An object whose content is a number that its writer raises.
+Object
+Numbered(const char* aKey, uint64_t aVersion, const char* aNumber)
+{
+  return { aKey, aVersion, aNumber };
+}
+
+std::partial_ordering
+CompareNumbers(const Object& aL, const Object& aR)
+{
+  return std::stoull(aL.mValue) <=> std::stoull(aR.mValue);
+}
+
+} // namespace
+
+TEST_GROUP(RestoredFeed)
+{
+  ManualClock mClock;
+  FeedCache mFeeds{ mClock, CompareNumbers };
+
+  Listing Update(const Listing& aListing, bool aIsSnapshot)
+  {
+    return mFeeds.Update("a/", aListing, aIsSnapshot, mClock.Now());
+  }
+
+  Result<Listing> Since(uint64_t aRevision)
+  {
+    Result<FeedResponse> response =
+      mFeeds.WaitForChanges("a/", aRevision, mClock.Now());
+    if (!response) {
+      return response.error();
+    }
+    return response.value().mListing;
+  }
+};
+
+// Guards against a follower that keeps objects which the store has lost, as its
+// upstream never saw them.
+TEST(RestoredFeed, MakesFollowersOfAnotherEraListAnew)
+{
+  Update(ListingOf(At(1, 10), { Numbered("a/1", At(1, 4), "1") }), true);
+  Update(ListingOf(At(2, 8), { Numbered("a/1", At(2, 4), "1") }), true);
+  CHECK(Error::StoreHistoryGone == Since(At(1, 12)).error().mError);
+  CHECK(Error::StoreHistoryGone == Since(At(3, 1)).error().mError);
+  CHECK(Error::StoreHistoryGone == Since(At(2, 7)).error().mError);
+  CHECK_EQUAL(0U, Since(At(2, 8)).value().mObjects.size());
+  CHECK_EQUAL(1U, Since(0).value().mObjects.size());
+}
+
+// Guards against a read of the previous era, which arrives late, that puts
+// lost objects back.
+TEST(RestoredFeed, IgnoresReadsOfAnEarlierEra)
+{
+  Update(ListingOf(At(2, 8), { Numbered("a/1", At(2, 4), "1") }), true);
+  Update(ListingOf(At(1, 99), { Numbered("a/2", At(1, 99), "1") }), true);
+  Update(ListingOf(At(1, 99), { Numbered("a/2", At(1, 99), "1") }), false);
+  const Listing all = Since(0).value();
+  CHECK(At(2, 8) == all.mRevision);
+  CHECK_EQUAL(1U, all.mObjects.size());
+  STRCMP_EQUAL("a/1", all.mObjects[0].mKey.c_str());
+}
+
+// Guards against a target that is leaving and takes new work, or a key that was
+// taken away and is accepted again, as the store has returned an older content.
+TEST(RestoredFeed, KeepsAContentThatIsNewerThanTheStores)
+{
+  Update(ListingOf(At(1, 10), { Numbered("a/1", At(1, 9), "7") }), true);
+  const Listing restored =
+    Update(ListingOf(At(2, 8), { Numbered("a/1", At(2, 4), "5") }), true);
+  STRCMP_EQUAL("7", restored.mObjects[0].mValue.c_str());
+  STRCMP_EQUAL("7", Since(0).value().mObjects[0].mValue.c_str());
+  // The next listing of the same era and a second return change nothing.
+  Update(ListingOf(At(2, 9), { Numbered("a/1", At(2, 4), "5") }), true);
+  Update(ListingOf(At(3, 3), { Numbered("a/1", At(3, 2), "4") }), true);
+  STRCMP_EQUAL("7", Since(0).value().mObjects[0].mValue.c_str());
+  Update(ListingOf(At(3, 4), { Numbered("a/1", At(3, 4), "8") }), false);
+  STRCMP_EQUAL("8", Since(0).value().mObjects[0].mValue.c_str());
+  // Within an era the store's order holds.
+  Update(ListingOf(At(3, 5), { Numbered("a/1", At(3, 5), "2") }), false);
+  STRCMP_EQUAL("2", Since(0).value().mObjects[0].mValue.c_str());
+}
+
+// Guards against a target that has left and takes new work, as the store has
+// lost its deletion; and against one that stays left out although it lives.
+TEST(RestoredFeed, WithholdsDeletedObjectsUntilTheyAreRenewed)
+{
+  Listing deletion = ListingOf(At(1, 11), {});
+  deletion.mDeleted = { "a/1", "a/2", "a/3" };
+  Update(ListingOf(At(1, 10),
+                   { Numbered("a/1", At(1, 9), "7"),
+                     Numbered("a/2", At(1, 8), "7"),
+                     Numbered("a/3", At(1, 7), "7") }),
+         true);
+  Update(deletion, false);
+  const Listing restored = Update(ListingOf(At(2, 10),
+                                            { Numbered("a/1", At(2, 9), "7"),
+                                              Numbered("a/2", At(2, 8), "7"),
+                                              Numbered("a/3", At(2, 7), "7") }),
+                                  true);
+  CHECK_EQUAL(0U, restored.mObjects.size());
+  CHECK_EQUAL(0U, Since(0).value().mObjects.size());
+  Update(ListingOf(At(2, 11), { Numbered("a/1", At(2, 11), "8") }), false);
+  CHECK_EQUAL(1U, Since(0).value().mObjects.size());
+  deletion = ListingOf(At(2, 12), {});
+  deletion.mDeleted = { "a/3" };
+  Update(deletion, false);
+  mClock.Advance(seconds(11));
+  const Listing later = Update(ListingOf(At(2, 12), {}), false);
+  CHECK_EQUAL(1U, later.mObjects.size());
+  STRCMP_EQUAL("a/2", later.mObjects[0].mKey.c_str());
+  CHECK_EQUAL(2U, Since(0).value().mObjects.size());
+  CHECK_EQUAL(1U, Since(At(2, 11)).value().mObjects.size());
+}
+
+// Guards against an upstream that has not noticed the return of the store and
+// takes its followers back to the state before.
+TEST(RestoredFeed, IsNotReadFromAnUpstreamOfAnEarlierEra)
+{
+  FakePlatform store;
+  Metrics metrics;
+  Result<FeedResponse> answer =
+    FeedResponse{ ListingOf(At(1, 20), { Numbered("a/1", At(1, 20), "9") }),
+                  {} };
+  RelayedPlatform relay(
+    { store,
+      mFeeds,
+      [&](const RosterEntry&, std::string_view, uint64_t, milliseconds) {
+        return answer;
+      },
+      metrics,
+      mClock });
+  relay.SetUpstreams({ { "n2", "a", { "10.0.0.2", 7 }, "token", 1 } });
+  Update(ListingOf(At(2, 8), { Numbered("a/1", At(2, 4), "1") }), true);
+  const Result<Listing> read = relay.List("a/", CallPriority::Config);
+  CHECK(!read || read.value().mObjects.empty());
+  STRCMP_EQUAL("1", Since(0).value().mObjects[0].mValue.c_str());
+}
