--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -122,12 +122,14 @@
   // without them, whole groups would look broken.
   const bool mayLackEntries = mDependencies.mClock.Now() < mPlanningStartsAt &&
                               !mDependencies.mIsBeforeTraffic();
+  // Read before it is checked whether the list is settled.
+  FleetVmsPtr watched = mDependencies.mWatcher.Vms();
   if (!mDependencies.mWatcher.IsSettled() || mayLackEntries) {
     return nullptr;
   }
   // An older list may lack the effect of the previous planner's last orders.
   if (mDependencies.mWatcher.VmsAsOf() > mLeaseTakenAt) {
-    return mDependencies.mWatcher.Vms();
+    return watched;
   }
   const TimePoint now = mDependencies.mClock.Now();
   if (now < mNextListAt) {
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -1,6 +1,7 @@
 #include "fleet/watcher.h"
 
 #include "observe/events.h"
+#include "store/revision.h"
 
 #include <algorithm>
 #include <thread>
@@ -15,7 +16,7 @@
 constexpr auto kConfigWatchTimeout = milliseconds(600);
 constexpr auto kVmWatchTimeout = milliseconds(600);
 constexpr auto kRetryInterval = milliseconds(250);
-/// The platform restores expired entries within two seconds after the store is
+/// The platform restores lost entries within two seconds after the store is
 /// available again.
 constexpr auto kStoreRecoveryTime = milliseconds(2300);
 
@@ -61,12 +62,28 @@
     read = mPlatform.List(aWatched.mPrefix, CallPriority::Config);
   }
   if (read) {
-    aWatched.mRevision = read.value().mRevision;
+    RecordRevision(aWatched, read.value().mRevision);
   }
   RecordReadResult(aWatched, read);
   return read;
 }
 
+void
+FleetWatcher::RecordRevision(WatchedPrefix& aWatched, uint64_t aRevision)
+{
+  const bool isRestored =
+    aWatched.mRevision != 0 && EraOf(aRevision) != EraOf(aWatched.mRevision);
+  aWatched.mRevision = aRevision;
+  if (isRestored) {
+    aWatched.mRestoredUntil = mClock.Now() + kStoreRecoveryTime;
+  }
+  if (&aWatched == &mWatchedVms) {
+    const std::lock_guard guard(mLock);
+    mVmsRevision = aRevision;
+    mSettledAt = std::max(mSettledAt, aWatched.mRestoredUntil);
+  }
+}
+
 void
 FleetWatcher::RecordReadResult(WatchedPrefix& aWatched,
                                const Result<Listing>& aRead)
@@ -183,7 +200,7 @@
       ApplyConfig(it);
     }
   }
-  {
+  if (sentAt >= mWatchedConfig.mRestoredUntil) {
     const std::lock_guard guard(mLock);
     mConfigAsOf = std::max(mConfigAsOf, sentAt - read.value().mMaxAge);
   }
@@ -227,6 +244,14 @@
 {
   BOOST_OUTCOME_TRY(listing,
                     mPlatform.List(mSource.mVmPrefix, CallPriority::Lease));
+  {
+    const std::lock_guard guard(mLock);
+    if (mVmsRevision != 0 && EraOf(listing.mRevision) != EraOf(mVmsRevision)) {
+      return Failure{ Error::StoreHistoryGone,
+                      mSource.mVmPrefix + ": the store's era has changed",
+                      "" };
+    }
+  }
   FleetVms vms;
   for (const Object& it : listing.mObjects) {
     Result<FleetVm> vm = mSource.mReadVm(it);
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -21,6 +21,10 @@
 
 /// Watches the platform's list of VMs and the operator's configuration. A
 /// configuration older than the one in force is ignored. Thread-safe.
+///
+/// After the store has returned from an older copy, VMs may be missing and the
+/// configuration may lack a change until they are written again. For that time
+/// the list is not settled, and reads do not confirm the configuration.
 class FleetWatcher
 {
 public:
@@ -39,6 +43,9 @@
 
   /// Lists the VMs directly, without changing the watched list. Unreadable
   /// entries are left out.
+  /// @return the VMs, or StoreHistoryGone if the store has returned from an
+  /// older
+  ///         copy since the last change of the watched list
   Result<FleetVms> ReadVms() const;
 
   /// @return whether the list of VMs is available, and the platform had time to
@@ -66,6 +73,8 @@
     const char* mName;
     uint64_t mRevision = 0; ///< 0 until the objects have been listed
     bool mUnreachable = false;
+    /// Until when objects may be missing after a return from an older copy.
+    TimePoint mRestoredUntil{};
   };
 
   Result<Listing> Read(WatchedPrefix& aWatched,
@@ -74,6 +83,7 @@
   void RecordReadResult(WatchedPrefix& aWatched, const Result<Listing>& aRead);
   void ApplyVms(const Listing& aListing, bool aIsFull, TimePoint aAsOf);
   void DropExpired(FleetVms& aVms);
+  void RecordRevision(WatchedPrefix& aWatched, uint64_t aRevision);
   TimePoint SettledAt() const;
   void ApplyConfig(const Object& aObject);
 
@@ -92,6 +102,7 @@
   FleetVmsPtr mVms;
   TimePoint mVmsAsOf;
   TimePoint mSettledAt; ///< end of the wait for restored entries
+  uint64_t mVmsRevision = 0;
   bool mVmsUnreachable = false;
   FleetConfigPtr mConfig;
   TimePoint mConfigAsOf;
--- a/test/fakeplatform.h
+++ b/test/fakeplatform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "store/platform.h"
+#include "store/revision.h"
 
 #include <map>
 #include <mutex>
@@ -81,9 +82,12 @@
   }
 
   Result<Listing> Watch(std::string_view aPrefix,
-                        uint64_t,
+                        uint64_t aSince,
                         milliseconds) override
   {
+    if (EraOf(aSince) != EraOf(mRevision)) {
+      return Failure{ Error::StoreHistoryGone, std::string(aPrefix), "" };
+    }
     return List(aPrefix, CallPriority::Config);
   }
 
@@ -98,6 +102,26 @@
     return it == mObjects.end() ? 0 : it->second.mVersion;
   }
 
+  /// The state of the store at some time.
+  struct Copy
+  {
+    std::map<std::string, Object> mObjects;
+    uint64_t mRevision = 0;
+  };
+
+  Copy Save() const { return { mObjects, mRevision }; }
+
+  /// Returns from an older copy: the era rises, and revisions are used again.
+  void Restore(const Copy& aCopy)
+  {
+    const uint64_t era = EraOf(mRevision) + 1;
+    mRevision = MakeRevision(era, StoreRevisionOf(aCopy.mRevision));
+    mObjects = aCopy.mObjects;
+    for (auto& [key, object] : mObjects) {
+      object.mVersion = MakeRevision(era, StoreRevisionOf(object.mVersion));
+    }
+  }
+
   StoreFault mNextReadFault = StoreFault::None;
   StoreFault mNextWriteFault = StoreFault::None;
   std::map<std::string, Object> mObjects;
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -4,6 +4,7 @@
 #include "listing.h"
 #include "manualclock.h"
 #include "platform/objectstore.h"
+#include "relay/registrar.h"
 #include "relay/relayedplatform.h"
 #include "scriptedserver.h"
 #include "store/revision.h"
@@ -308,3 +309,224 @@
   CHECK(!read || read.value().mObjects.empty());
   STRCMP_EQUAL("1", Since(0).value().mObjects[0].mValue.c_str());
 }
+
+TEST_GROUP(RestoredWatcher)
+{
+  ManualClock mClock;
+  FakePlatform mStore;
+  FleetWatcher mWatcher{ mStore,
+                         { "vms/",
+                           "config/",
+                           "config/main",
+                           [](const Object& aObject) {
+                             FleetVm vm;
+                             vm.mId = aObject.mKey.substr(4);
+                             return Result<FleetVm>(vm);
+                           },
+                           [](const Object& aObject) {
+                             FleetConfig config;
+                             config.mVersion = std::stoull(aObject.mValue);
+                             return Result<FleetConfig>(config);
+                           } },
+                         mClock };
+
+  void Create(const char* aKey, const char* aValue)
+  {
+    CHECK(mStore.Create(aKey, aValue, CallPriority::Config).has_value());
+  }
+
+  void Poll()
+  {
+    mWatcher.PollVms(Duration::zero());
+    mWatcher.PollConfig(Duration::zero());
+  }
+};
+
+// Guards against groups that are dissolved because the store has lost the
+// entries of their members, which write them again.
+TEST(RestoredWatcher, KeepsVmsUntilTheirEntriesAreWrittenAgain)
+{
+  Create("vms/1", "");
+  const FakePlatform::Copy copy = mStore.Save();
+  Create("vms/2", "");
+  Create("vms/3", "");
+  Poll();
+  CHECK(mWatcher.IsSettled());
+  mStore.Restore(copy);
+  Poll();
+  CHECK_EQUAL(3U, mWatcher.Vms()->size());
+  CHECK(!mWatcher.IsSettled());
+  mClock.Advance(seconds(2));
+  Create("vms/2", "");
+  Poll();
+  mClock.Advance(seconds(1));
+  Poll();
+  CHECK(mWatcher.IsSettled());
+  CHECK(mWatcher.Vms()->contains("2"));
+  CHECK(!mWatcher.Vms()->contains("3"));
+}
+
+// Guards against a planner that takes the first list of a restored store for
+// complete, before its node has noticed the return.
+TEST(RestoredWatcher, DoesNotReadVmsOfAnEraThatItHasNotNoticed)
+{
+  Create("vms/1", "");
+  const FakePlatform::Copy copy = mStore.Save();
+  Create("vms/2", "");
+  Poll();
+  CHECK_EQUAL(2U, mWatcher.ReadVms().value().size());
+  mStore.Restore(copy);
+  CHECK(!mWatcher.ReadVms().has_value());
+}
+
+// Guards against a configuration that is confirmed by a copy of the store which
+// may lack a newer one, so that a key taken away is accepted for longer.
+TEST(RestoredWatcher, DoesNotConfirmTheConfigurationAtOnce)
+{
+  Create("config/main", "7");
+  const FakePlatform::Copy copy = mStore.Save();
+  Poll();
+  const TimePoint before = mWatcher.ConfigAsOf();
+  mClock.Advance(seconds(1));
+  mStore.Restore(copy);
+  Poll();
+  CHECK(mWatcher.ConfigAsOf() == before);
+  mClock.Advance(seconds(1));
+  Poll();
+  CHECK(mWatcher.ConfigAsOf() == before);
+  mClock.Advance(seconds(2));
+  Poll();
+  CHECK(mWatcher.ConfigAsOf() == mClock.Now());
+}
+
+// Guards against a configuration that is reverted, or missed although its
+// revision was used before.
+TEST(RestoredWatcher, NeverRevertsNorMissesAConfiguration)
+{
+  Create("config/main", "7");
+  const FakePlatform::Copy copy = mStore.Save();
+  const auto update = [&](const char* aValue) {
+    CHECK(mStore
+            .Update("config/main",
+                    aValue,
+                    mStore.VersionOf("config/main"),
+                    CallPriority::Config)
+            .has_value());
+  };
+  update("8");
+  Poll();
+  for (int i = 0; i < 2; ++i) {
+    mStore.Restore(copy);
+    Poll();
+    CHECK_EQUAL(8U, mWatcher.Config()->mVersion);
+  }
+  update("9");
+  Poll();
+  CHECK_EQUAL(9U, mWatcher.Config()->mVersion);
+}
+
+TEST_GROUP(RestoredLease)
+{
+  ManualClock mClock;
+  FakePlatform mStore;
+  LeaseClient mA{ "a", mStore, mClock, seconds(3) };
+  LeaseClient mB{ "b", mStore, mClock, seconds(3) };
+  LeaseState mStateA;
+  LeaseState mStateB;
+
+  void StepA()
+  {
+    mA.Step("planner", LeaseRole::Preferred, 0, mStateA);
+  }
+  void StepB()
+  {
+    mB.Step("planner", LeaseRole::Preferred, 0, mStateB);
+  }
+  bool HoldsA() const
+  {
+    return HoldsLease(mStateA, mClock.Now());
+  }
+  bool HoldsB() const
+  {
+    return HoldsLease(mStateB, mClock.Now());
+  }
+  /// Lets time pass until a takes the lease, with b out of reach.
+  void TakeA()
+  {
+    for (int i = 0; i < 10 && !HoldsA(); ++i) {
+      mClock.Advance(seconds(1));
+      StepA();
+    }
+    CHECK(HoldsA());
+  }
+};
+
+// Guards against two holders with one fencing number, and against orders that
+// are refused as they have a lower one than the orders of a lost holder.
+TEST(RestoredLease, RaisesTheEpochAboveThoseOfALostHolder)
+{
+  const FakePlatform::Copy copy = mStore.Save();
+  mClock.Advance(seconds(4)); // b's clock is ahead of a's.
+  StepB();
+  CHECK(HoldsB());
+  mStore.Restore(copy);
+  mClock.Advance(-seconds(4));
+  StepA();
+  CHECK(HoldsA());
+  CHECK(mStateA.mLease.mEpoch > mStateB.mLease.mEpoch);
+}
+
+// Guards against a holder that goes on with an older epoch of its own, which
+// the store has brought back.
+TEST(RestoredLease, EndsTheHoldOfARestoredLease)
+{
+  StepA();
+  CHECK(HoldsA());
+  const FakePlatform::Copy copy = mStore.Save();
+  mClock.Advance(seconds(4));
+  TakeA();
+  const uint64_t epoch = mStateA.mLease.mEpoch;
+  mStore.Restore(copy);
+  mClock.Advance(seconds(2));
+  StepA();
+  StepA();
+  CHECK(!HoldsA());
+  TakeA();
+  CHECK(mStateA.mLease.mEpoch > epoch);
+}
+
+// Guards against the same when the response to a renewal was lost.
+TEST(RestoredLease, EndsTheHoldWhenALostRenewalIsNotInTheStore)
+{
+  StepA();
+  const FakePlatform::Copy copy = mStore.Save();
+  mClock.Advance(seconds(4));
+  TakeA();
+  const uint64_t epoch = mStateA.mLease.mEpoch;
+  mClock.Advance(seconds(2));
+  mStore.mNextWriteFault = StoreFault::ResponseLost;
+  StepA();
+  mStore.Restore(copy);
+  StepA();
+  CHECK(!HoldsA() || mStateA.mLease.mEpoch >= epoch);
+  TakeA();
+  CHECK(mStateA.mLease.mEpoch > epoch);
+}
+
+// Guards against a node that is missing in the roster after a return, and one
+// that overwrites the entry of another process by a condition used again.
+TEST(StoreEra, WritesTheEntryOfANodeAgain)
+{
+  FakePlatform platform;
+  FeedCache feeds(mClock);
+  RelayedPlatform relay({ platform, feeds, nullptr, mMetrics, mClock });
+  const RosterEntry self{ "n1", "a", { "10.0.0.1", 7 }, "token", 1 };
+  TokenSet tokens(self.mToken);
+  Registrar registrar(self, tokens, relay);
+  const FakePlatform::Copy copy = platform.Save();
+  registrar.SyncRoster();
+  platform.Restore(copy);
+  registrar.SyncRoster();
+  registrar.SyncRoster();
+  CHECK(platform.Get("peers/n1", CallPriority::Config).has_value());
+}
