--- a/src/groups/lease.cc
+++ b/src/groups/lease.cc
@@ -2,11 +2,29 @@
 
 #include "core/ids.h"
 #include "core/json.h"
+#include "store/revision.h"
 
 #include <algorithm>
 
 namespace hibiscushold {
 
+namespace {
+
+/// Epochs start at the wall clock's milliseconds. An era raises them by more
+/// than the clocks of two nodes differ.
+constexpr uint64_t kEpochsPerEra = 60000;
+
+void
+RecordVersion(LeaseState& aState, uint64_t aVersion, const Lease& aLease)
+{
+  aState.mVersion = aVersion;
+  aState.mLease = aLease;
+  aState.mMaxEpoch = std::max(aState.mMaxEpoch, aLease.mEpoch);
+  aState.mEra = std::max(aState.mEra, EraOf(aVersion));
+}
+
+} // namespace
+
 std::string
 SerializeLease(const Lease& aLease)
 {
@@ -73,11 +91,15 @@
 }
 
 uint64_t
-NextEpoch(uint64_t aLeaseEpoch, uint64_t aDomainEpoch, int64_t aWallMillis)
+NextEpoch(uint64_t aLeaseEpoch,
+          uint64_t aDomainEpoch,
+          int64_t aWallMillis,
+          uint64_t aEra)
 {
   const uint64_t wall =
     static_cast<uint64_t>(std::max<int64_t>(0, aWallMillis));
-  return std::max(std::max(aLeaseEpoch, aDomainEpoch) + 1, wall);
+  return std::max(std::max(aLeaseEpoch, aDomainEpoch) + 1,
+                  wall + aEra * kEpochsPerEra);
 }
 
 void
@@ -97,12 +119,12 @@
   if (aVersion == aState.mVersion) {
     return;
   }
-  aState.mVersion = aVersion;
-  aState.mLease = aLease;
-  aState.mVersionSeenAt = aNow;
-  if (aLease.mHolder != aSelf) {
+  // A restored store may have an earlier lease of this node.
+  if (aLease.mHolder != aSelf || aLease.mEpoch != aState.mLease.mEpoch) {
     aState.mHeld = false;
   }
+  RecordVersion(aState, aVersion, aLease);
+  aState.mVersionSeenAt = aNow;
 }
 
 void
@@ -112,8 +134,7 @@
                 TimePoint aSentAt,
                 Duration aTerm)
 {
-  aState.mVersion = aVersion;
-  aState.mLease = aLease;
+  RecordVersion(aState, aVersion, aLease);
   aState.mVersionSeenAt = aSentAt;
   aState.mHeld = true;
   aState.mHeldUntil = aSentAt + aTerm;
--- a/src/groups/lease.h
+++ b/src/groups/lease.h
@@ -40,6 +40,8 @@
 {
   uint64_t mVersion = 0; ///< version last observed in the store, 0 for none
   Lease mLease;
+  uint64_t mMaxEpoch = 0; ///< highest epoch observed, also of a lost lease
+  uint64_t mEra = 0;      ///< latest era of the store in which it was observed
   TimePoint mVersionSeenAt; ///< when mVersion was first observed
   TimePoint mReadAt;        ///< when the last read was sent
   bool mHeld = false;
@@ -91,11 +93,15 @@
             Duration aTerm);
 
 /// Chooses the epoch of a new holder. It is higher than all previous epochs
-/// even when the lease, the domain object or both were lost and created again.
+/// even when the lease, the domain object or both were lost and created again,
+/// and than those of the store's earlier eras unless clocks differ by a minute.
 /// @param aWallMillis milliseconds since the Unix epoch; a lower bound of the
 ///        result
 uint64_t
-NextEpoch(uint64_t aLeaseEpoch, uint64_t aDomainEpoch, int64_t aWallMillis);
+NextEpoch(uint64_t aLeaseEpoch,
+          uint64_t aDomainEpoch,
+          int64_t aWallMillis,
+          uint64_t aEra);
 
 /// Updates the state from a read of the lease. The nonce shows whether a write
 /// of this node with an unknown outcome succeeded.
--- a/src/groups/leaseclient.cc
+++ b/src/groups/leaseclient.cc
@@ -92,9 +92,20 @@
 {
   aState.mHeldAsDeputy = aRole == LeaseRole::Deputy;
   aState.mDeputyUntil = mClock.Now() + mTerm * kDeputyHoldTerms;
-  const uint64_t epoch =
-    NextEpoch(aState.mLease.mEpoch, aDomainEpoch, mClock.WallMillis());
-  Write(aDomain, epoch, aState);
+  const uint64_t era = aState.mEra;
+  const auto write = [&] {
+    Write(aDomain,
+          NextEpoch(
+            aState.mMaxEpoch, aDomainEpoch, mClock.WallMillis(), aState.mEra),
+          aState);
+  };
+  write();
+  if (aState.mEra != era) {
+    // The response to the creation of the lease was the first of its era, so
+    // the epoch may be lower than one of an earlier era.
+    aState.mHeld = false;
+    write();
+  }
 }
 
 void
--- a/test/lease-test.cc
+++ b/test/lease-test.cc
@@ -78,9 +78,10 @@
 
 TEST(LeaseDecision, RaisesTheEpochEvenIfObjectsWereLost)
 {
-  CHECK_EQUAL(8u, NextEpoch(7, 3, 0));
-  CHECK_EQUAL(10u, NextEpoch(0, 9, 0));
-  CHECK_EQUAL(5000u, NextEpoch(0, 0, 5000));
+  CHECK_EQUAL(8u, NextEpoch(7, 3, 0, 0));
+  CHECK_EQUAL(10u, NextEpoch(0, 9, 0, 0));
+  CHECK_EQUAL(5000u, NextEpoch(0, 0, 5000, 0));
+  CHECK(NextEpoch(0, 0, 5000, 2) > NextEpoch(0, 0, 5000 + 59999, 1));
 }
 
 TEST(LeaseDecision, ChoosesOnePreferredMemberAndTwoDeputies)
