List anew for followers within a gap of the upstream's history

What callers would see: after a node was cut off from the store for a while, the nodes that follow it may keep a target that has gone for good, and each forwards requests to its address until that target is listed again.

Cause: when an upstream lists its objects anew, it reports as deleted what it had known before. A VM that appeared and went while it was cut off is not among these, but a follower that read the store itself meanwhile knows it. The follower's revision lies between the upstream's last one and the listing's, and the upstream answered with changes as if it knew all of them.

Why this works: the feed keeps the last gap of its history and answers a follower within it that the history is gone, so that it lists anew; older gaps move the start of the history.

--- a/src/relay/feed.cc
+++ b/src/relay/feed.cc
@@ -127,6 +127,19 @@
   aRestored.mEarlierDeleted.clear();
 }
 
+/// Records that the changes before a listing at aRevision are not known.
+void
+RecordGap(Feed& aFeed, uint64_t aRevision)
+{
+  if (aFeed.mRevision == 0 || EraOf(aRevision) != EraOf(aFeed.mRevision)) {
+    aFeed.mHistoryFrom = aRevision;
+    return;
+  }
+  aFeed.mHistoryFrom = std::max(aFeed.mHistoryFrom, aFeed.mGapTo);
+  aFeed.mGapFrom = aFeed.mRevision;
+  aFeed.mGapTo = aRevision;
+}
+
 } // namespace
 
 Listing
@@ -160,12 +173,7 @@
   if (aListing.mRevision < aFeed.mRevision) {
     return;
   }
-  // Objects that appeared and went in the new era before this listing would be
-  // missing in its changes.
-  if (aFeed.mRevision == 0 ||
-      EraOf(aListing.mRevision) != EraOf(aFeed.mRevision)) {
-    aFeed.mHistoryFrom = aListing.mRevision;
-  }
+  RecordGap(aFeed, aListing.mRevision);
   std::map<std::string, Object> missing = std::move(aFeed.mObjects);
   aFeed.mObjects.clear();
   for (const Object& it : aListing.mObjects) {
@@ -197,6 +205,7 @@
 ChangesSince(const Feed& aFeed, uint64_t aSince)
 {
   if (aFeed.mRevision == 0 || aSince < aFeed.mHistoryFrom ||
+      (aSince > aFeed.mGapFrom && aSince < aFeed.mGapTo) ||
       EraOf(aSince) != EraOf(aFeed.mRevision)) {
     return std::nullopt;
   }
--- a/src/relay/feed.h
+++ b/src/relay/feed.h
@@ -44,7 +44,11 @@
 struct Feed
 {
   uint64_t mRevision = 0;    ///< 0 before the first listing
-  uint64_t mHistoryFrom = 0; ///< all changes after this revision are known
+  uint64_t mHistoryFrom = 0; ///< changes after this revision are known
+  /// The last gap in the history, before a listing: objects that appeared and
+  /// went between these revisions are not known.
+  uint64_t mGapFrom = 0;
+  uint64_t mGapTo = 0;
   std::map<std::string, Object> mObjects;
   std::deque<Deletion> mDeletions; ///< in order of their revisions
   TimePoint mConfirmedAt;          ///< the store had nothing newer at this time
--- a/test/feed-test.cc
+++ b/test/feed-test.cc
@@ -35,6 +35,21 @@
   STRCMP_EQUAL("a/1", changes->mDeleted[0].c_str());
 }
 
+// Guards against a follower that keeps an object forever: it appeared and went
+// between two listings of the upstream, but the follower had read it elsewhere.
+TEST(Feed, HasNoChangesForAFollowerWithinTheGapBeforeASnapshot)
+{
+  ApplySnapshot(mFeed, ListingOf(10, {}), mNow);
+  ApplySnapshot(mFeed, ListingOf(20, {}), mNow);
+  CHECK(ChangesSince(mFeed, 10).has_value());
+  CHECK(!ChangesSince(mFeed, 15).has_value());
+  CHECK(ChangesSince(mFeed, 20).has_value());
+  ApplySnapshot(mFeed, ListingOf(30, {}), mNow);
+  CHECK(!ChangesSince(mFeed, 15).has_value());
+  CHECK(!ChangesSince(mFeed, 25).has_value());
+  CHECK(ChangesSince(mFeed, 30).has_value());
+}
+
 TEST(Feed, DropsDeletionOfRecreatedObject)
 {
   ApplySnapshot(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
