Don't take a refusal without id for one of this request on a reused connection

What callers would see: an unrepeatable request runs twice, or its caller is told that it didn't run although it did.

Cause: a response with Not-Run and without an id was taken for the answer to the request that waited. Targets may send a second copy of a response late; on a connection that is used again, such a refusal may belong to the request before, and the request was sent to another target while it ran.

Evidence: found by reading, after reports from operators of similar systems; Exchange, RefusalWithoutIdOnAReusedConnectionDoesNotSayNotRun failed before.

Why this works: on a reused connection such a response ends the exchange as invalid, that is, as one that may have run. Repeatable requests are tried elsewhere, unrepeatable ones get the unknown outcome. On a new connection the refusal can only be of this request, and counts as before.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -197,8 +197,14 @@
       mSession->receiveResponse(head);
       BodyReader body(*mSession, head, mRequest.mMethod == "HEAD");
       const std::string id = head.get(mDependencies.mProtocol.mRequestId, "");
-      if (id == mRequest.mRequestId ||
-          (id.empty() && head.has(mDependencies.mProtocol.mNotRun))) {
+      const bool isRefusal =
+        id.empty() && head.has(mDependencies.mProtocol.mNotRun);
+      if (isRefusal && mReport.mReused) {
+        SetOutcome(ExchangeOutcome::Invalid,
+                   "a refusal without id may be of an earlier request");
+        return;
+      }
+      if (id == mRequest.mRequestId || isRefusal) {
         mReport.mBeganAt = mDependencies.mClock.Now();
         RecordAnnouncements(mDependencies, mRequest.mTarget, head);
         HandleResponse(head, body);
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -158,6 +158,22 @@
   STRCMP_EQUAL("new", report.mResponse.mBody.c_str());
 }
 
+// Guards against an unrepeatable request that is run twice: a late copy of a
+// refusal of the previous request, without an id, was taken for its own.
+TEST(Exchange, RefusalWithoutIdOnAReusedConnectionDoesNotSayNotRun)
+{
+  const std::string refusal =
+    "HTTP/1.1 503 x\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  ScriptedServer server(
+    { { Reply("r1", "own") }, { refusal + Reply("r1", "next") } });
+  CHECK(ExchangeOutcome::Answered == Run(server).mOutcome);
+  const ExchangeReport report = Run(server);
+  CHECK(report.mReused);
+  CHECK(ExchangeOutcome::Invalid == report.mOutcome);
+  ScriptedServer first({ { refusal } });
+  CHECK(ExchangeOutcome::NotRun == Run(first).mOutcome);
+}
+
 TEST(Exchange, ForwardsEventsUntilEndOfStream)
 {
   ScriptedServer server({ { StreamHead("r1") + Chunk("id: 1\n\n") +
