--- a/src/core/http.cc
+++ b/src/core/http.cc
@@ -16,7 +16,6 @@
 
 using Poco::Net::HTTPClientSession;
 
-constexpr size_t kMaxReplyBytes = 64000000;
 /// Estimate of the header bytes of a request and its reply, which aren't
 /// counted.
 constexpr uint64_t kEstimatedHeaderBytes = 200;
@@ -53,9 +52,11 @@
 Result<HttpReply>
 Receive(HTTPClientSession& aSession,
         const Endpoint& aEndpoint,
+        size_t aMaxBytes,
         const Clock& aClock,
         TimePoint aDeadline)
 {
+  // The library bounds the number and the length of a head's fields.
   Poco::Net::HTTPResponse head;
   std::istream& in = aSession.receiveResponse(head);
   HttpReply reply;
@@ -64,9 +65,10 @@
     reply.mFields.push_back({ name, value });
   }
   const int64_t length = head.getContentLength64();
-  if (length < 0 || length > static_cast<int64_t>(kMaxReplyBytes)) {
+  if (length < 0 || length > static_cast<int64_t>(aMaxBytes)) {
     return Failure{ Error::ReplyInvalid,
-                    ToString(aEndpoint) + ": no length",
+                    ToString(aEndpoint) + ": no length, or over " +
+                      std::to_string(aMaxBytes) + " bytes",
                     "" };
   }
   std::array<char, 16384> buf;
@@ -107,7 +109,9 @@
   BOOST_OUTCOME_TRY(Connect(*session, aEndpoint, timeLeft));
   try {
     BOOST_OUTCOME_TRY(Send(*session, aRequest));
-    BOOST_OUTCOME_TRY(reply, Receive(*session, aEndpoint, mClock, aDeadline));
+    BOOST_OUTCOME_TRY(
+      reply,
+      Receive(*session, aEndpoint, aRequest.mMaxReplyBytes, mClock, aDeadline));
     mBytesTransferred +=
       aRequest.mBody.size() + reply.mBody.size() + kEstimatedHeaderBytes;
     if (session->connected()) {
@@ -116,6 +120,10 @@
     return std::move(reply);
   } catch (const Poco::TimeoutException&) {
     return TimedOut(aEndpoint);
+  } catch (const Poco::Net::MessageException& e) {
+    return Failure{ Error::ReplyInvalid,
+                    ToString(aEndpoint) + ": " + e.displayText(),
+                    "" };
   } catch (const Poco::Exception& e) {
     return Failure{ Error::ReplyTruncated,
                     ToString(aEndpoint) + ": " + e.displayText(),
--- a/src/core/http.h
+++ b/src/core/http.h
@@ -18,6 +18,9 @@
   std::string mValue;
 };
 
+/// Most bytes of a reply's body, such as a list of all VMs from another node.
+inline constexpr size_t kMaxReplyBytes = 64'000'000;
+
 /// A request with its whole body.
 struct HttpRequest
 {
@@ -25,6 +28,7 @@
   std::string mPath = "/";
   std::vector<HttpField> mFields;
   std::string mBody;
+  size_t mMaxReplyBytes = kMaxReplyBytes; ///< of the reply's body
 };
 
 /// A reply with its whole body.
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -229,6 +229,18 @@
 }
 
 // Guards against a small response that is refused because large ones wait.
+// Guards against a head without end that fills the node's memory until the
+// deadline of its request.
+TEST(Exchange, RejectsAHeadWithTooManyFields)
+{
+  std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n";
+  for (int n = 0; n < 1000; ++n) {
+    head += "X-" + std::to_string(n) + ": x\r\n";
+  }
+  ScriptedServer server({ { head } });
+  CHECK(ExchangeOutcome::Invalid == Run(server).mOutcome);
+}
+
 TEST(Exchange, SmallResponsesNeedNoBudget)
 {
   CHECK(mBuffers.TryTake(1000000));
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -52,3 +52,30 @@
     std::this_thread::sleep_for(milliseconds(100));
   }
 }
+
+// Guards against a head without end, from the store, another node or a target
+// that is probed, which fills the node's memory until the deadline.
+TEST(Http, RejectsAHeadWithTooManyFields)
+{
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  for (int n = 0; n < 1000; ++n) {
+    head += "X-" + std::to_string(n) + ": x\r\n";
+  }
+  ScriptedServer server({ { head } });
+  const Result<HttpReply> got = mClient.Call(server.Address(),
+                                             { "GET", "/v1/report", {}, {} },
+                                             mClock.Now() + milliseconds(1000));
+  CHECK(Error::ReplyInvalid == got.error().mError);
+}
+
+// Guards against the same for a body.
+TEST(Http, RejectsABodyOverItsLimit)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n";
+  ScriptedServer server({ { head + std::string(900, 'x') } });
+  HttpRequest request{ "GET", "/v1/report", {}, {} };
+  request.mMaxReplyBytes = 999;
+  const Result<HttpReply> got =
+    mClient.Call(server.Address(), request, mClock.Now() + milliseconds(1000));
+  CHECK(Error::ReplyInvalid == got.error().mError);
+}
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -202,6 +202,17 @@
   STRCMP_CONTAINS("?allow_stale=1", server.Requests()[1].c_str());
 }
 
+// Guards against a store whose responses without end fill the node's memory.
+TEST(ObjectStore, RejectsAResponseThatIsTooLarge)
+{
+  ScriptedServer server(
+    { { "HTTP/1.1 200 x\r\nContent-Length: 9000000\r\n\r\nxxx" } });
+  ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+  const TimePoint before = mClock.Now();
+  CHECK(!store.List("servers/", CallPriority::Config).has_value());
+  CHECK(mClock.Now() < before + milliseconds(500));
+}
+
 TEST(ObjectStore, ReadsChangesAndDeletions)
 {
   ScriptedServer server({ { MakeResponse(200, R"({"as_of":8,"events":[
@@ -229,6 +240,16 @@
   }
 };
 
+// Guards against probed targets whose responses without end fill the node's
+// memory.
+TEST(PlatformEngineControl, RejectsAReportThatIsTooLarge)
+{
+  ScriptedServer server(
+    { { "HTTP/1.1 200 x\r\nContent-Length: 70000\r\n\r\nxxx" } });
+  CHECK(Error::ReplyInvalid ==
+        mEngines.GetReport(server.Address(), milliseconds(500)).error().mError);
+}
+
 TEST(PlatformEngineControl, MapsStatusCodesToOutcomes)
 {
   const std::pair<int, OrderOutcome> cases[] = {
