Keep deletions that a listing shows, and the newest contents, over returns

What callers would see: a target that has left takes new work after the store returned from an older copy, or one that is leaving looks as if it weren't.

Cause: the feed kept the contents of objects that a watch reported as deleted, but not of those that were missing in a listing. And it forgot the content known before once a read was as new; a follower's read came from its upstream, corrected, and the next one from the store itself was older again.

Why this works: each deletion keeps the content, and for 10 s after a return the newest content of every key is kept and used, wherever it came from. After that time the store's order holds again; RestoredFeed, KeepsAContentThatIsNewerThanTheStores now waits for it.

--- a/src/relay/feed.cc
+++ b/src/relay/feed.cc
@@ -3,6 +3,7 @@
 #include "store/revision.h"
 
 #include <algorithm>
+#include <set>
 
 namespace hibiscushold {
 
@@ -14,8 +15,9 @@
 /// Deleted objects whose contents are kept in case the store loses the
 /// deletion.
 constexpr size_t kMaxDeletedObjects = 256;
-/// The store removes entries that are not renewed within a few seconds.
-constexpr auto kWithholdTime = milliseconds(10000);
+/// Within this time after a return of the store, lost contents are written
+/// again and entries that nobody renews are removed.
+constexpr auto kRestoreTime = milliseconds(10000);
 
 void
 RecordDeletion(Feed& aFeed, const std::string& aKey, uint64_t aRevision)
@@ -24,10 +26,10 @@
   if (it != aFeed.mObjects.end()) {
     std::deque<Object>& deleted = aFeed.mRestored.mDeleted;
     deleted.push_back(std::move(it->second));
-    aFeed.mObjects.erase(it);
     if (deleted.size() > kMaxDeletedObjects) {
       deleted.pop_front();
     }
+    aFeed.mObjects.erase(it);
   }
   aFeed.mDeletions.push_back({ aKey, aRevision });
   if (aFeed.mDeletions.size() > kMaxDeletions) {
@@ -56,20 +58,11 @@
 void
 KeepEarlier(Feed& aFeed, TimePoint aConfirmedAt)
 {
-  RestoredObjects& restored = aFeed.mRestored;
   for (const auto& [key, object] : aFeed.mObjects) {
-    restored.mEarlier.insert_or_assign(key, object);
-    restored.mEarlierDeleted.erase(key);
-  }
-  for (Object& it : restored.mDeleted) {
-    if (!aFeed.mObjects.contains(it.mKey)) {
-      restored.mEarlier.erase(it.mKey);
-      restored.mEarlierDeleted.insert_or_assign(it.mKey, std::move(it));
-    }
+    aFeed.mRestored.mNewest.insert_or_assign(key, object);
   }
-  restored.mDeleted.clear();
-  restored.mWithheld.clear();
-  restored.mWithholdUntil = aConfirmedAt + kWithholdTime;
+  aFeed.mRestored.mWithheld.clear();
+  aFeed.mRestored.mRestoredUntil = aConfirmedAt + kRestoreTime;
 }
 
 std::partial_ordering
@@ -86,45 +79,41 @@
          const ContentOrder& aOrder)
 {
   aRestored.mWithheld.erase(aRead.mKey);
-  const auto it = aRestored.mEarlierDeleted.find(aRead.mKey);
-  if (it == aRestored.mEarlierDeleted.end()) {
-    return false;
-  }
-  if (std::is_lteq(Compare(aRead, it->second, aOrder))) {
-    aRestored.mWithheld.insert_or_assign(aRead.mKey, aRead);
-    return true;
+  for (const Object& it : aRestored.mDeleted) {
+    if (it.mKey == aRead.mKey && std::is_lteq(Compare(aRead, it, aOrder))) {
+      aRestored.mWithheld.insert_or_assign(it.mKey, it);
+    }
   }
-  aRestored.mEarlierDeleted.erase(it);
-  return false;
+  return aRestored.mWithheld.contains(aRead.mKey);
 }
 
-/// Gives aRead its last known content if it is older than that.
+/// Gives aRead the newest known content if it is older than that.
 void
 RenewContent(RestoredObjects& aRestored,
              Object& aRead,
              const ContentOrder& aOrder)
 {
-  const auto it = aRestored.mEarlier.find(aRead.mKey);
-  if (it == aRestored.mEarlier.end()) {
-    return;
-  }
-  if (std::is_lt(Compare(aRead, it->second, aOrder))) {
+  const auto [it, isNew] = aRestored.mNewest.try_emplace(aRead.mKey, aRead);
+  if (!isNew && std::is_lt(Compare(aRead, it->second, aOrder))) {
     aRead.mValue = it->second.mValue;
   } else {
-    aRestored.mEarlier.erase(it);
+    it->second = aRead;
   }
 }
 
-/// Ends the withholding: the withheld objects are added to aRead as changed.
+/// Ends the withholding: withheld objects that aRead does not have are added to
+/// it as changed, with their last known contents.
 void
 AddWithheld(RestoredObjects& aRestored, Listing& aRead)
 {
+  for (const Object& it : aRead.mObjects) {
+    aRestored.mWithheld.erase(it.mKey);
+  }
   for (auto& [key, object] : aRestored.mWithheld) {
     object.mVersion = aRead.mRevision;
     aRead.mObjects.push_back(std::move(object));
   }
   aRestored.mWithheld.clear();
-  aRestored.mEarlierDeleted.clear();
 }
 
 /// Records that the changes before a listing at aRevision are not known.
@@ -155,14 +144,16 @@
   for (const std::string& it : aRead.mDeleted) {
     restored.mWithheld.erase(it);
   }
-  std::erase_if(aRead.mObjects, [&](const Object& it) {
-    return Withhold(restored, it, aOrder);
-  });
-  for (Object& it : aRead.mObjects) {
-    RenewContent(restored, it, aOrder);
-  }
-  if (aConfirmedAt >= restored.mWithholdUntil) {
+  if (aConfirmedAt < restored.mRestoredUntil) {
+    std::erase_if(aRead.mObjects, [&](const Object& it) {
+      return Withhold(restored, it, aOrder);
+    });
+    for (Object& it : aRead.mObjects) {
+      RenewContent(restored, it, aOrder);
+    }
+  } else {
     AddWithheld(restored, aRead);
+    restored.mNewest.clear();
   }
   return aRead;
 }
@@ -174,14 +165,16 @@
     return;
   }
   RecordGap(aFeed, aListing.mRevision);
-  std::map<std::string, Object> missing = std::move(aFeed.mObjects);
-  aFeed.mObjects.clear();
+  std::set<std::string> missing;
+  for (const auto& [key, object] : aFeed.mObjects) {
+    missing.insert(key);
+  }
   for (const Object& it : aListing.mObjects) {
     RecordObject(aFeed, it);
     missing.erase(it.mKey);
   }
-  for (const auto& [key, object] : missing) {
-    RecordDeletion(aFeed, key, aListing.mRevision);
+  for (const std::string& it : missing) {
+    RecordDeletion(aFeed, it, aListing.mRevision);
   }
   RecordRead(aFeed, aListing.mRevision, aConfirmedAt);
 }
--- a/src/relay/feed.h
+++ b/src/relay/feed.h
@@ -27,16 +27,15 @@
 /// What was known of the objects before the store returned from an older copy.
 struct RestoredObjects
 {
-  /// Recently deleted objects, oldest first.
+  /// The newest contents by key, from before and after the return.
+  std::map<std::string, Object> mNewest;
+  /// Recently deleted objects, oldest first, in case the store loses that.
   std::deque<Object> mDeleted;
-  /// Last known contents by key, until the store has newer ones.
-  std::map<std::string, Object> mEarlier;
-  /// The same of deleted objects, until mWithholdUntil.
-  std::map<std::string, Object> mEarlierDeleted;
-  /// Objects that returned although they had been deleted. The store removes
+  /// Objects that are back although they had been deleted. The store removes
   /// them again if nobody renews them.
   std::map<std::string, Object> mWithheld;
-  TimePoint mWithholdUntil;
+  /// Until when contents may be older and deleted objects may be back.
+  TimePoint mRestoredUntil;
 };
 
 /// The objects under one prefix as of a revision of the store, with the most
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -249,7 +249,8 @@
   STRCMP_EQUAL("7", Since(0).value().mObjects[0].mValue.c_str());
   Update(ListingOf(At(3, 4), { Numbered("a/1", At(3, 4), "8") }), false);
   STRCMP_EQUAL("8", Since(0).value().mObjects[0].mValue.c_str());
-  // Within an era the store's order holds.
+  // Afterwards the store's order holds.
+  mClock.Advance(seconds(11));
   Update(ListingOf(At(3, 5), { Numbered("a/1", At(3, 5), "2") }), false);
   STRCMP_EQUAL("2", Since(0).value().mObjects[0].mValue.c_str());
 }
