Don't withhold live targets, nor return removed ones, after a return of the store

What callers would see: a live target gets no work for up to 10 s after the store returned twice, or one that was removed meanwhile is back for a time; a node that has just started takes a leaving target for a live one.

Cause: an object that the first listing of a new era lacked counted as deleted, although the store may only have lost it, and was withheld when it was written again unchanged. A VM missing in a full listing whose data was older than the wait was dropped at once. Withheld objects that a later full listing no longer had came back at the end of the time. A node's first read didn't count as one that may be of a restored store.

Why this works: only deletions within an era are remembered, a full listing decides anew what is withheld, missing VMs wait for data as new as the end of the wait however they came to be missing, and the first read of a store with eras opens the same 10 s.

--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -137,7 +137,7 @@
     const auto found = vms.find(it);
     const bool mayReappear = found != vms.end() &&
                              found->second.mState == VmState::Live &&
-                             mClock.Now() < settledAt;
+                             aAsOf < settledAt;
     if (mayReappear) {
       mExpiring.emplace(it, settledAt);
     } else if (found != vms.end()) {
--- a/src/relay/feed.cc
+++ b/src/relay/feed.cc
@@ -22,15 +22,7 @@
 void
 RecordDeletion(Feed& aFeed, const std::string& aKey, uint64_t aRevision)
 {
-  const auto it = aFeed.mObjects.find(aKey);
-  if (it != aFeed.mObjects.end()) {
-    std::deque<Object>& deleted = aFeed.mRestored.mDeleted;
-    deleted.push_back(std::move(it->second));
-    if (deleted.size() > kMaxDeletedObjects) {
-      deleted.pop_front();
-    }
-    aFeed.mObjects.erase(it);
-  }
+  aFeed.mObjects.erase(aKey);
   aFeed.mDeletions.push_back({ aKey, aRevision });
   if (aFeed.mDeletions.size() > kMaxDeletions) {
     aFeed.mHistoryFrom = aFeed.mDeletions.front().mRevision;
@@ -38,6 +30,21 @@
   }
 }
 
+/// Keeps the content of an object that is about to be deleted.
+void
+KeepDeleted(Feed& aFeed, const std::string& aKey)
+{
+  const auto it = aFeed.mObjects.find(aKey);
+  if (it == aFeed.mObjects.end()) {
+    return;
+  }
+  std::deque<Object>& deleted = aFeed.mRestored.mDeleted;
+  deleted.push_back(it->second);
+  if (deleted.size() > kMaxDeletedObjects) {
+    deleted.pop_front();
+  }
+}
+
 void
 RecordObject(Feed& aFeed, const Object& aObject)
 {
@@ -134,13 +141,18 @@
 Listing
 CorrectRestored(Feed& aFeed,
                 Listing aRead,
+                bool aIsSnapshot,
                 const ContentOrder& aOrder,
                 TimePoint aConfirmedAt)
 {
-  if (aFeed.mRevision != 0 && EraOf(aRead.mRevision) > EraOf(aFeed.mRevision)) {
+  // Also for the first read, as the store may have returned just before it.
+  if (EraOf(aRead.mRevision) > EraOf(aFeed.mRevision)) {
     KeepEarlier(aFeed, aConfirmedAt);
   }
   RestoredObjects& restored = aFeed.mRestored;
+  if (aIsSnapshot) {
+    restored.mWithheld.clear();
+  }
   for (const std::string& it : aRead.mDeleted) {
     restored.mWithheld.erase(it);
   }
@@ -164,6 +176,7 @@
   if (aListing.mRevision < aFeed.mRevision) {
     return;
   }
+  const bool isRestored = EraOf(aListing.mRevision) != EraOf(aFeed.mRevision);
   RecordGap(aFeed, aListing.mRevision);
   std::set<std::string> missing;
   for (const auto& [key, object] : aFeed.mObjects) {
@@ -174,6 +187,10 @@
     missing.erase(it.mKey);
   }
   for (const std::string& it : missing) {
+    // A restored store may only have lost the object.
+    if (!isRestored) {
+      KeepDeleted(aFeed, it);
+    }
     RecordDeletion(aFeed, it, aListing.mRevision);
   }
   RecordRead(aFeed, aListing.mRevision, aConfirmedAt);
@@ -186,6 +203,7 @@
     return;
   }
   for (const std::string& it : aChanges.mDeleted) {
+    KeepDeleted(aFeed, it);
     RecordDeletion(aFeed, it, aChanges.mRevision);
   }
   for (const Object& it : aChanges.mObjects) {
--- a/src/relay/feed.h
+++ b/src/relay/feed.h
@@ -59,12 +59,14 @@
 /// Makes a read of a restored store consistent with what the feed knew before:
 /// an object older than its last known content gets that content, and a deleted
 /// object that has returned without a newer content is left out for some time.
+/// @param aIsSnapshot whether aRead has all objects, not only changes
 /// @param aOrder may be empty if no contents can be compared
 /// @param aConfirmedAt time at which the store had nothing newer
 /// @return the corrected read
 Listing
 CorrectRestored(Feed& aFeed,
                 Listing aRead,
+                bool aIsSnapshot,
                 const ContentOrder& aOrder,
                 TimePoint aConfirmedAt);
 
--- a/src/relay/feedcache.cc
+++ b/src/relay/feedcache.cc
@@ -35,7 +35,8 @@
   {
     const std::lock_guard guard(mLock);
     Feed& feed = mFeeds[std::string(aPrefix)];
-    aListing = CorrectRestored(feed, std::move(aListing), mOrder, aConfirmedAt);
+    aListing = CorrectRestored(
+      feed, std::move(aListing), aIsSnapshot, mOrder, aConfirmedAt);
     if (aIsSnapshot) {
       ApplySnapshot(feed, aListing, aConfirmedAt);
     } else {
--- a/src/relay/registrar.cc
+++ b/src/relay/registrar.cc
@@ -36,9 +36,8 @@
     // A stale listing does no harm: the first watch continues from its
     // revision. After a return of the store it may be from before it, with
     // revisions that are used again.
-    return mRelay.List(kRosterPrefix,
-                       mHistoryGone ? CallPriority::Lease
-                                    : CallPriority::Status);
+    return mRelay.List(
+      kRosterPrefix, mHistoryGone ? CallPriority::Lease : CallPriority::Status);
   }
   return mRelay.Watch(kRosterPrefix, mRevision, kMaxRosterWait);
 }
--- a/src/relay/registrar.h
+++ b/src/relay/registrar.h
@@ -38,7 +38,7 @@
   TokenSet& mTokens;
   RelayedPlatform& mRelay;
   const std::string mKey;
-  uint64_t mRevision = 0; ///< 0 if the entries have to be listed
+  uint64_t mRevision = 0;    ///< 0 if the entries have to be listed
   bool mHistoryGone = false; ///< the last read ended the history
   Roster mRoster;
   std::atomic<uint64_t> mOwnVersion{ 0 };
