Test that a reply that never came is reported as truncated

A guard for the distinction that the bounds of replies brought in: a connection that ends without a reply is no malformed one. It held already (the library's NoMessageException is not a kind of MessageException); a suspicion to the contrary while reading was wrong.

--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -79,3 +79,14 @@
     mClient.Call(server.Address(), request, mClock.Now() + milliseconds(1000));
   CHECK(Error::ReplyInvalid == got.error().mError);
 }
+
+// Guards against a connection that ends without a reply and is reported as if
+// the reply had been malformed.
+TEST(Http, ReportsAConnectionThatEndsWithoutAReplyAsTruncated)
+{
+  ScriptedServer server({ { "", true } });
+  const Result<HttpReply> got = mClient.Call(server.Address(),
+                                             { "GET", "/v1/report", {}, {} },
+                                             mClock.Now() + milliseconds(1000));
+  CHECK(Error::ReplyTruncated == got.error().mError);
+}
