Count a VM as seen to leave only when it disappears (StoreEraSoak)

The trace shows the case that the check already allowed; it now looks at the time of the disappearance.

--- a/test/storeera-soak-test.cc
+++ b/test/storeera-soak-test.cc
@@ -260,7 +260,8 @@
   bool mStartedOnCopy = false; ///< and has not had the latest version since
   uint64_t mConfigVersion = 0;
   std::map<std::string, FleetVm> mKnown; ///< as last listed
-  std::set<std::string> mSeenGone;
+  std::set<std::string> mMissing;        ///< known, but not in the list now
+  std::set<std::string> mSeenGone;       ///< of these, seen to leave
 };
 
 /// A VM as it is; the store may have an older entry.
@@ -534,6 +535,7 @@
                    SequenceOf(vm) > SequenceOf(it->second),
                  mTrace.c_str());
       aNode.mKnown[id] = vm;
+      aNode.mMissing.erase(id);
       aNode.mSeenGone.erase(id);
     }
     for (const auto& [id, vm] : aNode.mKnown) {
@@ -542,7 +544,8 @@
         CHECK_TEXT(vm.mState == VmState::Leaving || !IsListed(vm),
                    mTrace.c_str());
         // A listing of a new era doesn't tell whether a VM has left.
-        if (mClock.Now() > aNode.mEraSeenAt + kRewriteTime * 2) {
+        const bool isNew = aNode.mMissing.insert(id).second;
+        if (isNew && mClock.Now() > aNode.mEraSeenAt + kRewriteTime * 2) {
           aNode.mSeenGone.insert(id);
         }
       }
