Don't list from an upstream that lags behind

What callers would see: a node drops live targets for up to 2 s, until the upstream that it follows has caught up.

Cause: a node whose history is gone lists anew from its upstream. If the upstream was cut off from the store for a moment, and the node had read the store itself meanwhile, the list is older than what the node knows, and what it lacks counted as deleted.

RestoredFeed, IsNotListedFromAnUpstreamThatLagsBehind failed before.

Why this works: a list with a lower revision than the node's feed counts as a failure of the upstream, and the store is read instead; the check for earlier eras was a part of it. Watches can't be older, as they continue from the node's own revision.

--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -1,7 +1,6 @@
 #include "relay/relayedplatform.h"
 
 #include "observe/events.h"
-#include "store/revision.h"
 
 #include <algorithm>
 
@@ -135,10 +134,11 @@
                       " ms ago",
                     "" };
   }
-  const uint64_t known = mDependencies.mFeeds.RevisionOf(aPrefix);
-  if (EraOf(response.value().mListing.mRevision) < EraOf(known)) {
+  // A listing would take this node back to the older state.
+  if (aSince == 0 && response.value().mListing.mRevision <
+                       mDependencies.mFeeds.RevisionOf(aPrefix)) {
     return Failure{ Error::StoreUnavailable,
-                    aPeer.mId + " has the store's state from an earlier era",
+                    aPeer.mId + " has an older state of the store",
                     "" };
   }
   ClearBackoff(aPeer);
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -287,6 +287,30 @@
   CHECK_EQUAL(1U, Since(At(2, 11)).value().mObjects.size());
 }
 
+// Guards against live targets that are dropped for some seconds, as a node
+// lists anew from an upstream that lags behind it.
+TEST(RestoredFeed, IsNotListedFromAnUpstreamThatLagsBehind)
+{
+  FakePlatform store;
+  Metrics metrics;
+  RelayedPlatform relay(
+    { store,
+      mFeeds,
+      [&](const RosterEntry&, std::string_view, uint64_t, milliseconds) {
+        return Result<FeedResponse>(
+          FeedResponse{ ListingOf(At(0, 2), {}), {} });
+      },
+      metrics,
+      mClock });
+  relay.SetUpstreams({ { "n2", "a", { "10.0.0.2", 7 }, "token", 1 } });
+  for (const char* it : { "a/1", "a/2", "a/3" }) {
+    CHECK(store.Create(it, "1", CallPriority::Config).has_value());
+  }
+  Update(store.List("a/", CallPriority::Config).value(), true);
+  CHECK_EQUAL(3U,
+              relay.List("a/", CallPriority::Config).value().mObjects.size());
+}
+
 // Guards against an upstream that has not noticed the return of the store and
 // takes its followers back to the state before.
 TEST(RestoredFeed, IsNotReadFromAnUpstreamOfAnEarlierEra)
