Take the planner's list after the time that it is judged by

What callers would see: at worst a VM ordered into two groups, just after a new planner took the lease.

Evidence: found while reading the diff; the window is a few instructions, so no test shows it.

Why this works: the time is read first, then the list, then whether it is settled: the list is at least as new as the time, and an update between cannot make an unsettled list look settled.

--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -122,13 +122,15 @@
   // without them, whole groups would look broken.
   const bool mayLackEntries = mDependencies.mClock.Now() < mPlanningStartsAt &&
                               !mDependencies.mIsBeforeTraffic();
-  // Read before it is checked whether the list is settled.
+  // In this order, the list is at least as new as asOf, and settled if the
+  // watcher is.
+  const TimePoint asOf = mDependencies.mWatcher.VmsAsOf();
   FleetVmsPtr watched = mDependencies.mWatcher.Vms();
   if (!mDependencies.mWatcher.IsSettled() || mayLackEntries) {
     return nullptr;
   }
   // An older list may lack the effect of the previous planner's last orders.
-  if (mDependencies.mWatcher.VmsAsOf() > mLeaseTakenAt) {
+  if (asOf > mLeaseTakenAt) {
     return watched;
   }
   const TimePoint now = mDependencies.mClock.Now();
