Drop a VM in time whose entry goes after the store is back

What callers would see: a request is sent to a target that has left, up to 2.3 s after its entry was removed (DRAIN, bound 2 s).

Cause: an entry that goes within 2.3 s after a node has reached the store again counts as expired during the outage, and the VM is kept until that time is over, though the entry of a VM that leaves may go then as well.

Watcher, RemovesAnEntryInTimeThatGoesAfterTheStoreIsBack failed before.

Why this works: only VMs that the first read after an outage, or a full listing, lacks wait until the list is settled. One that goes later waits 1.2 s; if its entry had only expired, it is listed again a moment later, and the planner waits for a settled list anyway.

--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -19,6 +19,9 @@
 /// The platform restores lost entries within two seconds after the store is
 /// available again.
 constexpr auto kStoreRecoveryTime = milliseconds(2300);
+/// A VM whose entry goes after the store is available again has probably left.
+/// It gets no new work from about this time on.
+constexpr auto kMaxLapseTime = milliseconds(1200);
 
 bool
 IsListed(const Listing& aListing, std::string_view aKey)
@@ -89,6 +92,7 @@
                                const Result<Listing>& aRead)
 {
   const bool failed = !aRead.has_value();
+  aWatched.mIsCatchingUp = aWatched.mUnreachable && !failed;
   if (failed != aWatched.mUnreachable) {
     aWatched.mUnreachable = failed;
     LogEvent(failed ? EventId::StoreLost : EventId::StoreBack,
@@ -139,7 +143,10 @@
                              found->second.mState == VmState::Live &&
                              aAsOf < settledAt;
     if (mayReappear) {
-      mExpiring.emplace(it, settledAt);
+      const bool isLapsed = aIsFull || mWatchedVms.mIsCatchingUp;
+      mExpiring.emplace(it,
+                        isLapsed ? std::nullopt
+                                 : std::optional(mClock.Now() + kMaxLapseTime));
     } else if (found != vms.end()) {
       vms.erase(found);
       LogEvent(EventId::VmGone, { { "vm", it } });
@@ -176,7 +183,7 @@
 {
   const TimePoint settledAt = SettledAt();
   std::erase_if(mExpiring, [&](const auto& it) {
-    if (aAsOf < it.second || aAsOf < settledAt) {
+    if (it.second ? mClock.Now() < *it.second : aAsOf < settledAt) {
       return false;
     }
     aVms.erase(it.first);
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -73,6 +73,8 @@
     const char* mName;
     uint64_t mRevision = 0; ///< 0 until the objects have been listed
     bool mUnreachable = false;
+    /// Whether the last read was the first after the store was unreachable.
+    bool mIsCatchingUp = false;
     /// Until when objects may be missing after a return from an older copy.
     TimePoint mRestoredUntil{};
   };
@@ -94,8 +96,8 @@
   WatchedPrefix mWatchedConfig;
   /// VMs that disappeared from the list but may reappear, as their entries
   /// expired while the store was unavailable; with the time at which they are
-  /// removed.
-  std::map<std::string, TimePoint> mExpiring;
+  /// removed, none if that is once the list is settled.
+  std::map<std::string, std::optional<TimePoint>> mExpiring;
   std::map<std::string, std::string> mUnreadable; ///< last error by entry
   std::function<void(const FleetVmsPtr&)> mListener;
   mutable std::mutex mLock; ///< guards the members below
--- a/test/watcher-test.cc
+++ b/test/watcher-test.cc
@@ -190,6 +190,26 @@
   CHECK(!IsListed("1"));
 }
 
+// Guards against new work for a target that has left, as its entry went shortly
+// after the store was available again and seemed to have expired.
+TEST(Watcher, RemovesAnEntryInTimeThatGoesAfterTheStoreIsBack)
+{
+  mStore.mValues = { { "vms/1", "live" } };
+  PollVms();
+  mStore.mDown = true;
+  PollVms();
+  mStore.mDown = false;
+  PollVms();
+  mStore.mValues.clear();
+  mStore.mDeleted = { "vms/1" };
+  PollVms();
+  CHECK(IsListed("1"));
+  mClock.Advance(milliseconds(1500));
+  CHECK(!mWatcher.IsSettled());
+  PollVms();
+  CHECK(!IsListed("1"));
+}
+
 TEST(Watcher, RemovesADeletedEntryAtOnceWhileTheStoreIsUp)
 {
   mStore.mValues = { { "vms/1", "live" } };
