--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -1,9 +1,9 @@
 #include "core/settings.h"
 
 #include "core/ini.h"
+#include "core/number.h"
 #include "core/tokenset.h"
 
-#include <charconv>
 #include <functional>
 #include <set>
 #include <vector>
@@ -22,9 +22,7 @@
 ParseCount(const std::string& aText, uint32_t aMin, uint32_t aMax)
 {
   uint32_t number = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [pos, ec] = std::from_chars(aText.data(), end, number);
-  if (ec != std::errc() || pos != end || number < aMin || number > aMax) {
+  if (!ParseNumber(aText, number) || number < aMin || number > aMax) {
     return Invalid(aText,
                    "give a whole number from " + std::to_string(aMin) + " to " +
                      std::to_string(aMax));
--- a/src/gateway/announcements.cc
+++ b/src/gateway/announcements.cc
@@ -1,9 +1,9 @@
 #include "gateway/announcements.h"
 
+#include "core/number.h"
 #include "observe/events.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 
 namespace hibiscushold {
@@ -22,9 +22,7 @@
 ParseQuietTime(std::string_view aText)
 {
   double seconds = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [pos, ec] = std::from_chars(aText.data(), end, seconds);
-  if (ec != std::errc() || pos != end || !(seconds >= 0)) {
+  if (!ParseNumber(aText, seconds) || !(seconds >= 0)) {
     return std::nullopt;
   }
   return std::chrono::duration_cast<Duration>(
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -1,8 +1,8 @@
 #include "gateway/settings.h"
 
 #include "core/ini.h"
+#include "core/number.h"
 
-#include <charconv>
 #include <functional>
 #include <map>
 #include <set>
@@ -24,9 +24,7 @@
 ParseReal(const std::string& aText)
 {
   double number = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [pos, ec] = std::from_chars(aText.data(), end, number);
-  if (ec != std::errc() || pos != end || number < 0) {
+  if (!ParseNumber(aText, number) || number < 0) {
     return Invalid(aText, "give a number that is not negative");
   }
   return number;
--- a/src/rules/attributes.cc
+++ b/src/rules/attributes.cc
@@ -1,7 +1,8 @@
 #include "rules/attributes.h"
 
+#include "core/number.h"
+
 #include <array>
-#include <charconv>
 #include <sstream>
 
 namespace hibiscushold::detail {
@@ -13,16 +14,6 @@
                                                         "Sun" };
 constexpr uint32_t kMaxTimeoutMillis = 3600000;
 
-/// @return whether all of aText is one number; aNumber holds it then
-template<class T>
-bool
-ParseNumber(std::string_view aText, T& aNumber)
-{
-  const char* end = aText.data() + aText.size();
-  const auto [pos, ec] = std::from_chars(aText.data(), end, aNumber);
-  return ec == std::errc() && pos == end && !aText.empty();
-}
-
 /// @return the index of the day counted from Monday as 0, or -1 if unknown
 int
 DayIndex(std::string_view aName)
