Share the final mix of hashes and the writing of hexadecimal numbers

core/hash wrote again the mix that RendezvousScore already had: MixBits serves both, bit by bit the same. The log of broken connections and the quarantine each wrote numbers in hexadecimal with a stream: ToHex serves both, with the same digits.

--- a/src/core/hash.h
+++ b/src/core/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace hibiscushold {
@@ -8,6 +9,11 @@
 /// Initial value of a chain of calls to Hash64.
 inline constexpr uint64_t kHashStart = 0xcbf29ce484222325;
 
+/// MurmurHash3's final mix, after which values that differ in few bits differ
+/// in about half of them.
+uint64_t
+MixBits(uint64_t aValue);
+
 /// FNV-1a with a final mix. The same on all nodes, whatever their build; not
 /// for secrets.
 /// @param aStart kHashStart, or the hash of what precedes aText
@@ -15,4 +21,8 @@
 uint64_t
 Hash64(std::string_view aText, uint64_t aStart = kHashStart);
 
+/// @return the value in lower-case hexadecimal digits, without leading zeros
+std::string
+ToHex(uint64_t aValue);
+
 } // namespace hibiscushold
--- a/src/core/ids.cc
+++ b/src/core/ids.cc
@@ -1,5 +1,7 @@
 #include "core/ids.h"
 
+#include "core/hash.h"
+
 #include <Poco/DigestEngine.h>
 #include <Poco/SHA2Engine.h>
 #include <Poco/UUIDGenerator.h>
@@ -37,15 +39,8 @@
 {
   size_t seed = boost::hash_range(aKey.begin(), aKey.end());
   boost::hash_combine(seed, boost::hash_range(aNode.begin(), aNode.end()));
-  // MurmurHash3's finalizer, so that keys that differ in their last byte only
-  // get well-distributed scores.
-  uint64_t x = seed;
-  x ^= x >> 33U;
-  x *= 0xff51afd7ed558ccdULL;
-  x ^= x >> 33U;
-  x *= 0xc4ceb9fe1a85ec53ULL;
-  x ^= x >> 33U;
-  return x;
+  // Keys that differ in their last byte only get well-distributed scores.
+  return MixBits(seed);
 }
 
 } // namespace hibiscushold
--- a/src/fleet/quarantine.cc
+++ b/src/fleet/quarantine.cc
@@ -4,7 +4,6 @@
 #include "observe/events.h"
 
 #include <algorithm>
-#include <sstream>
 #include <string>
 
 namespace hibiscushold {
@@ -23,14 +22,6 @@
 constexpr size_t kMaxPartsPerCrash = 64;
 constexpr size_t kMaxStrongNotices = 96;
 
-std::string
-Hex(TraitId aTrait)
-{
-  std::ostringstream text;
-  text << std::hex << aTrait;
-  return text.str();
-}
-
 std::vector<Crash>
 NotRefuted(const Suspect& aSuspect)
 {
@@ -360,7 +351,7 @@
   const std::set<TraitId> culprits = FindCulprits(mSuspects, known, aNow);
   for (const TraitId it : known) {
     if (!culprits.contains(it)) {
-      LogEvent(EventId::QuarantineEnded, { { "trait", Hex(it) } });
+      LogEvent(EventId::QuarantineEnded, { { "trait", ToHex(it) } });
       mCulprits.erase(it);
     }
   }
@@ -371,7 +362,7 @@
     entry->second.mEnd = EndOf(suspect);
     if (isNew) {
       LogEvent(EventId::QuarantineStarted,
-               { { "trait", Hex(it) },
+               { { "trait", ToHex(it) },
                  { "kind", suspect.mRank == kContentRank ? "request" : "part" },
                  { "answered", suspect.mWasAnswered ? "yes" : "no" },
                  { "crashes", std::to_string(NotRefuted(suspect).size()) } });
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -1,10 +1,10 @@
 #include "gateway/attemptrecord.h"
 
+#include "core/hash.h"
 #include "observe/events.h"
 
 #include <algorithm>
 #include <span>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -20,13 +20,12 @@
 std::string
 PartsText(std::span<const uint64_t> aParts)
 {
-  std::ostringstream text;
-  text << std::hex;
+  std::string text;
   for (const uint64_t it :
        aParts.first(std::min(aParts.size(), kMaxLoggedParts))) {
-    text << (text.tellp() > 0 ? "," : "") << it;
+    text += (text.empty() ? "" : ",") + ToHex(it);
   }
-  return text.str();
+  return text;
 }
 
 /// Logs that a target ended its connection before the response was complete.
