Look for culprits after a response only if it refuted a crash

Once a target had a crash, refuted or not, each response of it went through all suspects and looked for the culprits anew under the quarantine's lock, for a minute, although mEndedTargets is to hold targets with crashes that aren't refuted and RecordAnswer already stops if nothing was refuted. Both now do as stated. Which traits count changes by nothing but refutations and time, and Refresh looks several times a second for the latter.

NotRefuted serves the counts and the explanations as well, which filtered crashes by themselves.

--- a/src/fleet/crashevidence.cc
+++ b/src/fleet/crashevidence.cc
@@ -19,10 +19,7 @@
     // A request that ends targets may do so by one of its parts, which then
     // remain suspects.
     const bool exceptContent = aCulprit.mRank == kContentRank;
-    for (const Crash& it : aCulprit.mCrashes) {
-      if (it.mRefuted) {
-        continue;
-      }
+    for (const Crash& it : NotRefuted(aCulprit)) {
       std::optional<TraitId>& except =
         mExceptContent.try_emplace(it.mTarget, it.mContent).first->second;
       if (!exceptContent) {
@@ -169,14 +166,22 @@
 bool
 StillCounts(const Suspect& aCulprit)
 {
-  const auto n = std::count_if(aCulprit.mCrashes.begin(),
-                               aCulprit.mCrashes.end(),
-                               [](const Crash& it) { return !it.mRefuted; });
-  return static_cast<size_t>(n) >= kMinCrashes;
+  return NotRefuted(aCulprit).size() >= kMinCrashes;
 }
 
 } // namespace
 
+std::vector<Crash>
+NotRefuted(const Suspect& aSuspect)
+{
+  std::vector<Crash> crashes;
+  std::copy_if(aSuspect.mCrashes.begin(),
+               aSuspect.mCrashes.end(),
+               std::back_inserter(crashes),
+               [](const Crash& it) { return !it.mRefuted; });
+  return crashes;
+}
+
 size_t
 CountApart(std::span<const Crash> aCrashes)
 {
--- a/src/fleet/crashevidence.h
+++ b/src/fleet/crashevidence.h
@@ -57,6 +57,10 @@
 /// such as the loss of a zone, and count as one crash.
 inline constexpr auto kMinCrashDistance = milliseconds(40);
 
+/// @return the crashes that still speak against the trait
+std::vector<Crash>
+NotRefuted(const Suspect& aSuspect);
+
 /// Counts crashes that happened apart from each other.
 /// @param aCrashes without refuted ones
 size_t
--- a/src/fleet/quarantine.cc
+++ b/src/fleet/quarantine.cc
@@ -22,17 +22,6 @@
 constexpr size_t kMaxPartsPerCrash = 64;
 constexpr size_t kMaxStrongNotices = 96;
 
-std::vector<Crash>
-NotRefuted(const Suspect& aSuspect)
-{
-  std::vector<Crash> crashes;
-  std::copy_if(aSuspect.mCrashes.begin(),
-               aSuspect.mCrashes.end(),
-               std::back_inserter(crashes),
-               [](const Crash& it) { return !it.mRefuted; });
-  return crashes;
-}
-
 /// @return when too few crashes will be left to keep the trait quarantined
 TimePoint
 EndOf(const Suspect& aCulprit)
@@ -113,15 +102,16 @@
   if (!mEndedTargets.contains(aTarget)) {
     return;
   }
+  const auto precedes = [&](const Crash& it) {
+    return it.mTarget == aTarget && it.mAt < aSentAt;
+  };
+  bool refuted = false;
   for (const auto& [trait, suspect] : mSuspects) {
-    Refute(
-      trait,
-      [&](const Crash& it) {
-        return it.mTarget == aTarget && it.mAt < aSentAt;
-      },
-      aNow);
+    refuted = Refute(trait, precedes, aNow) || refuted;
+  }
+  if (refuted) {
+    UpdateCulprits(aNow);
   }
-  UpdateCulprits(aNow);
 }
 
 void
@@ -148,7 +138,7 @@
     std::erase_if(it->second.mCrashes, [&](const Crash& aCrash) {
       return aCrash.mAt + lifetime <= aNow;
     });
-    for (const Crash& crash : it->second.mCrashes) {
+    for (const Crash& crash : NotRefuted(it->second)) {
       mEndedTargets.insert(crash.mTarget);
     }
     if (it->second.mCrashes.empty()) {
