--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -67,7 +67,8 @@
     mDependencies.mRetryBudget.AddRequest(mRequest.mService,
                                           mDependencies.mClock.Now());
     for (;;) {
-      if (IsHeldInQuarantine()) {
+      DecideOnTrial();
+      if (IsQuarantined()) {
         return FailQuarantined();
       }
       const FleetTargetsPtr targets = mDependencies.mTargets();
@@ -172,14 +173,13 @@
     return mDependencies.mQuarantine.EndOfQuarantine(mRequest.mTraits);
   }
 
-  /// Decides before an attempt whether it is to be made. The first attempt may
-  /// be a trial.
-  bool IsHeldInQuarantine()
+  /// Decides before each attempt whether it is a trial, which only the first
+  /// may be.
+  void DecideOnTrial()
   {
     mIsTrial = EndOfQuarantine() && mAttempts == 0 &&
                mDependencies.mQuarantine.TryTrial(mRequest.mTraits,
                                                   mDependencies.mClock.Now());
-    return IsQuarantined();
   }
 
   const FleetTarget* Choose(const FleetTargets& aTargets)
