--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -11,10 +11,6 @@
 /// A failed planner is replaced after this time. A shorter lease costs more
 /// calls to renew and observe it.
 constexpr auto kLeaseDuration = milliseconds(1200);
-/// A process that has just started cannot know whether the store was
-/// unavailable before. The platform restores the entries that expired then
-/// within two seconds.
-constexpr auto kStoreRecoveryTime = milliseconds(2300);
 /// Interval at which a new planner lists the VMs itself until the watched list
 /// is newer than its lease, which takes one watch. A list costs a call per
 /// page.
@@ -45,6 +41,8 @@
                        PlannerLimits aLimits)
   : mDependencies(std::move(aDependencies))
   , mLimits(aLimits)
+  // A process that has just started cannot know whether the store was
+  // unavailable before.
   , mPlanningStartsAt(mDependencies.mClock.Now() + kStoreRecoveryTime)
   , mLeases(std::move(aNodeId),
             mDependencies.mPlatform,
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -16,9 +16,6 @@
 constexpr auto kConfigWatchTimeout = milliseconds(600);
 constexpr auto kVmWatchTimeout = milliseconds(600);
 constexpr auto kRetryInterval = milliseconds(250);
-/// The platform restores lost entries within two seconds after the store is
-/// available again.
-constexpr auto kStoreRecoveryTime = milliseconds(2300);
 /// A VM whose entry goes after the store is available again has probably left.
 /// It gets no new work from about this time on.
 constexpr auto kMaxLapseTime = milliseconds(1200);
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -9,6 +9,10 @@
 
 namespace hibiscushold {
 
+/// The platform restores lost entries within two seconds after the store is
+/// available again.
+inline constexpr auto kStoreRecoveryTime = milliseconds(2300);
+
 /// The platform objects that the watcher follows, and how to parse them.
 struct FleetSource
 {
@@ -44,8 +48,7 @@
   /// Lists the VMs directly, without changing the watched list. Unreadable
   /// entries are left out.
   /// @return the VMs, or StoreHistoryGone if the store has returned from an
-  /// older
-  ///         copy since the last change of the watched list
+  ///         older copy that the watched list doesn't show yet
   Result<FleetVms> ReadVms() const;
 
   /// @return whether the list of VMs is available, and the platform had time to
