Soak the nodes on the store of the other tests

StoreEraSoak had a store of its own, which kept a history of changes beside the one of FakePlatform. FakePlatform now has the history, and the soak plays on it. The checks are as before.

--- a/test/fakeplatform.h
+++ b/test/fakeplatform.h
@@ -37,14 +37,7 @@
     if (TakeFault(mNextReadFault) != StoreFault::None) {
       return NoResponse();
     }
-    Listing listing;
-    listing.mRevision = mRevision;
-    for (const auto& [key, object] : mObjects) {
-      if (key.starts_with(aPrefix)) {
-        listing.mObjects.push_back(object);
-      }
-    }
-    return listing;
+    return Changes(aPrefix, 0);
   }
 
   Result<uint64_t> Create(std::string_view aKey,
@@ -73,8 +66,7 @@
     if (VersionOf(aKey) != aVersion) {
       return Failure{ Error::StoreConflict, std::string(aKey), "" };
     }
-    mObjects.erase(std::string(aKey));
-    ++mRevision;
+    Remove(aKey);
     if (fault == StoreFault::ResponseLost) {
       return NoResponse();
     }
@@ -85,10 +77,15 @@
                         uint64_t aSince,
                         milliseconds) override
   {
-    if (EraOf(aSince) != EraOf(mRevision)) {
+    const bool isUnknown = EraOf(mRevision) > 0 && aSince > mRevision;
+    if (EraOf(aSince) != EraOf(mRevision) || isUnknown ||
+        aSince < mHistoryFrom) {
       return Failure{ Error::StoreHistoryGone, std::string(aPrefix), "" };
     }
-    return List(aPrefix, CallPriority::Config);
+    if (TakeFault(mNextReadFault) != StoreFault::None) {
+      return NoResponse();
+    }
+    return Changes(aPrefix, aSince);
   }
 
   Result<VmListing> ListVms(uint64_t) override
@@ -106,22 +103,50 @@
   struct Copy
   {
     std::map<std::string, Object> mObjects;
+    std::map<std::string, uint64_t> mDeletions;
     uint64_t mRevision = 0;
   };
 
-  Copy Save() const { return { mObjects, mRevision }; }
+  Copy Save() const { return { mObjects, mDeletions, mRevision }; }
 
   /// Returns from an older copy: the era rises, and revisions are used again.
   void Restore(const Copy& aCopy)
   {
     const uint64_t era = EraOf(mRevision) + 1;
-    mRevision = MakeRevision(era, StoreRevisionOf(aCopy.mRevision));
+    const auto restored = [era](uint64_t aRevision) {
+      return MakeRevision(era, StoreRevisionOf(aRevision));
+    };
+    mRevision = restored(aCopy.mRevision);
+    mHistoryFrom = 0;
     mObjects = aCopy.mObjects;
     for (auto& [key, object] : mObjects) {
-      object.mVersion = MakeRevision(era, StoreRevisionOf(object.mVersion));
+      object.mVersion = restored(object.mVersion);
+    }
+    mDeletions = aCopy.mDeletions;
+    for (auto& [key, revision] : mDeletions) {
+      revision = restored(revision);
     }
   }
 
+  /// Creates or replaces an object.
+  void Put(std::string_view aKey, std::string_view aValue)
+  {
+    const std::string key(aKey);
+    mObjects[key] = { key, ++mRevision, std::string(aValue) };
+    mDeletions.erase(key);
+  }
+
+  /// Deletes an object if it exists.
+  void Remove(std::string_view aKey)
+  {
+    if (mObjects.erase(std::string(aKey)) > 0) {
+      mDeletions[std::string(aKey)] = ++mRevision;
+    }
+  }
+
+  /// Watches from earlier revisions fail from now on.
+  void ForgetHistory() { mHistoryFrom = mRevision; }
+
   StoreFault mNextReadFault = StoreFault::None;
   StoreFault mNextWriteFault = StoreFault::None;
   std::map<std::string, Object> mObjects;
@@ -151,16 +176,34 @@
     if (VersionOf(aKey) != aVersion) {
       return Failure{ Error::StoreConflict, std::string(aKey), "" };
     }
-    ++mRevision;
-    const std::string key(aKey);
-    mObjects[key] = { key, mRevision, std::string(aValue) };
+    Put(aKey, aValue);
     if (fault == StoreFault::ResponseLost) {
       return NoResponse();
     }
     return mRevision;
   }
 
+  Listing Changes(std::string_view aPrefix, uint64_t aSince) const
+  {
+    Listing listing;
+    listing.mRevision = mRevision;
+    for (const auto& [key, object] : mObjects) {
+      if (key.starts_with(aPrefix) &&
+          (aSince == 0 || object.mVersion > aSince)) {
+        listing.mObjects.push_back(object);
+      }
+    }
+    for (const auto& [key, revision] : mDeletions) {
+      if (key.starts_with(aPrefix) && aSince > 0 && revision > aSince) {
+        listing.mDeleted.push_back(key);
+      }
+    }
+    return listing;
+  }
+
   uint64_t mRevision = 0;
+  uint64_t mHistoryFrom = 0;
+  std::map<std::string, uint64_t> mDeletions; ///< their revisions by key
 };
 
 } // namespace hibiscushold
--- a/test/storeera-soak-test.cc
+++ b/test/storeera-soak-test.cc
@@ -1,3 +1,4 @@
+#include "fakeplatform.h"
 #include "fleet/watcher.h"
 #include "groups/leaseclient.h"
 #include "manualclock.h"
@@ -29,137 +30,11 @@
 constexpr size_t kVms = 5;
 constexpr int kSteps = 300;
 
-/// A store with a history of changes, which can return from an older copy.
-class EraStore final : public Platform
-{
-public:
-  struct Change
-  {
-    uint64_t mRevision = 0;
-    std::string mValue;
-    bool mDeleted = false;
-  };
-
-  struct Copy
-  {
-    uint64_t mRevision = 0;
-    std::map<std::string, Change> mChanges;
-  };
-
-  Result<Object> Get(std::string_view aKey, CallPriority) override
-  {
-    const auto it = mState.mChanges.find(std::string(aKey));
-    if (it == mState.mChanges.end() || it->second.mDeleted) {
-      return Failure{ Error::StoreMissing, std::string(aKey), "" };
-    }
-    return ObjectOf(*it);
-  }
-
-  Result<Listing> List(std::string_view aPrefix, CallPriority) override
-  {
-    return Changes(aPrefix, 0);
-  }
-
-  Result<Listing> Watch(std::string_view aPrefix,
-                        uint64_t aSince,
-                        milliseconds) override
-  {
-    const uint64_t since = StoreRevisionOf(aSince);
-    if (EraOf(aSince) != mEra || since > mState.mRevision ||
-        since < mHistoryFrom) {
-      return Failure{ Error::StoreHistoryGone, "", "" };
-    }
-    return Changes(aPrefix, since);
-  }
-
-  Result<uint64_t> Create(std::string_view aKey,
-                          std::string_view aValue,
-                          CallPriority) override
-  {
-    if (Get(aKey, CallPriority::Lease)) {
-      return Failure{ Error::StoreConflict, "", "" };
-    }
-    return Write(aKey, aValue);
-  }
-
-  Result<uint64_t> Update(std::string_view aKey,
-                          std::string_view aValue,
-                          uint64_t aVersion,
-                          CallPriority) override
-  {
-    const Result<Object> object = Get(aKey, CallPriority::Lease);
-    if (!object || object.value().mVersion != aVersion) {
-      return Failure{ Error::StoreConflict, "", "" };
-    }
-    return Write(aKey, aValue);
-  }
-
-  Result<void> Delete(std::string_view, uint64_t, CallPriority) override
-  {
-    return Failure{ Error::StoreUnavailable, "", "" };
-  }
-
-  Result<VmListing> ListVms(uint64_t) override { return VmListing{}; }
-
-  uint64_t Write(std::string_view aKey, std::string_view aValue)
-  {
-    mState.mChanges[std::string(aKey)] = { ++mState.mRevision,
-                                           std::string(aValue),
-                                           false };
-    return MakeRevision(mEra, mState.mRevision);
-  }
-
-  void Remove(const std::string& aKey)
-  {
-    if (Get(aKey, CallPriority::Lease)) {
-      mState.mChanges[aKey] = { ++mState.mRevision, "", true };
-    }
-  }
-
-  Copy Save() const { return mState; }
-  void Restore(const Copy& aCopy)
-  {
-    ++mEra;
-    mState = aCopy;
-    mHistoryFrom = 0;
-  }
-  void ForgetHistory() { mHistoryFrom = mState.mRevision; }
-
-private:
-  Object ObjectOf(const std::pair<const std::string, Change>& aChange) const
-  {
-    return { aChange.first,
-             MakeRevision(mEra, aChange.second.mRevision),
-             aChange.second.mValue };
-  }
-
-  Listing Changes(std::string_view aPrefix, uint64_t aSince) const
-  {
-    Listing listing;
-    listing.mRevision = MakeRevision(mEra, mState.mRevision);
-    for (const auto& it : mState.mChanges) {
-      if (!it.first.starts_with(aPrefix) || it.second.mRevision <= aSince) {
-        continue;
-      }
-      if (!it.second.mDeleted) {
-        listing.mObjects.push_back(ObjectOf(it));
-      } else if (aSince > 0) {
-        listing.mDeleted.push_back(it.first);
-      }
-    }
-    return listing;
-  }
-
-  uint64_t mEra = 1;
-  Copy mState{ 1, {} };
-  uint64_t mHistoryFrom = 0;
-};
-
 /// The store as one node reaches it.
 class Door final : public Platform
 {
 public:
-  explicit Door(EraStore& aStore)
+  explicit Door(FakePlatform& aStore)
     : mStore(aStore)
   {
   }
@@ -205,7 +80,7 @@
 private:
   static Failure Cut() { return { Error::StoreUnavailable, "cut", "" }; }
 
-  EraStore& mStore;
+  FakePlatform& mStore;
 };
 
 /// The clock of a node, whose wall clock differs from the others'.
@@ -231,7 +106,7 @@
 struct SimNode
 {
   SimNode(size_t aIndex,
-          EraStore& aStore,
+          FakePlatform& aStore,
           const Clock& aClock,
           int64_t aSkewMillis,
           Metrics& aMetrics,
@@ -280,8 +155,9 @@
 public:
   explicit EraSoak(uint32_t aSeed)
     : mRandom(aSeed)
-    , mTrace("seed " + std::to_string(aSeed))
+    , mSeedText("seed " + std::to_string(aSeed))
   {
+    mStore.Restore(mStore.Save()); // Names its era from now on.
   }
 
   void Run()
@@ -303,7 +179,7 @@
 
 private:
   ManualClock mClock;
-  EraStore mStore;
+  FakePlatform mStore;
   Metrics mMetrics;
   std::mt19937 mRandom;
   std::vector<std::unique_ptr<SimNode>> mNodes{ kNodes };
@@ -312,9 +188,9 @@
   std::map<uint64_t, TimePoint> mAcceptedAt; ///< by version
   TimePoint mRestoredAt;
   TimePoint mRewriteAt = TimePoint::max(); ///< by operators and VMs
-  std::deque<std::pair<TimePoint, EraStore::Copy>> mCopies;
+  std::deque<std::pair<TimePoint, FakePlatform::Copy>> mCopies;
   uint64_t mHighestEpoch = 0;
-  std::string mTrace;
+  std::string mSeedText;
 
   uint32_t Below(uint32_t aLimit)
   {
@@ -329,17 +205,17 @@
   void WriteVm(size_t aVm)
   {
     const SimVm& vm = mVms[aVm];
-    mStore.Write(KeyOf(aVm),
-                 R"({"service":"s","addr":"10.0.0.1:80","state":")" +
-                   std::string(vm.mLeaving ? "draining" : "ready") +
-                   R"(","born":)" + std::to_string(vm.mBorn) + R"(,"seq":)" +
-                   std::to_string(vm.mSequence) + R"(,"slots":)" +
-                   std::to_string(vm.mSequence) + "}");
+    mStore.Put(KeyOf(aVm),
+               R"({"service":"s","addr":"10.0.0.1:80","state":")" +
+                 std::string(vm.mLeaving ? "draining" : "ready") +
+                 R"(","born":)" + std::to_string(vm.mBorn) + R"(,"seq":)" +
+                 std::to_string(vm.mSequence) + R"(,"slots":)" +
+                 std::to_string(vm.mSequence) + "}");
   }
 
   void WriteConfig()
   {
-    mStore.Write(kConfigKey, R"({"version":)" + std::to_string(mVersion) + "}");
+    mStore.Put(kConfigKey, R"({"version":)" + std::to_string(mVersion) + "}");
   }
 
   void StartNode(size_t aIndex)
@@ -478,7 +354,7 @@
     aNode.mLeases.Step("planner", LeaseRole::Preferred, 0, aNode.mLease);
     const uint64_t epoch = aNode.mLease.mLease.mEpoch;
     if (HoldsLease(aNode.mLease, mClock.Now()) && epoch != before) {
-      CHECK_TEXT(epoch > mHighestEpoch, mTrace.c_str());
+      CHECK_TEXT(epoch > mHighestEpoch, mSeedText.c_str());
       mHighestEpoch = epoch;
     }
   }
@@ -489,7 +365,7 @@
     if (config == nullptr) {
       return;
     }
-    CHECK_TEXT(config->mVersion >= aNode.mConfigVersion, mTrace.c_str());
+    CHECK_TEXT(config->mVersion >= aNode.mConfigVersion, mSeedText.c_str());
     aNode.mConfigVersion = config->mVersion;
     // Not shown for nodes that started on a restored copy (design/eras.md).
     aNode.mStartedOnCopy = aNode.mStartedOnCopy && config->mVersion < mVersion;
@@ -498,7 +374,8 @@
     }
     const auto next = mAcceptedAt.upper_bound(config->mVersion);
     if (next != mAcceptedAt.end()) {
-      CHECK_TEXT(aNode.mWatcher.ConfigAsOf() <= next->second, mTrace.c_str());
+      CHECK_TEXT(aNode.mWatcher.ConfigAsOf() <= next->second,
+                 mSeedText.c_str());
     }
   }
 
@@ -528,12 +405,12 @@
       const bool isKnown = it != aNode.mKnown.end() &&
                            it->second.mStartedMillis == vm.mStartedMillis;
       if (isKnown && it->second.mState == VmState::Leaving) {
-        CHECK_TEXT(vm.mState == VmState::Leaving, mTrace.c_str());
+        CHECK_TEXT(vm.mState == VmState::Leaving, mSeedText.c_str());
       }
       const bool isBack = isKnown && aNode.mSeenGone.contains(id);
       CHECK_TEXT(!isBack || IsListed(vm) ||
                    SequenceOf(vm) > SequenceOf(it->second),
-                 mTrace.c_str());
+                 mSeedText.c_str());
       aNode.mKnown[id] = vm;
       aNode.mMissing.erase(id);
       aNode.mSeenGone.erase(id);
@@ -542,7 +419,7 @@
       if (!vms->contains(id)) {
         // A VM that leaves may go at once.
         CHECK_TEXT(vm.mState == VmState::Leaving || !IsListed(vm),
-                   mTrace.c_str());
+                   mSeedText.c_str());
         // A listing of a new era doesn't tell whether a VM has left.
         const bool isNew = aNode.mMissing.insert(id).second;
         if (isNew && mClock.Now() > aNode.mEraSeenAt + kRewriteTime * 2) {
@@ -585,15 +462,16 @@
   {
     for (const auto& it : mNodes) {
       CHECK_EQUAL_TEXT(
-        mVersion, it->mWatcher.Config()->mVersion, mTrace.c_str());
+        mVersion, it->mWatcher.Config()->mVersion, mSeedText.c_str());
       const FleetVmsPtr vms = it->mWatcher.Vms();
       for (size_t n = 0; n < kVms; ++n) {
         const FleetVm* vm = FindVm(*vms, std::to_string(n));
-        CHECK_TEXT((vm != nullptr) == mVms[n].mListed, mTrace.c_str());
+        CHECK_TEXT((vm != nullptr) == mVms[n].mListed, mSeedText.c_str());
         if (vm != nullptr) {
-          CHECK_EQUAL_TEXT(mVms[n].mBorn, vm->mStartedMillis, mTrace.c_str());
+          CHECK_EQUAL_TEXT(
+            mVms[n].mBorn, vm->mStartedMillis, mSeedText.c_str());
           CHECK_TEXT((vm->mState == VmState::Leaving) == mVms[n].mLeaving,
-                     mTrace.c_str());
+                     mSeedText.c_str());
         }
       }
     }
