--- /dev/null
+++ b/emulator/caller.cc
@@ -0,0 +1,127 @@
+#include "emulator/caller.h"
+
+#include "emulator/configs.h"
+#include "platform/wirenames.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+
+#include <thread>
+
+namespace hibiscushold::emulator {
+
+namespace {
+
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr auto kPause = milliseconds(20);
+constexpr int kTimeoutMillis = 2000;
+/// Versions whose keys and routes are gone, that are asked for.
+constexpr uint64_t kOldestAsked = 4;
+
+Verdict
+VerdictOf(int aStatus)
+{
+  switch (aStatus) {
+    case HTTPResponse::HTTP_OK:
+      return Verdict::Accepted;
+    case HTTPResponse::HTTP_UNAUTHORIZED:
+    case HTTPResponse::HTTP_NOT_FOUND:
+      return Verdict::Denied;
+    default:
+      return Verdict::Open;
+  }
+}
+
+/// Sends the request and reads its response into aLine.
+void
+Exchange(HTTPClientSession& aSession, RequestLine& aLine)
+{
+  HTTPRequest request(HTTPRequest::HTTP_POST,
+                      PathOfProbe(aLine.mProbe, aLine.mVersion),
+                      HTTPRequest::HTTP_1_1);
+  request.setHost(kHost);
+  request.set(wire::kRequestId, std::to_string(aLine.mId));
+  request.set(wire::kDeadline, std::to_string(kTimeoutMillis));
+  request.setContentLength(0);
+  if (aLine.mProbe == Probe::Key) {
+    request.set("Authorization", "Bearer " + KeyOfVersion(aLine.mVersion));
+  }
+  aSession.sendRequest(request);
+  HTTPResponse response;
+  std::istream& in = aSession.receiveResponse(response);
+  std::string body;
+  Poco::StreamCopier::copyToString(in, body);
+  aLine.mVerdict = VerdictOf(response.getStatus());
+  if (aLine.mVerdict == Verdict::Accepted) {
+    aLine.mService = std::stoul(body);
+  }
+  if (response.has(wire::kServerLeaving)) {
+    aLine.mLeavingWorker = response.get(wire::kServerStamp, "");
+  }
+}
+
+} // namespace
+
+Caller::Caller(Options aOptions,
+               const Operator& aOperator,
+               std::atomic<uint64_t>& aNextId,
+               const Timeline& aTimeline,
+               Recorder& aRecorder)
+  : mOptions(aOptions)
+  , mOperator(aOperator)
+  , mNextId(aNextId)
+  , mTimeline(aTimeline)
+  , mRecorder(aRecorder)
+  , mRandom(aOptions.mSeed)
+{
+}
+
+RequestLine
+Caller::MakeRequest()
+{
+  RequestLine line;
+  line.mId = mNextId++;
+  line.mNode = mOptions.mNode;
+  line.mProbe =
+    static_cast<Probe>(std::uniform_int_distribution<int>(0, 2)(mRandom));
+  const uint64_t newest = mOperator.NewestAcked();
+  line.mVersion = newest;
+  const uint64_t back =
+    std::uniform_int_distribution<uint64_t>(2, kOldestAsked)(mRandom);
+  const bool asksForOld = std::bernoulli_distribution(0.3)(mRandom);
+  if (asksForOld && newest > back) {
+    line.mVersion = newest - back;
+  }
+  return line;
+}
+
+void
+Caller::Run(const std::atomic<bool>& aStopping)
+{
+  HTTPClientSession session("127.0.0.1", mOptions.mPort);
+  session.setKeepAlive(true);
+  session.setTimeout(
+    Poco::Timespan(kTimeoutMillis * Poco::Timespan::MILLISECONDS));
+  while (!aStopping) {
+    RequestLine line = MakeRequest();
+    line.mSentAt = mTimeline.Now();
+    try {
+      Exchange(session, line);
+    } catch (const std::exception&) {
+      // Recorded as open: the node is away, or didn't answer in time.
+      session.reset();
+    }
+    line.mEndedAt = mTimeline.Now();
+    line.mNewestWritten = mOperator.NewestWritten();
+    mRecorder.Record(line);
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/caller.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "emulator/lines.h"
+#include "emulator/operator.h"
+
+#include <atomic>
+#include <random>
+
+namespace hibiscushold::emulator {
+
+/// Sends requests to one node over a connection that it keeps open, one after
+/// the other.
+class Caller
+{
+public:
+  struct Options
+  {
+    size_t mNode = 0;
+    uint16_t mPort = 0;
+    uint64_t mSeed = 0;
+  };
+
+  /// @param aNextId the next id of a request, of all callers
+  Caller(Options aOptions,
+         const Operator& aOperator,
+         std::atomic<uint64_t>& aNextId,
+         const Timeline& aTimeline,
+         Recorder& aRecorder);
+
+  /// Sends requests until aStopping is set.
+  void Run(const std::atomic<bool>& aStopping);
+
+private:
+  RequestLine MakeRequest();
+
+  const Options mOptions;
+  const Operator& mOperator;
+  std::atomic<uint64_t>& mNextId;
+  const Timeline& mTimeline;
+  Recorder& mRecorder;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/configs.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "emulator/lines.h"
+
+#include <json/value.h>
+
+#include <string>
+
+namespace hibiscushold::emulator {
+
+/// What the operator's versions and the callers' requests agree on. Version N
+/// accepts the keys and has the routes of versions N and N - 1.
+
+inline constexpr size_t kServices = 4;
+inline constexpr const char* kHost = "emulated.example";
+
+/// @return the name of a service
+std::string
+ServiceName(size_t aIndex);
+
+/// @return the key that versions aVersion and aVersion + 1 accept
+std::string
+KeyOfVersion(uint64_t aVersion);
+
+/// @return the path of a request; it begins with the prefix of its route
+std::string
+PathOfProbe(Probe aProbe, uint64_t aVersion);
+
+/// @return the specification of the version, as the operator writes it
+Json::Value
+MakeConfig(uint64_t aVersion);
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/httpserver.cc
@@ -0,0 +1,123 @@
+#include "emulator/httpserver.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/StreamCopier.h>
+
+namespace hibiscushold::emulator {
+
+namespace {
+
+constexpr int kMaxThreads = 200;
+constexpr int kBacklog = 128;
+
+class FunctionHandler final : public Poco::Net::HTTPRequestHandler
+{
+public:
+  explicit FunctionHandler(const HttpServer::Handler& aHandler)
+    : mHandler(aHandler)
+  {
+  }
+
+  void handleRequest(HTTPServerRequest& aRequest,
+                     HTTPServerResponse& aResponse) override
+  {
+    mHandler(aRequest, aResponse);
+  }
+
+private:
+  const HttpServer::Handler& mHandler;
+};
+
+class FunctionFactory final : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+  explicit FunctionFactory(HttpServer::Handler aHandler)
+    : mHandler(std::move(aHandler))
+  {
+  }
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+    const HTTPServerRequest&) override
+  {
+    return new FunctionHandler(mHandler);
+  }
+
+private:
+  const HttpServer::Handler mHandler;
+};
+
+Poco::Net::HTTPServerParams::Ptr
+ServerParams()
+{
+  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+  params->setMaxThreads(kMaxThreads);
+  return params;
+}
+
+} // namespace
+
+HttpServer::HttpServer(Handler aHandler)
+  : mThreads(2, kMaxThreads)
+  , mSocket(Poco::Net::SocketAddress("127.0.0.1", 0), kBacklog)
+  , mServer(new FunctionFactory(std::move(aHandler)),
+            mThreads,
+            mSocket,
+            ServerParams())
+{
+  mServer.start();
+}
+
+HttpServer::~HttpServer()
+{
+  mServer.stopAll(true);
+  mThreads.joinAll();
+}
+
+std::string
+HttpServer::Address() const
+{
+  return mSocket.address().toString();
+}
+
+std::vector<uint16_t>
+FindFreePorts(size_t aCount)
+{
+  std::vector<Poco::Net::ServerSocket> sockets;
+  std::vector<uint16_t> ports;
+  while (ports.size() < aCount) {
+    sockets.emplace_back(Poco::Net::SocketAddress("127.0.0.1", 0));
+    ports.push_back(sockets.back().address().port());
+  }
+  return ports;
+}
+
+std::string
+ReadBody(HTTPServerRequest& aRequest)
+{
+  std::string body;
+  if (aRequest.hasContentLength() || aRequest.getChunkedTransferEncoding()) {
+    Poco::StreamCopier::copyToString(aRequest.stream(), body);
+  }
+  return body;
+}
+
+void
+Reply(HTTPServerResponse& aResponse, int aStatus, const std::string& aBody)
+{
+  aResponse.setStatusAndReason(
+    static_cast<HTTPServerResponse::HTTPStatus>(aStatus));
+  aResponse.setContentType("application/json");
+  aResponse.sendBuffer(aBody.data(), aBody.size());
+}
+
+void
+Cut(HTTPServerRequest& aRequest)
+{
+  auto& request = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest);
+  request.socket().shutdown();
+  request.socket().close();
+}
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/judge.cc
@@ -0,0 +1,255 @@
+#include "emulator/judge.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+namespace hibiscushold::emulator {
+
+namespace {
+
+using Kind = DisturbanceLine::Kind;
+
+/// The versions that a node may have had when it handled a request.
+struct VersionRange
+{
+  uint64_t mLow = 0;
+  uint64_t mHigh = 0;
+};
+
+/// @return the highest version of the service up to aNewest, or 0
+uint64_t
+NewestAt(uint64_t aService, uint64_t aNewest)
+{
+  for (uint64_t it = aNewest; it > 0; --it) {
+    if (it % kMovedServices == aService) {
+      return it;
+    }
+  }
+  return 0;
+}
+
+VersionRange
+VersionsOf(const RequestLine& aRequest)
+{
+  const VersionRange any{ 0, aRequest.mNewestWritten };
+  if (aRequest.mVerdict == Verdict::Open) {
+    return any;
+  }
+  if (aRequest.mProbe == Probe::Moved) {
+    return aRequest.mVerdict == Verdict::Accepted
+             ? VersionRange{ 0,
+                             NewestAt(aRequest.mService,
+                                      aRequest.mNewestWritten) }
+             : any;
+  }
+  if (aRequest.mVerdict == Verdict::Accepted) {
+    return { aRequest.mVersion, aRequest.mVersion + 1 };
+  }
+  // Denied by a version before it, or by one after the last that has it.
+  return aRequest.mNewestWritten > aRequest.mVersion + 1
+           ? any
+           : VersionRange{ 0, aRequest.mVersion - 1 };
+}
+
+bool
+Concerns(const DisturbanceLine& aLine, size_t aNode)
+{
+  return aLine.mKind == Kind::Store || aLine.mNode == aNode;
+}
+
+/// @return whether nothing disturbed the node or the store from aFrom to aUntil
+bool
+IsUndisturbed(const Lines& aLines, size_t aNode, int64_t aFrom, int64_t aUntil)
+{
+  return std::none_of(aLines.mDisturbances.begin(),
+                      aLines.mDisturbances.end(),
+                      [&](const DisturbanceLine& it) {
+                        return Concerns(it, aNode) && it.mFrom <= aUntil &&
+                               it.mUntil >= aFrom;
+                      });
+}
+
+bool
+WasInTouch(const Lines& aLines,
+           const JudgeBounds& aBounds,
+           const RequestLine& aRequest)
+{
+  return IsUndisturbed(aLines,
+                       aRequest.mNode,
+                       aRequest.mSentAt - aBounds.mTouchMillis,
+                       aRequest.mEndedAt);
+}
+
+/// @return the last start of the node before a time
+int64_t
+StartBefore(const Lines& aLines, size_t aNode, int64_t aTime)
+{
+  int64_t start = 0;
+  for (const DisturbanceLine& it : aLines.mDisturbances) {
+    if (it.mKind == Kind::Start && it.mNode == aNode && it.mUntil <= aTime) {
+      start = std::max(start, it.mUntil);
+    }
+  }
+  return start;
+}
+
+std::string
+Describe(uint64_t aHigh, uint64_t aExpected, int64_t aMillis)
+{
+  return "handled by version " + std::to_string(aHigh) + " or older; version " +
+         std::to_string(aExpected) + " " + std::to_string(aMillis) +
+         " ms before";
+}
+
+/// @return the acknowledgement after which the key or route is gone, or nothing
+const VersionLine*
+FindRemoval(const Lines& aLines, uint64_t aVersion)
+{
+  for (const VersionLine& it : aLines.mVersions) {
+    if (it.mVersion >= aVersion + 2) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+void
+JudgeLate(const Lines& aLines,
+          const JudgeBounds& aBounds,
+          const RequestLine& aRequest,
+          std::vector<Breach>& aBreaches)
+{
+  const VersionRange versions = VersionsOf(aRequest);
+  for (const VersionLine& it : aLines.mVersions) {
+    const int64_t age = aRequest.mSentAt - it.mAckedAt;
+    if (age > aBounds.mConfigMillis && versions.mHigh < it.mVersion) {
+      if (WasInTouch(aLines, aBounds, aRequest)) {
+        aBreaches.push_back(
+          { "CONFIG",
+            aRequest,
+            Describe(versions.mHigh, it.mVersion, age) + " acknowledged" });
+      }
+      return;
+    }
+  }
+}
+
+void
+JudgeRevoked(const Lines& aLines,
+             const JudgeBounds& aBounds,
+             const RequestLine& aRequest,
+             std::vector<Breach>& aBreaches)
+{
+  if (aRequest.mProbe != Probe::Key || aRequest.mVerdict != Verdict::Accepted) {
+    return;
+  }
+  const VersionLine* removal = FindRemoval(aLines, aRequest.mVersion);
+  if (removal != nullptr &&
+      aRequest.mSentAt > removal->mAckedAt + aBounds.mRevokeMillis) {
+    aBreaches.push_back(
+      { "CONFIG",
+        aRequest,
+        "a key is accepted " +
+          std::to_string(aRequest.mSentAt - removal->mAckedAt) +
+          " ms after version " + std::to_string(removal->mVersion) +
+          " took it away" });
+  }
+}
+
+} // namespace
+
+std::vector<Breach>
+JudgeConfig(const Lines& aLines, const JudgeBounds& aBounds)
+{
+  std::vector<Breach> breaches;
+  /// By node and start: the highest version seen, and when it was first seen.
+  std::map<std::pair<size_t, int64_t>, std::map<uint64_t, int64_t>> seen;
+  std::vector<RequestLine> requests = aLines.mRequests;
+  std::sort(
+    requests.begin(), requests.end(), [](const auto& aL, const auto& aR) {
+      return aL.mEndedAt < aR.mEndedAt;
+    });
+  for (const RequestLine& it : requests) {
+    JudgeLate(aLines, aBounds, it, breaches);
+    JudgeRevoked(aLines, aBounds, it, breaches);
+    const int64_t start = StartBefore(aLines, it.mNode, it.mSentAt);
+    if (start != StartBefore(aLines, it.mNode, it.mEndedAt)) {
+      continue;
+    }
+    const VersionRange versions = VersionsOf(it);
+    std::map<uint64_t, int64_t>& bySeen = seen[{ it.mNode, start }];
+    for (const auto& [version, since] : bySeen) {
+      if (version > versions.mHigh &&
+          it.mSentAt > since + aBounds.mRollbackMillis) {
+        breaches.push_back(
+          { "CONFIG",
+            it,
+            Describe(versions.mHigh, version, it.mSentAt - since) +
+              " in force" });
+        break;
+      }
+    }
+    bySeen.try_emplace(versions.mLow, it.mEndedAt);
+  }
+  return breaches;
+}
+
+std::vector<Breach>
+JudgeDrain(const Lines& aLines, const JudgeBounds& aBounds)
+{
+  std::unordered_map<uint64_t, const RequestLine*> requests;
+  /// By node and worker: when the node first passed on its announcement.
+  std::map<std::pair<size_t, std::string>, int64_t> announced;
+  for (const RequestLine& it : aLines.mRequests) {
+    requests[it.mId] = &it;
+    if (!it.mLeavingWorker.empty()) {
+      const auto [found, isNew] =
+        announced.try_emplace({ it.mNode, it.mLeavingWorker }, it.mEndedAt);
+      found->second = std::min(found->second, it.mEndedAt);
+    }
+  }
+  std::map<std::string, int64_t> acked;
+  for (const LeavingLine& it : aLines.mLeavings) {
+    acked.try_emplace(it.mWorker, it.mAckedAt);
+  }
+  std::vector<Breach> breaches;
+  for (const ArrivalLine& it : aLines.mArrivals) {
+    const auto found = requests.find(it.mId);
+    if (found == requests.end()) {
+      continue;
+    }
+    const RequestLine& request = *found->second;
+    const auto ack = acked.find(it.mWorker);
+    if (ack != acked.end() &&
+        request.mSentAt > ack->second + aBounds.mDrainMillis &&
+        WasInTouch(aLines, aBounds, request)) {
+      breaches.push_back({ "DRAIN",
+                           request,
+                           it.mWorker + " left " +
+                             std::to_string(request.mSentAt - ack->second) +
+                             " ms before" });
+    }
+    const auto announcement = announced.find({ request.mNode, it.mWorker });
+    if (announcement != announced.end() &&
+        request.mSentAt > announcement->second + aBounds.mDrainMillis &&
+        std::none_of(aLines.mDisturbances.begin(),
+                     aLines.mDisturbances.end(),
+                     [&](const DisturbanceLine& aLine) {
+                       return aLine.mNode == request.mNode &&
+                              (aLine.mKind == Kind::Start ||
+                               aLine.mKind == Kind::Freeze) &&
+                              aLine.mUntil >= announcement->second;
+                     })) {
+      breaches.push_back(
+        { "DRAIN",
+          request,
+          it.mWorker + " announced that it leaves " +
+            std::to_string(request.mSentAt - announcement->second) +
+            " ms before" });
+    }
+  }
+  return breaches;
+}
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/judge.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "emulator/lines.h"
+
+#include <string>
+#include <vector>
+
+namespace hibiscushold::emulator {
+
+/// The services between which the versions of a configuration move a route: it
+/// is at service N % kMovedServices in version N.
+inline constexpr uint64_t kMovedServices = 4;
+
+/// Bounds of the platform's rules.
+struct JudgeBounds
+{
+  int64_t mTouchMillis = 3000;
+  int64_t mConfigMillis = 2000;
+  int64_t mRollbackMillis = 250;
+  int64_t mRevokeMillis = 5000;
+  int64_t mDrainMillis = 2000;
+};
+
+/// A request that breaks a rule.
+struct Breach
+{
+  std::string mRule;
+  RequestLine mRequest;
+  std::string mDetail;
+};
+
+/// A change is in force at every node in touch within a bound after its
+/// acknowledgement; it never reverts at a node that keeps running; and a key
+/// that was taken away is not accepted later than its own bound, at any node.
+std::vector<Breach>
+JudgeConfig(const Lines& aLines, const JudgeBounds& aBounds);
+
+/// No request reaches a worker that leaves later than a bound after the store
+/// has acknowledged it, from a node in touch; nor after a node has passed on an
+/// answer that announces it, from that node.
+std::vector<Breach>
+JudgeDrain(const Lines& aLines, const JudgeBounds& aBounds);
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/nodeprocess.cc
@@ -0,0 +1,136 @@
+#include "emulator/nodeprocess.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <fstream>
+#include <stdexcept>
+#include <system_error>
+#include <thread>
+
+namespace hibiscushold::emulator {
+
+namespace {
+
+constexpr auto kExitPollInterval = milliseconds(10);
+constexpr const char* kLoopback = "127.0.0.1:";
+
+std::string
+WriteSettings(const NodeOptions& aOptions, bool aIsFirstStart)
+{
+  const std::string name = "node-" + std::to_string(aOptions.mIndex);
+  std::string path = aOptions.mFolder + "/" + name + ".ini";
+  std::ofstream file(path);
+  file << "[node]\nid = " << name << "\nzone = " << aOptions.mZone
+       << "\ncaller_listen = " << kLoopback << aOptions.mCallerPort
+       << "\nready_listen = " << kLoopback << aOptions.mReadyPort
+       << "\npeer_listen = " << kLoopback << aOptions.mPeerPort
+       << "\nfirst_start = " << (aIsFirstStart ? "true" : "false")
+       << "\ncapacity = 0.25\n[store]\naddress = " << aOptions.mStoreAddress
+       << "\n[limits]\nkey_freshness_ms = 5000\ngrace_s = 8\n";
+  return path;
+}
+
+/// @return the process id
+pid_t
+Spawn(const NodeOptions& aOptions, const std::string& aSettings)
+{
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  const std::string log =
+    aOptions.mFolder + "/node-" + std::to_string(aOptions.mIndex) + ".log";
+  posix_spawn_file_actions_addopen(
+    &actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  std::string program = aOptions.mProgram;
+  std::string verb = "gateway";
+  std::string option = "--settings";
+  std::string settings = aSettings;
+  const std::array<char*, 5> words{
+    program.data(), verb.data(), option.data(), settings.data(), nullptr
+  };
+  pid_t pid = 0;
+  const int failure = posix_spawn(
+    &pid, program.c_str(), &actions, nullptr, words.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failure != 0) {
+    throw std::system_error(failure, std::generic_category(), program);
+  }
+  return pid;
+}
+
+} // namespace
+
+NodeProcess::NodeProcess(NodeOptions aOptions,
+                         const Timeline& aTimeline,
+                         Recorder& aRecorder)
+  : mOptions(std::move(aOptions))
+  , mTimeline(aTimeline)
+  , mRecorder(aRecorder)
+{
+}
+
+NodeProcess::~NodeProcess()
+{
+  End(SIGKILL, milliseconds(0));
+}
+
+void
+NodeProcess::Start(bool aIsFirstStart)
+{
+  mPid = Spawn(mOptions, WriteSettings(mOptions, aIsFirstStart));
+}
+
+void
+NodeProcess::End(int aSignal, milliseconds aGrace)
+{
+  if (mPid == 0) {
+    return;
+  }
+  kill(mPid, aSignal);
+  const int64_t killAt = mTimeline.Now() + aGrace.count();
+  while (waitpid(mPid, nullptr, WNOHANG) == 0) {
+    if (mTimeline.Now() >= killAt) {
+      kill(mPid, SIGKILL);
+    }
+    std::this_thread::sleep_for(kExitPollInterval);
+  }
+  mPid = 0;
+}
+
+void
+NodeProcess::Restart(milliseconds aDownTime)
+{
+  const int64_t from = mTimeline.Now();
+  End(SIGKILL, milliseconds(0));
+  std::this_thread::sleep_for(aDownTime);
+  Start(false);
+  mRecorder.Record(DisturbanceLine{
+    DisturbanceLine::Kind::Start, mOptions.mIndex, from, mTimeline.Now() });
+}
+
+void
+NodeProcess::StopAndStart(milliseconds aGrace)
+{
+  const int64_t from = mTimeline.Now();
+  End(SIGTERM, aGrace);
+  Start(false);
+  mRecorder.Record(DisturbanceLine{
+    DisturbanceLine::Kind::Start, mOptions.mIndex, from, mTimeline.Now() });
+}
+
+void
+NodeProcess::Freeze(milliseconds aTime)
+{
+  const int64_t from = mTimeline.Now();
+  kill(mPid, SIGSTOP);
+  std::this_thread::sleep_for(aTime);
+  kill(mPid, SIGCONT);
+  mRecorder.Record(DisturbanceLine{
+    DisturbanceLine::Kind::Freeze, mOptions.mIndex, from, mTimeline.Now() });
+}
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/nodeprocess.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "emulator/lines.h"
+
+#include <sys/types.h>
+
+#include <string>
+
+namespace hibiscushold::emulator {
+
+/// Where a node listens and what it is told.
+struct NodeOptions
+{
+  size_t mIndex = 0;
+  std::string mProgram; ///< path of the hibiscushold binary
+  std::string mFolder;  ///< for its settings and its log
+  std::string mZone;
+  std::string mStoreAddress;
+  uint16_t mCallerPort = 0;
+  uint16_t mReadyPort = 0;
+  uint16_t mPeerPort = 0;
+};
+
+/// A node of the system as a process. Signals go only to the process that this
+/// object has started.
+class NodeProcess
+{
+public:
+  NodeProcess(NodeOptions aOptions,
+              const Timeline& aTimeline,
+              Recorder& aRecorder);
+  ~NodeProcess();
+
+  /// @param aIsFirstStart whether the whole system starts
+  void Start(bool aIsFirstStart);
+  /// Kills the process, waits, and starts it again.
+  void Restart(milliseconds aDownTime);
+  /// Asks the process to stop, kills it after the grace time, and starts it.
+  void StopAndStart(milliseconds aGrace);
+  /// Suspends the process for a time.
+  void Freeze(milliseconds aTime);
+
+  const NodeOptions& Options() const { return mOptions; }
+
+private:
+  void End(int aSignal, milliseconds aGrace);
+
+  const NodeOptions mOptions;
+  const Timeline& mTimeline;
+  Recorder& mRecorder;
+  pid_t mPid = 0; ///< 0 while none runs
+};
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/run.cc
@@ -0,0 +1,262 @@
+#include "emulator/run.h"
+
+#include "emulator/caller.h"
+#include "emulator/nodeprocess.h"
+#include "emulator/operator.h"
+#include "emulator/storeport.h"
+#include "emulator/workers.h"
+
+#include <atomic>
+#include <fstream>
+#include <memory>
+#include <thread>
+
+namespace hibiscushold::emulator {
+
+namespace {
+
+constexpr uint64_t kFirstEra = 3;
+constexpr uint64_t kFirstRevision = 1000;
+/// Traffic begins at this time, when the nodes have started.
+constexpr int64_t kTrafficAt = 3500;
+constexpr auto kSyncInterval = milliseconds(20);
+constexpr auto kRetryInterval = milliseconds(10);
+constexpr auto kStopGrace = milliseconds(8000);
+constexpr size_t kCallersPerNode = 2;
+constexpr size_t kPortsPerNode = 3;
+
+StoreAccess
+AccessOf(AwayMode aMode)
+{
+  switch (aMode) {
+    case AwayMode::Busy:
+      return StoreAccess::Busy;
+    case AwayMode::Silent:
+      return StoreAccess::Silent;
+    case AwayMode::Reset:
+      break;
+  }
+  return StoreAccess::Reset;
+}
+
+/// A node, with the port through which it reaches the store.
+struct Node
+{
+  std::unique_ptr<StorePort> mPort;
+  std::unique_ptr<NodeProcess> mProcess;
+  std::unique_ptr<std::mutex> mLock; ///< one fault of the node at a time
+};
+
+/// Everything that takes part in a run.
+class World
+{
+public:
+  World(const Scenario& aScenario,
+        const std::string& aProgram,
+        const std::string& aFolder);
+
+  Lines Run();
+
+private:
+  void Cause(const Fault& aFault);
+  void ReturnStore(const Fault& aFault);
+  void CutStore(Node& aNode, const Fault& aFault);
+  void Change();
+  void SetAccess(StoreAccess aAccess);
+  void WaitUntil(int64_t aTime) const;
+
+  const Scenario mScenario;
+  const Timeline mTimeline;
+  Recorder mRecorder;
+  Store mStore;
+  Operator mOperator;
+  Workers mWorkers;
+  std::vector<Node> mNodes;
+  std::mutex mStoreLock; ///< one return at a time
+  std::atomic<bool> mIsStoreAway{ false };
+  std::atomic<bool> mStopping{ false };
+};
+
+World::World(const Scenario& aScenario,
+             const std::string& aProgram,
+             const std::string& aFolder)
+  : mScenario(aScenario)
+  , mRecorder(aFolder + "/lines.jsonl")
+  , mStore(mTimeline, kFirstEra, kFirstRevision)
+  , mOperator(mStore, mTimeline, mRecorder)
+  , mWorkers(aScenario.mWorkersPerService,
+             aScenario.mSeed,
+             mStore,
+             mTimeline,
+             mRecorder)
+{
+  const std::vector<uint16_t> ports =
+    FindFreePorts(kPortsPerNode * aScenario.mNodes);
+  for (size_t i = 0; i < aScenario.mNodes; ++i) {
+    Node node{ std::make_unique<StorePort>(mStore, mTimeline),
+               nullptr,
+               std::make_unique<std::mutex>() };
+    NodeOptions options{ i,
+                         aProgram,
+                         aFolder,
+                         "zone-" + std::to_string(i % aScenario.mZones),
+                         node.mPort->Address(),
+                         ports[kPortsPerNode * i],
+                         ports[kPortsPerNode * i + 1],
+                         ports[kPortsPerNode * i + 2] };
+    node.mProcess =
+      std::make_unique<NodeProcess>(std::move(options), mTimeline, mRecorder);
+    mNodes.push_back(std::move(node));
+  }
+}
+
+void
+World::WaitUntil(int64_t aTime) const
+{
+  std::this_thread::sleep_for(milliseconds(aTime - mTimeline.Now()));
+}
+
+void
+World::SetAccess(StoreAccess aAccess)
+{
+  for (const Node& it : mNodes) {
+    it.mPort->SetAccess(aAccess);
+  }
+}
+
+void
+World::ReturnStore(const Fault& aFault)
+{
+  const std::lock_guard guard(mStoreLock);
+  const int64_t from = mTimeline.Now();
+  mIsStoreAway = true;
+  SetAccess(AccessOf(aFault.mMode));
+  std::this_thread::sleep_for(milliseconds(aFault.mFor));
+  mStore.ReturnTo(from - aFault.mLost);
+  SetAccess(StoreAccess::Open);
+  mIsStoreAway = false;
+  mRecorder.Record(
+    DisturbanceLine{ DisturbanceLine::Kind::Store, 0, from, mTimeline.Now() });
+  std::thread([this, after = milliseconds(aFault.mRewriteAfter)] {
+    std::this_thread::sleep_for(after);
+    mOperator.Rewrite();
+  }).detach();
+}
+
+void
+World::CutStore(Node& aNode, const Fault& aFault)
+{
+  const int64_t from = mTimeline.Now();
+  aNode.mPort->SetAccess(AccessOf(aFault.mMode));
+  std::this_thread::sleep_for(milliseconds(aFault.mFor));
+  aNode.mPort->SetAccess(StoreAccess::Open);
+  mRecorder.Record(DisturbanceLine{
+    DisturbanceLine::Kind::Cut, aFault.mNode, from, mTimeline.Now() });
+}
+
+void
+World::Change()
+{
+  while (mIsStoreAway) {
+    std::this_thread::sleep_for(kRetryInterval);
+  }
+  mOperator.Change();
+}
+
+void
+World::Cause(const Fault& aFault)
+{
+  WaitUntil(aFault.mAt);
+  switch (aFault.mKind) {
+    case FaultKind::Change:
+      Change();
+      return;
+    case FaultKind::StoreReturn:
+      ReturnStore(aFault);
+      return;
+    case FaultKind::HistoryGone:
+      mStore.ForgetHistory();
+      return;
+    case FaultKind::WorkerLeaves:
+      mWorkers.ReplaceOne();
+      return;
+    default:
+      break;
+  }
+  Node& node = mNodes[aFault.mNode];
+  const std::lock_guard guard(*node.mLock);
+  switch (aFault.mKind) {
+    case FaultKind::NodeKill:
+      node.mProcess->Restart(milliseconds(aFault.mFor));
+      break;
+    case FaultKind::NodeStop:
+      node.mProcess->StopAndStart(kStopGrace);
+      break;
+    case FaultKind::NodeFreeze:
+      node.mProcess->Freeze(milliseconds(aFault.mFor));
+      break;
+    default:
+      CutStore(node, aFault);
+      break;
+  }
+}
+
+Lines
+World::Run()
+{
+  mOperator.Change();
+  mWorkers.Sync(false);
+  for (const Node& it : mNodes) {
+    it.mProcess->Start(true);
+  }
+  std::vector<std::thread> threads;
+  threads.emplace_back([this] {
+    while (!mStopping) {
+      mWorkers.Sync(mIsStoreAway);
+      std::this_thread::sleep_for(kSyncInterval);
+    }
+  });
+  WaitUntil(kTrafficAt);
+  std::atomic<uint64_t> nextId{ 1 };
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (size_t i = 0; i < kCallersPerNode * mNodes.size(); ++i) {
+    const size_t n = i % mNodes.size();
+    callers.push_back(std::make_unique<Caller>(
+      Caller::Options{ n,
+                       mNodes[n].mProcess->Options().mCallerPort,
+                       mScenario.mSeed * 1000 + i },
+      mOperator,
+      nextId,
+      mTimeline,
+      mRecorder));
+    threads.emplace_back(
+      [this, caller = callers.back().get()] { caller->Run(mStopping); });
+  }
+  std::vector<std::thread> faults;
+  for (const Fault& it :
+       mScenario.mDrawsFaults ? DrawFaults(mScenario) : mScenario.mFaults) {
+    faults.emplace_back([this, it] { Cause(it); });
+  }
+  for (std::thread& it : faults) {
+    it.join();
+  }
+  WaitUntil(mScenario.mRunTime);
+  mStopping = true;
+  for (std::thread& it : threads) {
+    it.join();
+  }
+  return mRecorder.All();
+}
+
+} // namespace
+
+Lines
+Play(const Scenario& aScenario,
+     const std::string& aProgram,
+     const std::string& aFolder)
+{
+  World world(aScenario, aProgram, aFolder);
+  return world.Run();
+}
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/scenario.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/ini.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hibiscushold::emulator {
+
+enum class FaultKind
+{
+  Change,       ///< the operator writes the next version
+  StoreReturn,  ///< the store is away and returns from an older copy
+  StoreCut,     ///< the store turns one node away
+  HistoryGone,  ///< the store discards its history
+  WorkerLeaves, ///< a worker leaves, and another starts at a free address
+  NodeKill,     ///< a node is killed and starts again
+  NodeStop,     ///< a node is asked to stop and starts again
+  NodeFreeze,   ///< a node is suspended
+};
+
+/// How the store is away.
+enum class AwayMode
+{
+  Busy,
+  Silent,
+  Reset,
+};
+
+/// Something that happens once in a run. Times are of the timeline, in ms.
+struct Fault
+{
+  FaultKind mKind = FaultKind::Change;
+  int64_t mAt = 0;
+  int64_t mFor = 0; ///< how long the node or the store is away
+  size_t mNode = 0; ///< for faults of one node
+  AwayMode mMode = AwayMode::Busy;
+  int64_t mLost = 0;         ///< age of the copy that the store returns from
+  int64_t mRewriteAfter = 0; ///< until the operator writes its part again
+};
+
+/// What a run consists of.
+struct Scenario
+{
+  uint64_t mSeed = 1;
+  int64_t mRunTime = 24000; ///< ms
+  size_t mNodes = 4;
+  size_t mZones = 2;
+  size_t mWorkersPerService = 3;
+  std::vector<Fault> mFaults; ///< besides those drawn from the seed
+  bool mDrawsFaults = true;
+};
+
+/// Reads a scenario file: sections [run] and [sizes] with "name = number", and
+/// [faults] with a line "name = kind:KIND at_ms:NUMBER ..." for each fault.
+/// @param aErrors receives all faults of the file
+Scenario
+ParseScenario(std::string_view aText, std::vector<LineError>& aErrors);
+
+/// Draws faults from the scenario's seed. Each purpose has its own stream of
+/// random numbers, so that more faults of one kind don't move the others.
+/// @return the faults, in order of their times
+std::vector<Fault>
+DrawFaults(const Scenario& aScenario);
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/worker.cc
@@ -0,0 +1,103 @@
+#include "emulator/worker.h"
+
+#include "emulator/configs.h"
+#include "platform/wirenames.h"
+
+#include <thread>
+
+namespace hibiscushold::emulator {
+
+namespace {
+
+constexpr auto kServiceTime = milliseconds(5);
+constexpr int kSlots = 8;
+constexpr int kMisdirected = 421;
+/// Headers of answers that nodes need not know.
+constexpr const char* kAtServer = "At-Server";
+
+} // namespace
+
+WorkerAddress::WorkerAddress(const Timeline& aTimeline, Recorder& aRecorder)
+  : mTimeline(aTimeline)
+  , mRecorder(aRecorder)
+  , mServer([this](HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) {
+    Handle(aRequest, aResponse);
+  })
+{
+}
+
+void
+WorkerAddress::Start(Worker aWorker)
+{
+  const std::lock_guard guard(mLock);
+  mOccupant = std::move(aWorker);
+}
+
+void
+WorkerAddress::Leave()
+{
+  const std::lock_guard guard(mLock);
+  if (mOccupant) {
+    mOccupant->mIsLeaving = true;
+    ++mOccupant->mSequence;
+  }
+}
+
+void
+WorkerAddress::End()
+{
+  const std::lock_guard guard(mLock);
+  mOccupant.reset();
+}
+
+std::optional<Worker>
+WorkerAddress::Occupant() const
+{
+  const std::lock_guard guard(mLock);
+  return mOccupant;
+}
+
+Json::Value
+WorkerAddress::EntryOf(const Worker& aWorker) const
+{
+  Json::Value entry;
+  entry["service"] = ServiceName(aWorker.mService);
+  entry["addr"] = mServer.Address();
+  entry["zone"] = "zone-0";
+  entry["version"] = 1;
+  entry["slots"] = kSlots;
+  entry["state"] = aWorker.mIsLeaving ? "draining" : "ready";
+  entry["seq"] = Json::UInt64(aWorker.mSequence);
+  entry["born"] = Json::UInt64(aWorker.mBorn);
+  return entry;
+}
+
+void
+WorkerAddress::Handle(HTTPServerRequest& aRequest,
+                      HTTPServerResponse& aResponse)
+{
+  const std::string id = aRequest.get(wire::kRequestId, "0");
+  ReadBody(aRequest);
+  const std::optional<Worker> worker = Occupant();
+  if (!worker) {
+    Cut(aRequest);
+    return;
+  }
+  aResponse.set(wire::kRequestId, id);
+  if (worker->mIsLeaving && worker->mAnnouncesLeaving) {
+    aResponse.set(wire::kServerLeaving, "1");
+  }
+  if (aRequest.get(wire::kExpectVm, worker->mId) != worker->mId) {
+    aResponse.set(wire::kNotRun, "1");
+    aResponse.set(kAtServer, worker->mId);
+    Reply(aResponse, kMisdirected, "{}");
+    return;
+  }
+  mRecorder.Record(
+    ArrivalLine{ std::stoull(id), worker->mId, mTimeline.Now() });
+  std::this_thread::sleep_for(kServiceTime);
+  aResponse.set(wire::kServerStamp, worker->mId);
+  Reply(aResponse, 200, std::to_string(worker->mService));
+}
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/worker.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "emulator/httpserver.h"
+#include "emulator/lines.h"
+#include "emulator/store.h"
+
+#include <memory>
+#include <optional>
+
+namespace hibiscushold::emulator {
+
+/// A program that serves requests of one service.
+struct Worker
+{
+  std::string mId;
+  size_t mService = 0;
+  uint64_t mBorn = 0; ///< Unix time in ms
+  uint64_t mSequence = 1;
+  bool mIsLeaving = false;
+  bool mAnnouncesLeaving = false; ///< in its answers, while it leaves
+};
+
+/// An address at which one worker after another runs. Thread-safe.
+class WorkerAddress
+{
+public:
+  WorkerAddress(const Timeline& aTimeline, Recorder& aRecorder);
+
+  /// Starts a worker here, in place of the one that is here.
+  void Start(Worker aWorker);
+  /// The worker says from now on that it leaves.
+  void Leave();
+  /// Ends the worker; connections to the address are closed from then on.
+  void End();
+
+  std::optional<Worker> Occupant() const;
+
+  /// @return the specification of the worker's entry in the store
+  Json::Value EntryOf(const Worker& aWorker) const;
+
+private:
+  void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse);
+
+  const Timeline& mTimeline;
+  Recorder& mRecorder;
+  mutable std::mutex mLock; ///< guards mOccupant
+  std::optional<Worker> mOccupant;
+  HttpServer mServer;
+};
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/workers.cc
@@ -0,0 +1,174 @@
+#include "emulator/workers.h"
+
+#include "emulator/configs.h"
+#include "platform/wirenames.h"
+
+#include <algorithm>
+
+namespace hibiscushold::emulator {
+
+namespace {
+
+constexpr int64_t kBeatMillis = 1200;
+/// An entry whose worker is silent goes after this time.
+constexpr int64_t kExpiryMillis = 3 * kBeatMillis;
+constexpr int64_t kDrainMillis = 2000;
+constexpr int64_t kMaxExtraDrainMillis = 3000;
+constexpr int64_t kReuseMillis = 2000;
+constexpr size_t kSparePlaces = 4;
+
+std::string
+VmKind()
+{
+  std::string kind = wire::kVmPrefix;
+  kind.pop_back();
+  return kind;
+}
+
+uint64_t
+UnixMillis()
+{
+  return static_cast<uint64_t>(
+    std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
+} // namespace
+
+Workers::Workers(size_t aPerService,
+                 uint64_t aSeed,
+                 Store& aStore,
+                 const Timeline& aTimeline,
+                 Recorder& aRecorder)
+  : mStore(aStore)
+  , mTimeline(aTimeline)
+  , mRecorder(aRecorder)
+  , mRandom(aSeed)
+{
+  for (size_t i = 0; i < aPerService * kServices + kSparePlaces; ++i) {
+    mPlaces.push_back(
+      { std::make_unique<WorkerAddress>(aTimeline, aRecorder) });
+  }
+  for (size_t i = 0; i < aPerService * kServices; ++i) {
+    StartAt(mPlaces[i], i % kServices);
+  }
+}
+
+void
+Workers::StartAt(Place& aPlace, size_t aService)
+{
+  Worker worker;
+  worker.mId = "worker-" + std::to_string(mNextId++);
+  worker.mService = aService;
+  worker.mBorn = UnixMillis();
+  worker.mAnnouncesLeaving = std::bernoulli_distribution(0.5)(mRandom);
+  aPlace.mIsLeavingAcked = false;
+  aPlace.mEndsAt = 0;
+  aPlace.mNextBeatAt = mTimeline.Now();
+  aPlace.mAddress->Start(std::move(worker));
+}
+
+Workers::Place*
+Workers::FindFree()
+{
+  std::vector<Place*> free;
+  for (Place& it : mPlaces) {
+    if (!it.mAddress->Occupant() && it.mFreeFrom <= mTimeline.Now()) {
+      free.push_back(&it);
+    }
+  }
+  std::uniform_int_distribution<size_t> draw(0, free.size() - 1);
+  return free.empty() ? nullptr : free[draw(mRandom)];
+}
+
+void
+Workers::ReplaceOne()
+{
+  const std::lock_guard guard(mLock);
+  Place* free = FindFree();
+  std::vector<Place*> staying;
+  for (Place& it : mPlaces) {
+    const std::optional<Worker> worker = it.mAddress->Occupant();
+    if (worker && !worker->mIsLeaving) {
+      staying.push_back(&it);
+    }
+  }
+  if (free == nullptr || staying.empty()) {
+    return;
+  }
+  std::uniform_int_distribution<size_t> draw(0, staying.size() - 1);
+  Place& leaving = *staying[draw(mRandom)];
+  StartAt(*free, leaving.mAddress->Occupant()->mService);
+  leaving.mAddress->Leave();
+  leaving.mNextBeatAt = mTimeline.Now();
+  leaving.mEndsAt =
+    mTimeline.Now() + kDrainMillis +
+    std::uniform_int_distribution<int64_t>(500, kMaxExtraDrainMillis)(mRandom);
+}
+
+void
+Workers::SyncPlace(Place& aPlace, bool aIsStoreAway)
+{
+  const int64_t now = mTimeline.Now();
+  const std::optional<Worker> worker = aPlace.mAddress->Occupant();
+  if (!worker) {
+    return;
+  }
+  if (worker->mIsLeaving && aPlace.mIsLeavingAcked && now >= aPlace.mEndsAt &&
+      !aIsStoreAway) {
+    aPlace.mAddress->End();
+    aPlace.mFreeFrom = now + kReuseMillis;
+    mStore.Delete(VmKind(), worker->mId, std::nullopt);
+    return;
+  }
+  if (now < aPlace.mNextBeatAt || aIsStoreAway) {
+    return;
+  }
+  aPlace.mNextBeatAt = now + kBeatMillis;
+  mStore.Put(
+    VmKind(), worker->mId, aPlace.mAddress->EntryOf(*worker), std::nullopt);
+  if (worker->mIsLeaving && !aPlace.mIsLeavingAcked) {
+    aPlace.mIsLeavingAcked = true;
+    mRecorder.Record(LeavingLine{ worker->mId, mTimeline.Now() });
+  }
+}
+
+void
+Workers::RemoveOrphans()
+{
+  std::map<std::string, int64_t> orphans;
+  for (const StoredObject& it : mStore.Read(VmKind(), "").mObjects) {
+    const bool isAlive =
+      std::any_of(mPlaces.begin(), mPlaces.end(), [&](const Place& aPlace) {
+        const std::optional<Worker> worker = aPlace.mAddress->Occupant();
+        return worker && worker->mId == it.mName;
+      });
+    if (isAlive) {
+      continue;
+    }
+    const auto known = mOrphans.find(it.mName);
+    const int64_t since =
+      known == mOrphans.end() ? mTimeline.Now() : known->second;
+    if (mTimeline.Now() >= since + kExpiryMillis) {
+      mStore.Delete(VmKind(), it.mName, std::nullopt);
+    } else {
+      orphans[it.mName] = since;
+    }
+  }
+  mOrphans = std::move(orphans);
+}
+
+void
+Workers::Sync(bool aIsStoreAway)
+{
+  const std::lock_guard guard(mLock);
+  for (Place& it : mPlaces) {
+    SyncPlace(it, aIsStoreAway);
+  }
+  if (!aIsStoreAway) {
+    RemoveOrphans();
+  }
+}
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/emulator/workers.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "emulator/worker.h"
+
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace hibiscushold::emulator {
+
+/// The workers of all services. They write their entries in the store at
+/// intervals, and again if the store has lost them. Thread-safe.
+class Workers
+{
+public:
+  Workers(size_t aPerService,
+          uint64_t aSeed,
+          Store& aStore,
+          const Timeline& aTimeline,
+          Recorder& aRecorder);
+
+  /// A worker leaves, and another of its service starts at a free address,
+  /// which a worker of another service may have had.
+  void ReplaceOne();
+
+  /// Writes and removes the entries that are due.
+  /// @param aIsStoreAway whether the store takes no writes
+  void Sync(bool aIsStoreAway);
+
+private:
+  /// A place for a worker, and what is due there.
+  struct Place
+  {
+    std::unique_ptr<WorkerAddress> mAddress;
+    int64_t mNextBeatAt = 0;
+    int64_t mEndsAt = 0;   ///< of a worker that leaves
+    int64_t mFreeFrom = 0; ///< another worker may start here from this time
+    bool mIsLeavingAcked = false;
+  };
+
+  /// When an entry without a living worker was first seen.
+  using Orphans = std::map<std::string, int64_t>;
+
+  void StartAt(Place& aPlace, size_t aService);
+  void SyncPlace(Place& aPlace, bool aIsStoreAway);
+  void RemoveOrphans();
+  Place* FindFree();
+
+  Store& mStore;
+  const Timeline& mTimeline;
+  Recorder& mRecorder;
+  std::mutex mLock; ///< guards the members below
+  std::mt19937_64 mRandom;
+  uint64_t mNextId = 1;
+  std::vector<Place> mPlaces;
+  Orphans mOrphans;
+};
+
+} // namespace hibiscushold::emulator
--- /dev/null
+++ b/test/emulator-test.cc
@@ -0,0 +1,228 @@
+#include "emulator/judge.h"
+#include "emulator/scenario.h"
+#include "emulator/store.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hibiscushold;
+using namespace hibiscushold::emulator;
+
+namespace {
+
+constexpr int64_t kAck = 10000;
+
+RequestLine
+MakeRequest(Probe aProbe, uint64_t aVersion, Verdict aVerdict, int64_t aSentAt)
+{
+  RequestLine line;
+  line.mId = 7;
+  line.mProbe = aProbe;
+  line.mVersion = aVersion;
+  line.mVerdict = aVerdict;
+  line.mSentAt = aSentAt;
+  line.mEndedAt = aSentAt + 5;
+  line.mNewestWritten = 4;
+  return line;
+}
+
+/// @return lines in which version N was acknowledged at second N of the run,
+///         the last of four at kAck
+Lines
+MakeLines()
+{
+  Lines lines;
+  lines.mVersions = { { 1, 1000 }, { 2, 2000 }, { 3, 3000 }, { 4, kAck } };
+  return lines;
+}
+
+Json::Value
+Spec(int aNumber)
+{
+  Json::Value json;
+  json["n"] = aNumber;
+  return json;
+}
+
+} // namespace
+
+TEST_GROUP(EmulatorJudge)
+{
+  Lines mLines = MakeLines();
+
+  void CheckConfig(size_t aBreaches, const RequestLine& aRequest)
+  {
+    mLines.mRequests.push_back(aRequest);
+    const std::vector<Breach> breaches = JudgeConfig(mLines, {});
+    CHECK_EQUAL(aBreaches, breaches.size());
+    if (aBreaches > 0) {
+      CHECK_EQUAL(aRequest.mId, breaches[0].mRequest.mId);
+    }
+  }
+
+  void CheckDrain(size_t aBreaches, int64_t aSentAt)
+  {
+    RequestLine request = MakeRequest(Probe::Moved, 4, Verdict::Open, aSentAt);
+    request.mId = static_cast<uint64_t>(aSentAt);
+    mLines.mRequests.push_back(request);
+    mLines.mArrivals.push_back({ request.mId, "w", aSentAt + 1 });
+    CHECK_EQUAL(aBreaches, JudgeDrain(mLines, {}).size());
+  }
+};
+
+// Guards against a judge that misses an added key that is not accepted in time.
+TEST(EmulatorJudge, NamesAKeyThatIsDeniedTooLate)
+{
+  CheckConfig(0, MakeRequest(Probe::Key, 4, Verdict::Denied, kAck + 1999));
+  CheckConfig(1, MakeRequest(Probe::Key, 4, Verdict::Denied, kAck + 2001));
+}
+
+// Guards against a judge that misses a route that is served by its old service.
+TEST(EmulatorJudge, NamesARouteThatIsServedByItsOldService)
+{
+  RequestLine request =
+    MakeRequest(Probe::Moved, 4, Verdict::Accepted, kAck + 2500);
+  request.mService = 4 % kMovedServices;
+  CheckConfig(0, request);
+  request.mService = 3;
+  CheckConfig(1, request);
+}
+
+// Guards against a judge that blames a node that is not in touch.
+TEST(EmulatorJudge, ExcusesADisturbedNodeFromTheBoundOfAChange)
+{
+  mLines.mDisturbances.push_back(
+    { DisturbanceLine::Kind::Cut, 0, kAck, kAck + 500 });
+  CheckConfig(0, MakeRequest(Probe::Key, 4, Verdict::Denied, kAck + 3000));
+  CheckConfig(1, MakeRequest(Probe::Key, 4, Verdict::Denied, kAck + 3600));
+}
+
+// Guards against a judge that excuses a key that was taken away.
+TEST(EmulatorJudge, NamesATakenKeyAlsoAtADisturbedNode)
+{
+  mLines.mDisturbances.push_back(
+    { DisturbanceLine::Kind::Cut, 0, kAck, kAck + 9000 });
+  CheckConfig(0, MakeRequest(Probe::Key, 2, Verdict::Accepted, kAck + 4999));
+  CheckConfig(1, MakeRequest(Probe::Key, 2, Verdict::Accepted, kAck + 5001));
+}
+
+// Guards against a judge that misses a node that goes back to an older version.
+TEST(EmulatorJudge, NamesAVersionThatReverts)
+{
+  mLines.mRequests.push_back(
+    MakeRequest(Probe::Key, 4, Verdict::Accepted, kAck + 100));
+  CheckConfig(0, MakeRequest(Probe::Key, 4, Verdict::Denied, kAck + 350));
+  CheckConfig(1, MakeRequest(Probe::Key, 4, Verdict::Denied, kAck + 400));
+}
+
+// Guards against a judge that compares the versions of two lives of a node.
+TEST(EmulatorJudge, ForgetsTheVersionsOfANodeThatStartsAgain)
+{
+  mLines.mRequests.push_back(
+    MakeRequest(Probe::Key, 4, Verdict::Accepted, kAck + 100));
+  mLines.mDisturbances.push_back(
+    { DisturbanceLine::Kind::Start, 0, kAck + 200, kAck + 300 });
+  CheckConfig(0, MakeRequest(Probe::Key, 4, Verdict::Denied, kAck + 600));
+}
+
+// Guards against a judge that misses requests to a worker that has left.
+TEST(EmulatorJudge, NamesAnArrivalAtAWorkerThatLeaves)
+{
+  mLines.mLeavings.push_back({ "w", kAck });
+  CheckDrain(0, kAck + 2000);
+  CheckDrain(1, kAck + 2001);
+}
+
+// Guards against a judge that excuses a node to which a worker has said itself
+// that it leaves.
+TEST(EmulatorJudge, NamesAnArrivalAfterAnAnnouncementAlsoAtACutNode)
+{
+  RequestLine announced =
+    MakeRequest(Probe::Moved, 4, Verdict::Accepted, kAck - 5);
+  announced.mId = 6;
+  announced.mLeavingWorker = "w";
+  mLines.mRequests.push_back(announced);
+  mLines.mDisturbances.push_back(
+    { DisturbanceLine::Kind::Cut, 0, kAck, kAck + 9000 });
+  CheckDrain(0, kAck + 2000);
+  CheckDrain(1, kAck + 2001);
+}
+
+TEST_GROUP(EmulatorStore)
+{
+  Timeline mTimeline;
+  Store mStore{ mTimeline, 3, 100 };
+};
+
+// Guards against a store that loses nothing when it returns, or too much.
+TEST(EmulatorStore, ReturnsFromACopyAndUsesItsRevisionsAgain)
+{
+  mStore.Put("k", "a", Spec(1), std::nullopt);
+  const int64_t copy = mTimeline.Now();
+  while (mTimeline.Now() <= copy) {
+  }
+  mStore.Put("k", "a", Spec(2), std::nullopt);
+  mStore.Put("k", "b", Spec(1), std::nullopt);
+  mStore.ReturnTo(copy);
+  const ReadResult read = mStore.Read("k", "");
+  CHECK_EQUAL(4U, read.mEra);
+  CHECK_EQUAL(101U, read.mRevision);
+  CHECK_EQUAL(1U, read.mObjects.size());
+  CHECK_EQUAL(1, read.mObjects[0].mSpec["n"].asInt());
+  CHECK(mStore.Watch("k", 103, 0).mHistoryGone);
+  CHECK_EQUAL(102U,
+              mStore.Put("k", "a", Spec(3), std::nullopt).mObject.mRevision);
+}
+
+// Guards against writes that ignore their condition, or count as changes
+// although they change nothing.
+TEST(EmulatorStore, ChecksConditionsAndCountsChangesOnly)
+{
+  CHECK_EQUAL(101U, mStore.Create("k", "a", Spec(1)).mObject.mRevision);
+  CHECK(WriteResult::Status::Conflict ==
+        mStore.Create("k", "a", Spec(2)).mStatus);
+  CHECK(WriteResult::Status::Conflict ==
+        mStore.Put("k", "a", Spec(2), 100).mStatus);
+  CHECK_EQUAL(101U, mStore.Put("k", "a", Spec(1), 101).mObject.mRevision);
+  CHECK(WriteResult::Status::Missing == mStore.Delete("k", "b", 101).mStatus);
+  CHECK(WriteResult::Status::Done == mStore.Delete("k", "a", 101).mStatus);
+  CHECK_EQUAL(1U, mStore.Watch("k", 101, 0).mChanges.size());
+  mStore.ForgetHistory();
+  CHECK(mStore.Watch("k", 101, 0).mHistoryGone);
+}
+
+TEST_GROUP(EmulatorScenario){};
+
+// Guards against a scenario file of which only the first fault is reported, or
+// none.
+TEST(EmulatorScenario, ReportsAllFaultsOfAFile)
+{
+  std::vector<LineError> errors;
+  ParseScenario("[run]\n"
+                "seeds = 3\n"
+                "[faults]\n"
+                "a = kind:store-retrun at_ms:x\n"
+                "b = kind:node-kill node:9\n",
+                errors);
+  CHECK_EQUAL(4U, errors.size());
+  CHECK_EQUAL(2, errors[0].mLine);
+  STRCMP_CONTAINS("run.seed", errors[0].mFailure.mRemedy.c_str());
+  CHECK_EQUAL(4, errors[1].mLine);
+  CHECK_EQUAL(4, errors[2].mLine);
+  STRCMP_CONTAINS("node 9", errors[3].mFailure.mDetail.c_str());
+}
+
+// Guards against faults that can't be played again from their seed.
+TEST(EmulatorScenario, DrawsTheSameFaultsForTheSameSeed)
+{
+  Scenario scenario;
+  const std::vector<Fault> first = DrawFaults(scenario);
+  const std::vector<Fault> again = DrawFaults(scenario);
+  CHECK(!first.empty());
+  CHECK_EQUAL(first.size(), again.size());
+  for (size_t i = 0; i < first.size(); ++i) {
+    CHECK(first[i].mKind == again[i].mKind && first[i].mAt == again[i].mAt);
+  }
+  scenario.mSeed = 2;
+  const std::vector<Fault> other = DrawFaults(scenario);
+  CHECK(other.size() != first.size() || other[1].mAt != first[1].mAt);
+}
