Add a failing test for a start between a return of the store and its rewrite

What callers see: a node that starts after the store has returned from an older copy, and before the operator has written its part again, serves with the copy's configuration; a key that an acknowledged version took away is accepted, and a route that one added is not known.

The unit test fails with 'mWatcher.ConfigAsOf() == TimePoint{}'.

--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -360,6 +360,16 @@
     CHECK(mStore.Create(aKey, aValue, CallPriority::Config).has_value());
   }
 
+  void Update(const char* aValue)
+  {
+    CHECK(mStore
+            .Update("config/main",
+                    aValue,
+                    mStore.VersionOf("config/main"),
+                    CallPriority::Config)
+            .has_value());
+  }
+
   void Poll()
   {
     mWatcher.PollVms(Duration::zero());
@@ -430,26 +440,40 @@
 {
   Create("config/main", "7");
   const FakePlatform::Copy copy = mStore.Save();
-  const auto update = [&](const char* aValue) {
-    CHECK(mStore
-            .Update("config/main",
-                    aValue,
-                    mStore.VersionOf("config/main"),
-                    CallPriority::Config)
-            .has_value());
-  };
-  update("8");
+  Update("8");
   Poll();
   for (int i = 0; i < 2; ++i) {
     mStore.Restore(copy);
     Poll();
     CHECK_EQUAL(8U, mWatcher.Config()->mVersion);
   }
-  update("9");
+  Update("9");
   Poll();
   CHECK_EQUAL(9U, mWatcher.Config()->mVersion);
 }
 
+// Guards against a node that starts after the store has returned, and takes the
+// copy's configuration for the latest before the operator writes it again.
+TEST(RestoredWatcher, DoesNotTrustTheConfigurationOfACopyAtItsStart)
+{
+  Create("config/main", "7");
+  const FakePlatform::Copy copy = mStore.Save();
+  Update("8");
+  mStore.Restore(copy);
+  Poll();
+  CHECK(mWatcher.ConfigAsOf() == TimePoint{});
+  CHECK(!mWatcher.IsSettled());
+  mClock.Advance(seconds(2));
+  Update("8");
+  Poll();
+  CHECK(mWatcher.ConfigAsOf() == TimePoint{});
+  mClock.Advance(seconds(1));
+  Poll();
+  CHECK_EQUAL(8U, mWatcher.Config()->mVersion);
+  CHECK(mWatcher.ConfigAsOf() == mClock.Now());
+  CHECK(mWatcher.IsSettled());
+}
+
 TEST_GROUP(RestoredLease)
 {
   ManualClock mClock;
