Wait at a start until a store that may have just returned is complete

What callers see: a node that starts between a return of the store and the operator's next write serves with the copy's configuration. A key that an acknowledged version took away is accepted, an added route is not known.

Cause: a node that starts has no earlier revision to compare with, so it takes the first list for the latest, whatever the era. Waiting after a return was tied to a change of the era that the node itself had seen.

Ruled out: late knowledge of the nodes that run, as only the started node is concerned.

Why the fix works: the first node that has waited in an era, the planner, records that in the store under a key with the era. A store without eras costs no further call.

--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -1,6 +1,7 @@
 #include "fleet/watcher.h"
 
 #include "observe/events.h"
+#include "store/erarecord.h"
 #include "store/revision.h"
 
 #include <algorithm>
@@ -45,6 +46,26 @@
 {
 }
 
+Result<Listing>
+FleetWatcher::ReadFirst(WatchedPrefix& aWatched)
+{
+  Result<Listing> read = mPlatform.List(aWatched.mPrefix, CallPriority::Config);
+  const uint64_t era = read ? EraOf(read.value().mRevision) : 0;
+  if (era == 0) {
+    return read;
+  }
+  if (!IsEraComplete(mPlatform, era)) {
+    LogEvent(EventId::StoreEraIncomplete,
+             { { "objects", aWatched.mName }, { "era", std::to_string(era) } });
+    aWatched.mRestoredUntil = mClock.Now() + kStoreRecoveryTime;
+    return read;
+  }
+  // The objects were listed before the record was read, so they may still lack
+  // what was written again just before the era was recorded.
+  RecordRevision(aWatched, read.value().mRevision);
+  return mPlatform.List(aWatched.mPrefix, CallPriority::Config);
+}
+
 Result<Listing>
 FleetWatcher::Read(WatchedPrefix& aWatched,
                    milliseconds aTimeout,
@@ -52,7 +73,7 @@
 {
   aIsFull = aWatched.mRevision == 0;
   Result<Listing> read =
-    aIsFull ? mPlatform.List(aWatched.mPrefix, CallPriority::Config)
+    aIsFull ? ReadFirst(aWatched)
             : mPlatform.Watch(aWatched.mPrefix, aWatched.mRevision, aTimeout);
   if (!read && read.error().mError == Error::StoreHistoryGone) {
     LogEvent(EventId::StoreHistoryGone,
@@ -207,6 +228,7 @@
   const TimePoint asOf = sentAt - read.value().mMaxAge;
   if (asOf >= mWatchedConfig.mRestoredUntil) {
     const std::lock_guard guard(mLock);
+    mIsConfigConfirmed = true;
     mConfigAsOf = std::max(mConfigAsOf, asOf);
   }
   std::this_thread::sleep_for(aPause);
@@ -272,6 +294,12 @@
 FleetWatcher::IsSettled() const
 {
   const std::lock_guard guard(mLock);
+  return IsSettledLocked();
+}
+
+bool
+FleetWatcher::IsSettledLocked() const
+{
   return !mVmsUnreachable && mClock.Now() >= mSettledAt;
 }
 
@@ -293,7 +321,14 @@
 FleetWatcher::Config() const
 {
   const std::lock_guard guard(mLock);
-  return mConfig;
+  return mIsConfigConfirmed ? mConfig : nullptr;
+}
+
+uint64_t
+FleetWatcher::CompleteEra() const
+{
+  const std::lock_guard guard(mLock);
+  return IsSettledLocked() ? EraOf(mVmsRevision) : 0;
 }
 
 TimePoint
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -28,7 +28,9 @@
 ///
 /// After the store has returned from an older copy, VMs may be missing and the
 /// configuration may lack a change until they are written again. For that time
-/// the list is not settled, and reads do not confirm the configuration.
+/// the list is not settled, and reads do not confirm the configuration. A
+/// watcher that starts can't know when the store has returned, so it waits as
+/// well unless the era is recorded as complete (store/erarecord.h).
 class FleetWatcher
 {
 public:
@@ -58,9 +60,13 @@
   /// @return when the watched list of VMs was last known to be current
   TimePoint VmsAsOf() const;
 
-  /// @return the configuration in force, null while none is known
+  /// @return the configuration in force, null until the first one is confirmed
   FleetConfigPtr Config() const;
 
+  /// @return the store's era, if its contents had time to become complete;
+  ///         otherwise 0
+  uint64_t CompleteEra() const;
+
   /// @return when the configuration was last known to be current: the time when
   ///         the last successful request was sent, less the age of its data
   TimePoint ConfigAsOf() const;
@@ -82,6 +88,7 @@
     TimePoint mRestoredUntil{};
   };
 
+  Result<Listing> ReadFirst(WatchedPrefix& aWatched);
   Result<Listing> Read(WatchedPrefix& aWatched,
                        milliseconds aTimeout,
                        bool& aIsFull);
@@ -90,6 +97,7 @@
   void DropExpired(FleetVms& aVms, TimePoint aAsOf);
   void RecordRevision(WatchedPrefix& aWatched, uint64_t aRevision);
   TimePoint SettledAt() const;
+  bool IsSettledLocked() const; ///< mLock is held
   void ApplyConfig(const Object& aObject);
 
   Platform& mPlatform;
@@ -109,7 +117,8 @@
   TimePoint mSettledAt; ///< end of the wait for restored entries
   uint64_t mVmsRevision = 0;
   bool mVmsUnreachable = false;
-  FleetConfigPtr mConfig;
+  FleetConfigPtr mConfig; ///< the newest, which may not be confirmed yet
+  bool mIsConfigConfirmed = false;
   TimePoint mConfigAsOf;
 };
 
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -25,6 +25,8 @@
   StoreHistoryGone = 3003,
   StoreRestored = 3004,
   StoreEraInvalid = 3005,
+  StoreEraIncomplete = 3006,
+  StoreEraRecorded = 3007,
   MemberRegistered = 3101,
   UpstreamLost = 3102,
   RosterFailed = 3103,
--- a/test/fakeplatform.h
+++ b/test/fakeplatform.h
@@ -22,7 +22,8 @@
 public:
   Result<Object> Get(std::string_view aKey, CallPriority) override
   {
-    if (TakeFault(mNextReadFault) != StoreFault::None) {
+    if (TakeFault(mNextReadFault) != StoreFault::None ||
+        TakeFault(mNextGetFault) != StoreFault::None) {
       return NoResponse();
     }
     const auto it = mObjects.find(std::string(aKey));
@@ -148,6 +149,7 @@
   void ForgetHistory() { mHistoryFrom = mRevision; }
 
   StoreFault mNextReadFault = StoreFault::None;
+  StoreFault mNextGetFault = StoreFault::None; ///< of a single object only
   StoreFault mNextWriteFault = StoreFault::None;
   std::map<std::string, Object> mObjects;
   std::vector<Vm> mVms;
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -7,6 +7,7 @@
 #include "relay/registrar.h"
 #include "relay/relayedplatform.h"
 #include "scriptedserver.h"
+#include "store/erarecord.h"
 #include "store/revision.h"
 
 #include <CppUTest/TestHarness.h>
@@ -462,11 +463,13 @@
   mStore.Restore(copy);
   Poll();
   CHECK(mWatcher.ConfigAsOf() == TimePoint{});
+  CHECK(mWatcher.Config() == nullptr);
   CHECK(!mWatcher.IsSettled());
   mClock.Advance(seconds(2));
   Update("8");
   Poll();
   CHECK(mWatcher.ConfigAsOf() == TimePoint{});
+  CHECK_EQUAL(0U, mWatcher.CompleteEra());
   mClock.Advance(seconds(1));
   Poll();
   CHECK_EQUAL(8U, mWatcher.Config()->mVersion);
@@ -474,6 +477,44 @@
   CHECK(mWatcher.IsSettled());
 }
 
+// Guards against nodes that wait at each start, though the store has returned
+// long ago.
+TEST(RestoredWatcher, TrustsAnEraThatIsRecordedAsComplete)
+{
+  Create("config/main", "7");
+  mStore.Restore(mStore.Save());
+  CHECK(RecordCompleteEra(mStore, 1).has_value());
+  CHECK(RecordCompleteEra(mStore, 1).has_value());
+  Poll();
+  CHECK_EQUAL(7U, mWatcher.Config()->mVersion);
+  CHECK(mWatcher.ConfigAsOf() == mClock.Now());
+  CHECK_EQUAL(1U, mWatcher.CompleteEra());
+}
+
+// Guards against the record of an earlier era that a copy still has.
+TEST(RestoredWatcher, DoesNotTrustTheRecordOfAnEarlierEra)
+{
+  Create("config/main", "7");
+  mStore.Restore(mStore.Save());
+  CHECK(RecordCompleteEra(mStore, 1).has_value());
+  mStore.Restore(mStore.Save());
+  Poll();
+  CHECK(mWatcher.Config() == nullptr);
+  CHECK_EQUAL(0U, mWatcher.CompleteEra());
+}
+
+// Guards against a node that starts while the record can't be read, and takes
+// that for a complete era.
+TEST(RestoredWatcher, WaitsIfTheRecordCannotBeRead)
+{
+  Create("config/main", "7");
+  mStore.Restore(mStore.Save());
+  CHECK(RecordCompleteEra(mStore, 1).has_value());
+  mStore.mNextGetFault = StoreFault::Unavailable;
+  mWatcher.PollConfig(Duration::zero());
+  CHECK(mWatcher.Config() == nullptr);
+}
+
 TEST_GROUP(RestoredLease)
 {
   ManualClock mClock;
