--- a/emulator/caller.cc
+++ b/emulator/caller.cc
@@ -73,12 +73,12 @@
                std::atomic<uint64_t>& aNextId,
                const Timeline& aTimeline,
                Recorder& aRecorder)
-  : mOptions(aOptions)
+  : mOptions(std::move(aOptions))
   , mOperator(aOperator)
   , mNextId(aNextId)
   , mTimeline(aTimeline)
   , mRecorder(aRecorder)
-  , mRandom(aOptions.mSeed)
+  , mRandom(mOptions.mSeed)
 {
 }
 
@@ -104,7 +104,7 @@
 void
 Caller::Run(const std::atomic<bool>& aStopping)
 {
-  HTTPClientSession session("127.0.0.1", mOptions.mPort);
+  HTTPClientSession session(mOptions.mHost, mOptions.mPort);
   session.setKeepAlive(true);
   session.setTimeout(
     Poco::Timespan(kTimeoutMillis * Poco::Timespan::MILLISECONDS));
--- a/emulator/caller.h
+++ b/emulator/caller.h
@@ -16,6 +16,7 @@
   struct Options
   {
     size_t mNode = 0;
+    std::string mHost; ///< IP address of the node
     uint16_t mPort = 0;
     uint64_t mSeed = 0;
   };
--- a/emulator/httpserver.cc
+++ b/emulator/httpserver.cc
@@ -5,6 +5,8 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/StreamCopier.h>
 
+#include <unistd.h>
+
 namespace hibiscushold::emulator {
 
 namespace {
@@ -81,16 +83,17 @@
   return mSocket.address().toString();
 }
 
-std::vector<uint16_t>
-FindFreePorts(size_t aCount)
+std::string
+OwnLoopbackAddress()
 {
-  std::vector<Poco::Net::ServerSocket> sockets;
-  std::vector<uint16_t> ports;
-  while (ports.size() < aCount) {
-    sockets.emplace_back(Poco::Net::SocketAddress("127.0.0.1", 0));
-    ports.push_back(sockets.back().address().port());
+  // Distinct for all processes that run, as their ids have 22 bits at most; the
+  // addresses up to 127.63.255.255 are left to others.
+  const auto id = static_cast<uint32_t>(getpid());
+  std::string address = "127";
+  for (const uint32_t it : { 64 + (id >> 16 & 63), id >> 8 & 255, id & 255 }) {
+    address += "." + std::to_string(it);
   }
-  return ports;
+  return address;
 }
 
 std::string
--- a/emulator/httpserver.h
+++ b/emulator/httpserver.h
@@ -31,9 +31,10 @@
   Poco::Net::HTTPServer mServer;
 };
 
-/// @return different ports that are free at the time of the call
-std::vector<uint16_t>
-FindFreePorts(size_t aCount);
+/// @return an address of the loopback network that no other process on the
+///         machine uses, so that its ports are free whenever a node starts
+std::string
+OwnLoopbackAddress();
 
 std::string
 ReadBody(HTTPServerRequest& aRequest);
--- a/emulator/nodeprocess.cc
+++ b/emulator/nodeprocess.cc
@@ -16,18 +16,18 @@
 namespace {
 
 constexpr auto kExitPollInterval = milliseconds(10);
-constexpr const char* kLoopback = "127.0.0.1:";
 
 std::string
 WriteSettings(const NodeOptions& aOptions, bool aIsFirstStart)
 {
   const std::string name = "node-" + std::to_string(aOptions.mIndex);
   std::string path = aOptions.mFolder + "/" + name + ".ini";
+  const std::string host = aOptions.mHost + ":";
   std::ofstream file(path);
   file << "[node]\nid = " << name << "\nzone = " << aOptions.mZone
-       << "\ncaller_listen = " << kLoopback << aOptions.mCallerPort
-       << "\nready_listen = " << kLoopback << aOptions.mReadyPort
-       << "\npeer_listen = " << kLoopback << aOptions.mPeerPort
+       << "\ncaller_listen = " << host << aOptions.mCallerPort
+       << "\nready_listen = " << host << aOptions.mReadyPort
+       << "\npeer_listen = " << host << aOptions.mPeerPort
        << "\nfirst_start = " << (aIsFirstStart ? "true" : "false")
        << "\ncapacity = 0.25\n[store]\naddress = " << aOptions.mStoreAddress
        << "\n[limits]\nkey_freshness_ms = 5000\ngrace_s = 8\n";
--- a/emulator/nodeprocess.h
+++ b/emulator/nodeprocess.h
@@ -16,6 +16,7 @@
   std::string mFolder;  ///< for its settings and its log
   std::string mZone;
   std::string mStoreAddress;
+  std::string mHost; ///< IP address that it listens on
   uint16_t mCallerPort = 0;
   uint16_t mReadyPort = 0;
   uint16_t mPeerPort = 0;
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -18,12 +18,13 @@
 constexpr uint64_t kFirstEra = 3;
 constexpr uint64_t kFirstRevision = 1000;
 /// Traffic begins at this time, when the nodes have started.
-constexpr int64_t kTrafficAt = 3500;
+constexpr int64_t kTrafficAt = 6000;
 constexpr auto kSyncInterval = milliseconds(20);
 constexpr auto kRetryInterval = milliseconds(10);
 constexpr auto kStopGrace = milliseconds(8000);
 constexpr size_t kCallersPerNode = 2;
-constexpr size_t kPortsPerNode = 3;
+constexpr uint16_t kFirstPort = 7000;
+constexpr uint16_t kPortsPerNode = 3;
 
 StoreAccess
 AccessOf(AwayMode aMode)
@@ -61,6 +62,7 @@
   void Cause(const Fault& aFault);
   void ReturnStore(const Fault& aFault);
   void CutStore(Node& aNode, const Fault& aFault);
+  void DisturbCalls(const Fault& aFault);
   void Change();
   void SetAccess(StoreAccess aAccess);
   void WaitUntil(int64_t aTime) const;
@@ -90,20 +92,20 @@
              mTimeline,
              mRecorder)
 {
-  const std::vector<uint16_t> ports =
-    FindFreePorts(kPortsPerNode * aScenario.mNodes);
   for (size_t i = 0; i < aScenario.mNodes; ++i) {
     Node node{ std::make_unique<StorePort>(mStore, mTimeline),
                nullptr,
                std::make_unique<std::mutex>() };
+    const auto port = static_cast<uint16_t>(kFirstPort + kPortsPerNode * i);
     NodeOptions options{ i,
                          aProgram,
                          aFolder,
                          "zone-" + std::to_string(i % aScenario.mZones),
                          node.mPort->Address(),
-                         ports[kPortsPerNode * i],
-                         ports[kPortsPerNode * i + 1],
-                         ports[kPortsPerNode * i + 2] };
+                         OwnLoopbackAddress(),
+                         port,
+                         static_cast<uint16_t>(port + 1),
+                         static_cast<uint16_t>(port + 2) };
     node.mProcess =
       std::make_unique<NodeProcess>(std::move(options), mTimeline, mRecorder);
     mNodes.push_back(std::move(node));
@@ -154,6 +156,28 @@
     DisturbanceLine::Kind::Cut, aFault.mNode, from, mTimeline.Now() });
 }
 
+void
+World::DisturbCalls(const Fault& aFault)
+{
+  const auto set = [&](WriteFate aFate, int64_t aStaleLag) {
+    for (const Node& it : mNodes) {
+      if (aFault.mKind == FaultKind::ReadsStale) {
+        it.mPort->SetStaleLag(aStaleLag);
+      } else {
+        it.mPort->SetWriteFate(aFate);
+      }
+    }
+  };
+  const int64_t from = mTimeline.Now();
+  set(aFault.mKind == FaultKind::WritesLate ? WriteFate::Late
+                                            : WriteFate::AnswerLost,
+      aFault.mLost);
+  std::this_thread::sleep_for(milliseconds(aFault.mFor));
+  set(WriteFate::Answered, 0);
+  mRecorder.Record(
+    DisturbanceLine{ DisturbanceLine::Kind::Store, 0, from, mTimeline.Now() });
+}
+
 void
 World::Change()
 {
@@ -180,6 +204,11 @@
     case FaultKind::WorkerLeaves:
       mWorkers.ReplaceOne();
       return;
+    case FaultKind::AnswersLost:
+    case FaultKind::WritesLate:
+    case FaultKind::ReadsStale:
+      DisturbCalls(aFault);
+      return;
     default:
       break;
   }
@@ -223,6 +252,7 @@
     const size_t n = i % mNodes.size();
     callers.push_back(std::make_unique<Caller>(
       Caller::Options{ n,
+                       mNodes[n].mProcess->Options().mHost,
                        mNodes[n].mProcess->Options().mCallerPort,
                        mScenario.mSeed * 1000 + i },
       mOperator,
--- a/emulator/scenario.cc
+++ b/emulator/scenario.cc
@@ -13,7 +13,7 @@
 namespace {
 
 /// Nothing is drawn before this time, as the nodes start.
-constexpr int64_t kFirstFaultAt = 4000;
+constexpr int64_t kFirstFaultAt = 6500;
 /// Nothing is drawn for the end of a run, so that all faults can show.
 constexpr int64_t kQuietEnd = 5000;
 
@@ -27,6 +27,7 @@
   Nodes,
   Workers,
   Histories,
+  Calls,
 };
 
 template<class Value>
@@ -40,6 +41,9 @@
     { "store-return", FaultKind::StoreReturn },
     { "store-cut", FaultKind::StoreCut },
     { "history-gone", FaultKind::HistoryGone },
+    { "answers-lost", FaultKind::AnswersLost },
+    { "writes-late", FaultKind::WritesLate },
+    { "reads-stale", FaultKind::ReadsStale },
     { "worker-leaves", FaultKind::WorkerLeaves },
     { "node-kill", FaultKind::NodeKill },
     { "node-stop", FaultKind::NodeStop },
@@ -298,6 +302,27 @@
   return faults;
 }
 
+/// Draws disturbances of the store's calls.
+std::vector<Fault>
+DrawCallFaults(const Scenario& aScenario)
+{
+  Draw draw(aScenario.mSeed, Stream::Calls);
+  std::vector<Fault> faults;
+  for (const FaultKind it : { FaultKind::AnswersLost,
+                              FaultKind::WritesLate,
+                              FaultKind::ReadsStale }) {
+    if (!draw.Chance(0.4)) {
+      continue;
+    }
+    Fault fault =
+      FaultAt(it, draw.Between(kFirstFaultAt, aScenario.mRunTime - kQuietEnd));
+    fault.mFor = draw.Between(200, 4000);
+    fault.mLost = draw.Between(500, 4000);
+    faults.push_back(fault);
+  }
+  return faults;
+}
+
 } // namespace
 
 Scenario
@@ -339,7 +364,8 @@
                                         returns,
                                         DrawNodeFaults(aScenario, returns),
                                         DrawLeavings(aScenario, returns),
-                                        DrawHistories(aScenario) }) {
+                                        DrawHistories(aScenario),
+                                        DrawCallFaults(aScenario) }) {
     all.insert(all.end(), it.begin(), it.end());
   }
   std::stable_sort(
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -15,6 +15,9 @@
   StoreReturn,  ///< the store is away and returns from an older copy
   StoreCut,     ///< the store turns one node away
   HistoryGone,  ///< the store discards its history
+  AnswersLost,  ///< writes are done, but not answered
+  WritesLate,   ///< writes are not answered, and done seconds later
+  ReadsStale,   ///< calls that allow stale answers get them
   WorkerLeaves, ///< a worker leaves, and another starts at a free address
   NodeKill,     ///< a node is killed and starts again
   NodeStop,     ///< a node is asked to stop and starts again
@@ -45,7 +48,7 @@
 struct Scenario
 {
   uint64_t mSeed = 1;
-  int64_t mRunTime = 24000; ///< ms
+  int64_t mRunTime = 26000; ///< ms
   size_t mNodes = 4;
   size_t mZones = 2;
   size_t mWorkersPerService = 3;
--- a/emulator/store.cc
+++ b/emulator/store.cc
@@ -24,9 +24,9 @@
 }
 
 void
-Store::Apply(const StoreChange& aChange)
+Store::Apply(Objects& aObjects, const StoreChange& aChange)
 {
-  auto& objects = mObjects[aChange.mKind];
+  auto& objects = aObjects[aChange.mKind];
   if (aChange.mDeleted) {
     objects.erase(aChange.mObject.mName);
   } else {
@@ -42,26 +42,51 @@
 {
   StoredObject object{ std::string(aName), ++mRevision, aSpec };
   mLog.push_back({ mTimeline.Now(), std::string(aKind), object, aDeleted });
-  Apply(mLog.back());
+  Apply(mObjects, mLog.back());
   mChanged.notify_all();
   return object;
 }
 
-ReadResult
-Store::Read(std::string_view aKind, std::string_view aName) const
+std::vector<StoredObject>
+Store::Select(const Objects& aObjects,
+              std::string_view aKind,
+              std::string_view aName)
 {
-  const std::lock_guard guard(mLock);
-  ReadResult result{ mEra, mRevision, {}, {}, false };
-  const auto kind = mObjects.find(aKind);
-  if (kind == mObjects.end()) {
-    return result;
+  std::vector<StoredObject> selected;
+  const auto kind = aObjects.find(aKind);
+  if (kind == aObjects.end()) {
+    return selected;
   }
   for (const auto& [name, object] : kind->second) {
     if (aName.empty() || name == aName) {
-      result.mObjects.push_back(object);
+      selected.push_back(object);
+    }
+  }
+  return selected;
+}
+
+ReadResult
+Store::Read(std::string_view aKind, std::string_view aName) const
+{
+  const std::lock_guard guard(mLock);
+  return { mEra, mRevision, Select(mObjects, aKind, aName), {}, false };
+}
+
+ReadResult
+Store::ReadStale(std::string_view aKind,
+                 std::string_view aName,
+                 int64_t aAsOf) const
+{
+  const std::lock_guard guard(mLock);
+  uint64_t revision = mFirstRevision;
+  Objects objects;
+  for (const StoreChange& it : mLog) {
+    if (it.mAtMillis <= aAsOf) {
+      Apply(objects, it);
+      revision = it.mObject.mRevision;
     }
   }
-  return result;
+  return { mEra, revision, Select(objects, aKind, aName), {}, false };
 }
 
 ReadResult
@@ -150,7 +175,7 @@
   mHistoryFrom = std::min(mHistoryFrom, mRevision);
   mObjects.clear();
   for (const StoreChange& it : mLog) {
-    Apply(it);
+    Apply(mObjects, it);
   }
   mChanged.notify_all();
 }
--- a/emulator/store.h
+++ b/emulator/store.h
@@ -66,6 +66,12 @@
   /// @param aName empty for all objects of the kind
   ReadResult Read(std::string_view aKind, std::string_view aName) const;
 
+  /// Reads the objects as they were at an earlier time.
+  /// @param aAsOf time of the timeline in ms
+  ReadResult ReadStale(std::string_view aKind,
+                       std::string_view aName,
+                       int64_t aAsOf) const;
+
   /// Waits for changes after a revision.
   /// @param aUntil time of the timeline in ms
   ReadResult Watch(std::string_view aKind, uint64_t aSince, int64_t aUntil);
@@ -100,7 +106,10 @@
 
   const StoredObject* Find(std::string_view aKind,
                            std::string_view aName) const;
-  void Apply(const StoreChange& aChange);
+  static void Apply(Objects& aObjects, const StoreChange& aChange);
+  static std::vector<StoredObject> Select(const Objects& aObjects,
+                                          std::string_view aKind,
+                                          std::string_view aName);
   StoredObject Append(std::string_view aKind,
                       std::string_view aName,
                       const Json::Value& aSpec,
--- a/emulator/storeport.cc
+++ b/emulator/storeport.cc
@@ -14,7 +14,10 @@
 namespace {
 
 constexpr auto kSilence = milliseconds(3000);
+/// Longer than nodes wait for an answer.
+constexpr auto kLateness = milliseconds(2500);
 constexpr int64_t kMaxWaitMillis = 30000;
+constexpr const char* kAllowStale = "allow_stale";
 
 struct StoreCall
 {
@@ -123,10 +126,12 @@
                                   : std::optional(std::stoull(it->second));
 }
 
+/// @param aStaleLag age of the answer if the call allows a stale one, in ms
 void
 ServeRead(Store& aStore,
           const Timeline& aTimeline,
           const StoreCall& aCall,
+          int64_t aStaleLag,
           HTTPServerResponse& aResponse)
 {
   if (const std::optional<uint64_t> since = NumberIn(aCall, wire::kWatch)) {
@@ -138,7 +143,11 @@
       aResponse, read.mEra, read.mHistoryGone ? 410 : 200, ToJson(read, true));
     return;
   }
-  const ReadResult read = aStore.Read(aCall.mKind, aCall.mName);
+  const bool isStale = aStaleLag > 0 && aCall.mQuery.contains(kAllowStale);
+  const ReadResult read =
+    isStale
+      ? aStore.ReadStale(aCall.mKind, aCall.mName, aTimeline.Now() - aStaleLag)
+      : aStore.Read(aCall.mKind, aCall.mName);
   if (aCall.mName.empty()) {
     ReplyInEra(aResponse, read.mEra, 200, ToJson(read, false));
   } else if (read.mObjects.empty()) {
@@ -201,23 +210,41 @@
 }
 
 void
-StorePort::Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse)
+StorePort::ServeWrite(HTTPServerRequest& aRequest,
+                      HTTPServerResponse& aResponse,
+                      const std::string& aBody)
 {
-  const std::string body = ReadBody(aRequest);
-  if (TurnsAway(aRequest, aResponse)) {
-    return;
+  const WriteFate fate = mWriteFate;
+  if (fate == WriteFate::Late) {
+    std::this_thread::sleep_for(kLateness);
   }
-  const StoreCall call = ParseCall(aRequest.getURI());
-  if (aRequest.getMethod() == "GET") {
-    ServeRead(mStore, mTimeline, call, aResponse);
+  const WriteResult written = ApplyWrite(mStore,
+                                         aRequest.getMethod(),
+                                         ParseCall(aRequest.getURI()),
+                                         ParseText(aBody));
+  if (fate != WriteFate::Answered) {
+    Cut(aRequest);
     return;
   }
-  const WriteResult written =
-    ApplyWrite(mStore, aRequest.getMethod(), call, ParseText(body));
   ReplyInEra(aResponse,
              written.mEra,
              StatusOf(written.mStatus),
              ToJson(written.mObject));
 }
 
+void
+StorePort::Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse)
+{
+  const std::string body = ReadBody(aRequest);
+  if (TurnsAway(aRequest, aResponse)) {
+    return;
+  }
+  if (aRequest.getMethod() == "GET") {
+    ServeRead(
+      mStore, mTimeline, ParseCall(aRequest.getURI()), mStaleLag, aResponse);
+  } else {
+    ServeWrite(aRequest, aResponse, body);
+  }
+}
+
 } // namespace hibiscushold::emulator
--- a/emulator/storeport.h
+++ b/emulator/storeport.h
@@ -16,6 +16,14 @@
   Reset,  ///< the connection is closed
 };
 
+/// What happens to the writes of a node.
+enum class WriteFate
+{
+  Answered,
+  AnswerLost, ///< done, and the connection is closed
+  Late,       ///< done seconds later, and the connection is closed
+};
+
 /// Serves the store's calls to one node, on a port of its own, so that the
 /// store can turn away single nodes. Thread-safe.
 class StorePort
@@ -25,14 +33,24 @@
 
   std::string Address() const { return mServer.Address(); }
   void SetAccess(StoreAccess aAccess) { mAccess = aAccess; }
+  void SetWriteFate(WriteFate aFate) { mWriteFate = aFate; }
+
+  /// @param aLag age of the answers to calls that allow stale ones, in ms
+  void SetStaleLag(int64_t aLag) { mStaleLag = aLag; }
 
 private:
   void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse);
   bool TurnsAway(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse);
 
+  void ServeWrite(HTTPServerRequest& aRequest,
+                  HTTPServerResponse& aResponse,
+                  const std::string& aBody);
+
   Store& mStore;
   const Timeline& mTimeline;
   std::atomic<StoreAccess> mAccess{ StoreAccess::Open };
+  std::atomic<WriteFate> mWriteFate{ WriteFate::Answered };
+  std::atomic<int64_t> mStaleLag{ 0 };
   HttpServer mServer;
 };
 
