Judge answers in the emulator: whole, own, at most once, none lost at a stop

The judge names successes that are not the whole answer to the request (MIXED), requests that run twice (TWICE), that ran although their answer says the contrary (REFUSED), and that a running or stopping node leaves without an answer (LOST). Each check has a test with one breach.

--- a/emulator/caller.cc
+++ b/emulator/caller.cc
@@ -21,6 +21,7 @@
 
 constexpr auto kPause = milliseconds(20);
 constexpr int kTimeoutMillis = 2000;
+constexpr int kProbes = static_cast<int>(Probe::Once) + 1;
 /// Versions whose keys and routes are gone, that are asked for.
 constexpr uint64_t kOldestAsked = 4;
 
@@ -57,9 +58,14 @@
   std::istream& in = aSession.receiveResponse(response);
   std::string body;
   Poco::StreamCopier::copyToString(in, body);
-  aLine.mVerdict = VerdictOf(response.getStatus());
+  aLine.mStatus = response.getStatus();
+  aLine.mVerdict = VerdictOf(aLine.mStatus);
   if (aLine.mVerdict == Verdict::Accepted) {
-    aLine.mService = std::stoul(body);
+    aLine.mWorker = response.get(wire::kServerStamp, "");
+    aLine.mService = std::strtoul(body.c_str(), nullptr, 10);
+    aLine.mIsOwnAnswer =
+      body == AnswerBody(aLine.mService, aLine.mId) &&
+      response.get(wire::kRequestId, "") == std::to_string(aLine.mId);
   }
   if (response.has(wire::kServerLeaving)) {
     aLine.mLeavingWorker = response.get(wire::kServerStamp, "");
@@ -88,8 +94,8 @@
   RequestLine line;
   line.mId = mNextId++;
   line.mNode = mOptions.mNode;
-  line.mProbe =
-    static_cast<Probe>(std::uniform_int_distribution<int>(0, 2)(mRandom));
+  line.mProbe = static_cast<Probe>(
+    std::uniform_int_distribution<int>(0, kProbes - 1)(mRandom));
   const uint64_t newest = mOperator.NewestAcked();
   line.mVersion = newest;
   const uint64_t back =
--- a/emulator/configs.cc
+++ b/emulator/configs.cc
@@ -14,23 +14,31 @@
 
 constexpr const char* kKeyPrefix = "/key/";
 constexpr const char* kMovedPrefix = "/moved/";
+constexpr const char* kOncePrefix = "/once/";
+
+constexpr size_t kKeyService = 0;
+constexpr size_t kRouteService = 1;
+constexpr size_t kOnceService = 2;
+constexpr const char* kIdempotent = "idempotent";
+/// More than one segment of TCP, so that an answer can break off within.
+constexpr size_t kAnswerBytes = 3000;
 
 Json::Value
 MakeRoute(const std::string& aName,
           const std::string& aPrefix,
           size_t aService,
-          bool aIsPublic)
+          const char* aKind)
 {
   Json::Value route;
   route["name"] = aName;
   route["host"] = kHost;
   route["path_prefix"] = aPrefix;
   route["service"] = ServiceName(aService);
-  route["kind"] = "idempotent";
+  route["kind"] = aKind;
   route["attempts"] = 2;
   route["timeout_ms"] = kTimeoutMillis;
   route["slo_ms"] = 300;
-  route["public"] = aIsPublic;
+  route["public"] = aPrefix != kKeyPrefix;
   return route;
 }
 
@@ -62,26 +70,38 @@
       return std::string(kKeyPrefix) + "x";
     case Probe::Moved:
       return std::string(kMovedPrefix) + "x";
+    case Probe::Once:
+      return std::string(kOncePrefix) + "x";
     case Probe::Route:
       break;
   }
   return RoutePrefix(aVersion) + "x";
 }
 
+std::string
+AnswerBody(size_t aService, uint64_t aRequestId)
+{
+  std::string body =
+    std::to_string(aService) + " " + std::to_string(aRequestId) + " ";
+  body.resize(kAnswerBytes, '.');
+  return body;
+}
+
 Json::Value
 MakeConfig(uint64_t aVersion)
 {
   Json::Value config;
   config["version"] = Json::UInt64(aVersion * kVersionStep);
   Json::Value& routes = config["routes"];
-  routes.append(MakeRoute("key", kKeyPrefix, 0, false));
+  routes.append(MakeRoute("key", kKeyPrefix, kKeyService, kIdempotent));
   routes.append(
-    MakeRoute("moved", kMovedPrefix, aVersion % kMovedServices, true));
+    MakeRoute("moved", kMovedPrefix, aVersion % kMovedServices, kIdempotent));
+  routes.append(MakeRoute("once", kOncePrefix, kOnceService, "non_idempotent"));
   Json::Value tenant;
   tenant["name"] = "tenant";
   for (const uint64_t it : { aVersion - 1, aVersion }) {
     const std::string name = "route" + std::to_string(it);
-    routes.append(MakeRoute(name, RoutePrefix(it), 1, true));
+    routes.append(MakeRoute(name, RoutePrefix(it), kRouteService, kIdempotent));
     tenant["keys"].append(KeyOfVersion(it));
   }
   config["tenants"].append(tenant);
--- a/emulator/configs.h
+++ b/emulator/configs.h
@@ -26,6 +26,10 @@
 std::string
 PathOfProbe(Probe aProbe, uint64_t aVersion);
 
+/// @return the whole answer of a service to a request
+std::string
+AnswerBody(size_t aService, uint64_t aRequestId);
+
 /// @return the specification of the version, as the operator writes it
 Json::Value
 MakeConfig(uint64_t aVersion);
--- a/emulator/httpserver.cc
+++ b/emulator/httpserver.cc
@@ -1,5 +1,6 @@
 #include "emulator/httpserver.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
@@ -7,6 +8,8 @@
 
 #include <unistd.h>
 
+#include <sstream>
+
 namespace hibiscushold::emulator {
 
 namespace {
@@ -50,6 +53,12 @@
   const HttpServer::Handler mHandler;
 };
 
+Poco::Net::StreamSocket&
+SocketOf(HTTPServerRequest& aRequest)
+{
+  return dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket();
+}
+
 Poco::Net::HTTPServerParams::Ptr
 ServerParams()
 {
@@ -115,12 +124,34 @@
   aResponse.sendBuffer(aBody.data(), aBody.size());
 }
 
+void
+SendCopy(HTTPServerRequest& aRequest,
+         const HTTPServerResponse& aResponse,
+         const std::string& aBody)
+{
+  std::ostringstream out;
+  aResponse.write(out);
+  out << aBody;
+  const std::string bytes = out.str();
+  Poco::Net::StreamSocket& socket = SocketOf(aRequest);
+  try {
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  } catch (const Poco::Exception&) {
+    // The peer has closed the connection.
+    Cut(aRequest);
+  }
+}
+
 void
 Cut(HTTPServerRequest& aRequest)
 {
-  auto& request = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest);
-  request.socket().shutdown();
-  request.socket().close();
+  Poco::Net::StreamSocket& socket = SocketOf(aRequest);
+  try {
+    socket.shutdown();
+  } catch (const Poco::Exception&) {
+    // The peer has closed the connection.
+  }
+  socket.close();
 }
 
 } // namespace hibiscushold::emulator
--- a/emulator/httpserver.h
+++ b/emulator/httpserver.h
@@ -42,6 +42,13 @@
 void
 Reply(HTTPServerResponse& aResponse, int aStatus, const std::string& aBody);
 
+/// Sends the response once more on the same connection.
+/// @param aResponse the response that was sent
+void
+SendCopy(HTTPServerRequest& aRequest,
+         const HTTPServerResponse& aResponse,
+         const std::string& aBody);
+
 /// Closes the connection at once, without a response.
 void
 Cut(HTTPServerRequest& aRequest);
--- a/emulator/judge.cc
+++ b/emulator/judge.cc
@@ -36,6 +36,9 @@
   if (aRequest.mVerdict == Verdict::Open) {
     return any;
   }
+  if (aRequest.mProbe == Probe::Once) {
+    return any;
+  }
   if (aRequest.mProbe == Probe::Moved) {
     return aRequest.mVerdict == Verdict::Accepted
              ? VersionRange{ 0,
@@ -87,7 +90,8 @@
 {
   int64_t start = 0;
   for (const DisturbanceLine& it : aLines.mDisturbances) {
-    if (it.mKind == Kind::Start && it.mNode == aNode && it.mUntil <= aTime) {
+    const bool starts = it.mKind == Kind::Start || it.mKind == Kind::Stop;
+    if (starts && it.mNode == aNode && it.mUntil <= aTime) {
       start = std::max(start, it.mUntil);
     }
   }
@@ -157,6 +161,27 @@
   }
 }
 
+bool
+SaysNotRun(int aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+/// @return whether the node was killed or suspended during the request
+bool
+WasInterrupted(const Lines& aLines, const RequestLine& aRequest)
+{
+  return std::any_of(aLines.mDisturbances.begin(),
+                     aLines.mDisturbances.end(),
+                     [&](const DisturbanceLine& it) {
+                       const bool interrupts =
+                         it.mKind == Kind::Start || it.mKind == Kind::Freeze;
+                       return interrupts && it.mNode == aRequest.mNode &&
+                              it.mFrom <= aRequest.mEndedAt &&
+                              it.mUntil >= aRequest.mSentAt;
+                     });
+}
+
 } // namespace
 
 std::vector<Breach>
@@ -237,8 +262,8 @@
                      aLines.mDisturbances.end(),
                      [&](const DisturbanceLine& aLine) {
                        return aLine.mNode == request.mNode &&
-                              (aLine.mKind == Kind::Start ||
-                               aLine.mKind == Kind::Freeze) &&
+                              aLine.mKind != Kind::Store &&
+                              aLine.mKind != Kind::Cut &&
                               aLine.mUntil >= announcement->second;
                      })) {
       breaches.push_back(
@@ -252,4 +277,32 @@
   return breaches;
 }
 
+std::vector<Breach>
+JudgeAnswers(const Lines& aLines)
+{
+  std::unordered_map<uint64_t, std::vector<std::string>> workers;
+  for (const ArrivalLine& it : aLines.mArrivals) {
+    workers[it.mId].push_back(it.mWorker);
+  }
+  std::vector<Breach> breaches;
+  for (const RequestLine& it : aLines.mRequests) {
+    const std::vector<std::string>& ran = workers[it.mId];
+    if (it.mVerdict == Verdict::Accepted &&
+        (!it.mIsOwnAnswer ||
+         std::find(ran.begin(), ran.end(), it.mWorker) == ran.end())) {
+      breaches.push_back({ "MIXED", it, "not its own whole answer" });
+    }
+    if (it.mProbe == Probe::Once && ran.size() > 1) {
+      breaches.push_back({ "TWICE", it, ran[0] + " and " + ran[1] });
+    }
+    if (it.mProbe == Probe::Once && !ran.empty() && SaysNotRun(it.mStatus)) {
+      breaches.push_back({ "REFUSED", it, "ran at " + ran[0] });
+    }
+    if (it.mStatus == 0 && !ran.empty() && !WasInterrupted(aLines, it)) {
+      breaches.push_back({ "LOST", it, "ran at " + ran[0] });
+    }
+  }
+  return breaches;
+}
+
 } // namespace hibiscushold::emulator
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -41,4 +41,11 @@
 std::vector<Breach>
 JudgeDrain(const Lines& aLines, const JudgeBounds& aBounds);
 
+/// A success is the whole answer of a worker to this request (MIXED); a request
+/// that may run once doesn't run twice (TWICE), nor at all if its answer says
+/// that it didn't run (REFUSED); and a node that runs on, or was asked to stop,
+/// answers each request that it has passed on (LOST).
+std::vector<Breach>
+JudgeAnswers(const Lines& aLines);
+
 } // namespace hibiscushold::emulator
--- a/emulator/lines.cc
+++ b/emulator/lines.cc
@@ -27,6 +27,8 @@
       return "route";
     case Probe::Moved:
       return "moved";
+    case Probe::Once:
+      return "once";
   }
   return "";
 }
@@ -57,6 +59,8 @@
       return "freeze";
     case DisturbanceLine::Kind::Start:
       return "start";
+    case DisturbanceLine::Kind::Stop:
+      return "stop";
   }
   return "";
 }
@@ -77,6 +81,9 @@
   json["sent_ms"] = Json::Int64(aLine.mSentAt);
   json["ended_ms"] = Json::Int64(aLine.mEndedAt);
   json["verdict"] = NameOf(aLine.mVerdict);
+  json["status"] = aLine.mStatus;
+  json["worker"] = aLine.mWorker;
+  json["own"] = aLine.mIsOwnAnswer;
   json["service"] = Json::UInt64(aLine.mService);
   json["leaving"] = aLine.mLeavingWorker;
   json["newest_written"] = Json::UInt64(aLine.mNewestWritten);
--- a/emulator/lines.h
+++ b/emulator/lines.h
@@ -15,6 +15,7 @@
   Key,   ///< with a key that versions N and N + 1 accept
   Route, ///< on a route that versions N and N + 1 have
   Moved, ///< on a route that each version moves to another service
+  Once,  ///< on a route whose requests may run at most once
 };
 
 /// What a node did with a request.
@@ -35,7 +36,10 @@
   int64_t mSentAt = 0;
   int64_t mEndedAt = 0;
   Verdict mVerdict = Verdict::Open;
+  int mStatus = 0;            ///< 0 if no answer came
   size_t mService = 0;        ///< that answered it
+  std::string mWorker;        ///< that answered it
+  bool mIsOwnAnswer = false;  ///< the whole answer to this request
   std::string mLeavingWorker; ///< that announced in its answer that it leaves
   uint64_t mNewestWritten =
     0; ///< highest version sent to the store by mEndedAt
@@ -71,7 +75,8 @@
     Store,  ///< the store was away
     Cut,    ///< the store was away for one node
     Freeze, ///< the node was suspended
-    Start,  ///< the node was ended and started again
+    Start,  ///< the node was killed and started again
+    Stop,   ///< the node was asked to stop, and started again
   };
   Kind mKind = Kind::Store;
   size_t mNode = 0;
--- a/emulator/main.cc
+++ b/emulator/main.cc
@@ -61,8 +61,9 @@
   std::filesystem::create_directories(folder);
   const Lines lines = Play(aScenario, aProgram, folder);
   std::vector<Breach> breaches = JudgeConfig(lines, {});
-  for (Breach& it : JudgeDrain(lines, {})) {
-    breaches.push_back(std::move(it));
+  for (const std::vector<Breach>& it :
+       { JudgeDrain(lines, {}), JudgeAnswers(lines) }) {
+    breaches.insert(breaches.end(), it.begin(), it.end());
   }
   std::cout << "seed " << aSeed << ": " << Count(lines, Verdict::Accepted)
             << " accepted, " << Count(lines, Verdict::Denied) << " denied, "
--- a/emulator/nodeprocess.cc
+++ b/emulator/nodeprocess.cc
@@ -119,7 +119,7 @@
   End(SIGTERM, aGrace);
   Start(false);
   mRecorder.Record(DisturbanceLine{
-    DisturbanceLine::Kind::Start, mOptions.mIndex, from, mTimeline.Now() });
+    DisturbanceLine::Kind::Stop, mOptions.mIndex, from, mTimeline.Now() });
 }
 
 void
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -63,6 +63,7 @@
   void ReturnStore(const Fault& aFault);
   void CutStore(Node& aNode, const Fault& aFault);
   void DisturbCalls(const Fault& aFault);
+  void SpoilAnswers(const Fault& aFault);
   void Change();
   void SetAccess(StoreAccess aAccess);
   void WaitUntil(int64_t aTime) const;
@@ -178,6 +179,20 @@
     DisturbanceLine{ DisturbanceLine::Kind::Store, 0, from, mTimeline.Now() });
 }
 
+void
+World::SpoilAnswers(const Fault& aFault)
+{
+  AnswerFault fault = AnswerFault::Lost;
+  if (aFault.mKind == FaultKind::SecondCopies) {
+    fault = AnswerFault::SecondCopy;
+  } else if (aFault.mKind == FaultKind::BrokenOff) {
+    fault = AnswerFault::BrokenOff;
+  }
+  mWorkers.SpoilAnswers(fault);
+  std::this_thread::sleep_for(milliseconds(aFault.mFor));
+  mWorkers.SpoilAnswers(AnswerFault::None);
+}
+
 void
 World::Change()
 {
@@ -209,6 +224,11 @@
     case FaultKind::ReadsStale:
       DisturbCalls(aFault);
       return;
+    case FaultKind::SecondCopies:
+    case FaultKind::BrokenOff:
+    case FaultKind::LostAnswers:
+      SpoilAnswers(aFault);
+      return;
     default:
       break;
   }
--- a/emulator/scenario.cc
+++ b/emulator/scenario.cc
@@ -44,6 +44,9 @@
     { "answers-lost", FaultKind::AnswersLost },
     { "writes-late", FaultKind::WritesLate },
     { "reads-stale", FaultKind::ReadsStale },
+    { "second-copies", FaultKind::SecondCopies },
+    { "broken-off", FaultKind::BrokenOff },
+    { "lost-answers", FaultKind::LostAnswers },
     { "worker-leaves", FaultKind::WorkerLeaves },
     { "node-kill", FaultKind::NodeKill },
     { "node-stop", FaultKind::NodeStop },
@@ -302,7 +305,7 @@
   return faults;
 }
 
-/// Draws disturbances of the store's calls.
+/// Draws disturbances of the store's calls and of the workers' answers.
 std::vector<Fault>
 DrawCallFaults(const Scenario& aScenario)
 {
@@ -310,7 +313,10 @@
   std::vector<Fault> faults;
   for (const FaultKind it : { FaultKind::AnswersLost,
                               FaultKind::WritesLate,
-                              FaultKind::ReadsStale }) {
+                              FaultKind::ReadsStale,
+                              FaultKind::SecondCopies,
+                              FaultKind::BrokenOff,
+                              FaultKind::LostAnswers }) {
     if (!draw.Chance(0.4)) {
       continue;
     }
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -18,6 +18,9 @@
   AnswersLost,  ///< writes are done, but not answered
   WritesLate,   ///< writes are not answered, and done seconds later
   ReadsStale,   ///< calls that allow stale answers get them
+  SecondCopies, ///< some workers send their answers twice
+  BrokenOff,    ///< some workers break off within their answers
+  LostAnswers,  ///< some workers run requests and don't answer
   WorkerLeaves, ///< a worker leaves, and another starts at a free address
   NodeKill,     ///< a node is killed and starts again
   NodeStop,     ///< a node is asked to stop and starts again
--- a/emulator/worker.cc
+++ b/emulator/worker.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr auto kServiceTime = milliseconds(5);
+/// Time from an answer to its second copy, in which its connection may be used
+/// again.
+constexpr auto kCopyDelay = milliseconds(3);
 constexpr int kSlots = 8;
 constexpr int kMisdirected = 421;
 /// Headers of answers that nodes need not know.
@@ -97,7 +100,34 @@
     ArrivalLine{ std::stoull(id), worker->mId, mTimeline.Now() });
   std::this_thread::sleep_for(kServiceTime);
   aResponse.set(wire::kServerStamp, worker->mId);
-  Reply(aResponse, 200, std::to_string(worker->mService));
+  Answer(aRequest, aResponse, AnswerBody(worker->mService, std::stoull(id)));
+}
+
+void
+WorkerAddress::Answer(HTTPServerRequest& aRequest,
+                      HTTPServerResponse& aResponse,
+                      const std::string& aBody) const
+{
+  switch (mAnswerFault) {
+    case AnswerFault::None:
+      Reply(aResponse, 200, aBody);
+      return;
+    case AnswerFault::SecondCopy:
+      Reply(aResponse, 200, aBody);
+      std::this_thread::sleep_for(kCopyDelay);
+      SendCopy(aRequest, aResponse, aBody);
+      return;
+    case AnswerFault::BrokenOff: {
+      aResponse.setContentLength(static_cast<std::streamsize>(aBody.size()));
+      std::ostream& out = aResponse.send();
+      out.write(aBody.data(), static_cast<std::streamsize>(aBody.size() / 2));
+      out.flush();
+      break;
+    }
+    case AnswerFault::Lost:
+      break;
+  }
+  Cut(aRequest);
 }
 
 } // namespace hibiscushold::emulator
--- a/emulator/worker.h
+++ b/emulator/worker.h
@@ -4,6 +4,7 @@
 #include "emulator/lines.h"
 #include "emulator/store.h"
 
+#include <atomic>
 #include <memory>
 #include <optional>
 
@@ -20,6 +21,15 @@
   bool mAnnouncesLeaving = false; ///< in its answers, while it leaves
 };
 
+/// How a worker spoils its answers.
+enum class AnswerFault
+{
+  None,
+  SecondCopy, ///< the answer comes again, a moment later
+  BrokenOff,  ///< the connection ends within the body
+  Lost,       ///< the connection ends before the answer
+};
+
 /// An address at which one worker after another runs. Thread-safe.
 class WorkerAddress
 {
@@ -33,6 +43,9 @@
   /// Ends the worker; connections to the address are closed from then on.
   void End();
 
+  /// Spoils the answers from now on.
+  void SetAnswerFault(AnswerFault aFault) { mAnswerFault = aFault; }
+
   std::optional<Worker> Occupant() const;
 
   /// @return the specification of the worker's entry in the store
@@ -40,11 +53,15 @@
 
 private:
   void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse);
+  void Answer(HTTPServerRequest& aRequest,
+              HTTPServerResponse& aResponse,
+              const std::string& aBody) const;
 
   const Timeline& mTimeline;
   Recorder& mRecorder;
   mutable std::mutex mLock; ///< guards mOccupant
   std::optional<Worker> mOccupant;
+  std::atomic<AnswerFault> mAnswerFault{ AnswerFault::None };
   HttpServer mServer;
 };
 
--- a/emulator/workers.cc
+++ b/emulator/workers.cc
@@ -16,6 +16,7 @@
 constexpr int64_t kMaxExtraDrainMillis = 3000;
 constexpr int64_t kReuseMillis = 2000;
 constexpr size_t kSparePlaces = 4;
+constexpr double kSpoiledShare = 0.3;
 
 std::string
 VmKind()
@@ -107,6 +108,16 @@
     std::uniform_int_distribution<int64_t>(500, kMaxExtraDrainMillis)(mRandom);
 }
 
+void
+Workers::SpoilAnswers(AnswerFault aFault)
+{
+  const std::lock_guard guard(mLock);
+  for (const Place& it : mPlaces) {
+    const bool isSpoiled = std::bernoulli_distribution(kSpoiledShare)(mRandom);
+    it.mAddress->SetAnswerFault(isSpoiled ? aFault : AnswerFault::None);
+  }
+}
+
 void
 Workers::SyncPlace(Place& aPlace, bool aIsStoreAway)
 {
--- a/emulator/workers.h
+++ b/emulator/workers.h
@@ -23,6 +23,10 @@
   /// which a worker of another service may have had.
   void ReplaceOne();
 
+  /// Some addresses spoil their answers from now on.
+  /// @param aFault None for sound answers everywhere
+  void SpoilAnswers(AnswerFault aFault);
+
   /// Writes and removes the entries that are due.
   /// @param aIsStoreAway whether the store takes no writes
   void Sync(bool aIsStoreAway);
--- a/test/emulator-test.cc
+++ b/test/emulator-test.cc
@@ -59,6 +59,17 @@
     }
   }
 
+  /// @param aRule the rule that the request breaks, or null
+  void CheckAnswers(const char* aRule, const RequestLine& aRequest)
+  {
+    mLines.mRequests = { aRequest };
+    const std::vector<Breach> breaches = JudgeAnswers(mLines);
+    CHECK_EQUAL(aRule == nullptr ? 0U : 1U, breaches.size());
+    if (aRule != nullptr) {
+      STRCMP_EQUAL(aRule, breaches[0].mRule.c_str());
+    }
+  }
+
   void CheckDrain(size_t aBreaches, int64_t aSentAt)
   {
     RequestLine request = MakeRequest(Probe::Moved, 4, Verdict::Open, aSentAt);
@@ -147,6 +158,51 @@
   CheckDrain(1, kAck + 2001);
 }
 
+// Guards against a judge that takes any success for the right answer.
+TEST(EmulatorJudge, NamesASuccessThatIsNotItsOwnWholeAnswer)
+{
+  RequestLine request = MakeRequest(Probe::Once, 4, Verdict::Accepted, kAck);
+  request.mStatus = 200;
+  request.mWorker = "w";
+  request.mIsOwnAnswer = true;
+  mLines.mArrivals.push_back({ request.mId, "w", kAck + 1 });
+  CheckAnswers(nullptr, request);
+  request.mWorker = "v";
+  CheckAnswers("MIXED", request);
+  request.mWorker = "w";
+  request.mIsOwnAnswer = false;
+  CheckAnswers("MIXED", request);
+}
+
+// Guards against a judge that misses a request which runs twice, or which runs
+// although its answer says that it didn't.
+TEST(EmulatorJudge, NamesARequestThatRunsTooOften)
+{
+  RequestLine request = MakeRequest(Probe::Once, 4, Verdict::Open, kAck);
+  request.mStatus = 503;
+  CheckAnswers(nullptr, request);
+  mLines.mArrivals.push_back({ request.mId, "w", kAck + 1 });
+  CheckAnswers("REFUSED", request);
+  request.mStatus = 502;
+  CheckAnswers(nullptr, request);
+  mLines.mArrivals.push_back({ request.mId, "v", kAck + 2 });
+  CheckAnswers("TWICE", request);
+}
+
+// Guards against a judge that misses a request without an answer at a node that
+// stops as planned, or blames a node that was killed.
+TEST(EmulatorJudge, NamesARequestThatAStopCuts)
+{
+  const RequestLine request = MakeRequest(Probe::Moved, 4, Verdict::Open, kAck);
+  mLines.mArrivals.push_back({ request.mId, "w", kAck + 1 });
+  mLines.mDisturbances.push_back(
+    { DisturbanceLine::Kind::Stop, 0, kAck - 100, kAck + 100 });
+  CheckAnswers("LOST", request);
+  mLines.mDisturbances.push_back(
+    { DisturbanceLine::Kind::Start, 0, kAck, kAck + 100 });
+  CheckAnswers(nullptr, request);
+}
+
 TEST_GROUP(EmulatorStore)
 {
   Timeline mTimeline;
