Serve the emulator's ports with the stand-in's server, and rewrite within the run

The emulator had an HTTP server of its own beside the equal one of test/standin. A rewrite of the operator ran on a detached thread, which could outlive the run; it is now part of the fault that causes it.

--- a/emulator/nodeprocess.cc
+++ b/emulator/nodeprocess.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <array>
 #include <fstream>
@@ -64,6 +65,19 @@
 
 } // namespace
 
+std::string
+OwnLoopbackAddress()
+{
+  // Distinct for all processes that run, as their ids have 22 bits at most; the
+  // addresses up to 127.63.255.255 are left to others.
+  const auto id = static_cast<uint32_t>(getpid());
+  std::string address = "127";
+  for (const uint32_t it : { 64 + (id >> 16 & 63), id >> 8 & 255, id & 255 }) {
+    address += "." + std::to_string(it);
+  }
+  return address;
+}
+
 NodeProcess::NodeProcess(NodeOptions aOptions,
                          const Timeline& aTimeline,
                          Recorder& aRecorder)
@@ -101,6 +115,13 @@
   mPid = 0;
 }
 
+void
+NodeProcess::Record(DisturbanceLine::Kind aKind, int64_t aFrom)
+{
+  mRecorder.Record(
+    DisturbanceLine{ aKind, mOptions.mIndex, aFrom, mTimeline.Now() });
+}
+
 void
 NodeProcess::Restart(milliseconds aDownTime)
 {
@@ -108,8 +129,7 @@
   End(SIGKILL, milliseconds(0));
   std::this_thread::sleep_for(aDownTime);
   Start(false);
-  mRecorder.Record(DisturbanceLine{
-    DisturbanceLine::Kind::Start, mOptions.mIndex, from, mTimeline.Now() });
+  Record(DisturbanceLine::Kind::Start, from);
 }
 
 void
@@ -118,8 +138,7 @@
   const int64_t from = mTimeline.Now();
   End(SIGTERM, aGrace);
   Start(false);
-  mRecorder.Record(DisturbanceLine{
-    DisturbanceLine::Kind::Stop, mOptions.mIndex, from, mTimeline.Now() });
+  Record(DisturbanceLine::Kind::Stop, from);
 }
 
 void
@@ -129,8 +148,7 @@
   kill(mPid, SIGSTOP);
   std::this_thread::sleep_for(aTime);
   kill(mPid, SIGCONT);
-  mRecorder.Record(DisturbanceLine{
-    DisturbanceLine::Kind::Freeze, mOptions.mIndex, from, mTimeline.Now() });
+  Record(DisturbanceLine::Kind::Freeze, from);
 }
 
 } // namespace hibiscushold::emulator
--- a/emulator/nodeprocess.h
+++ b/emulator/nodeprocess.h
@@ -8,6 +8,11 @@
 
 namespace hibiscushold::emulator {
 
+/// @return an address of the loopback network that no other process on the
+///         machine uses, so that its ports are free whenever a node starts
+std::string
+OwnLoopbackAddress();
+
 /// Where a node listens and what it is told.
 struct NodeOptions
 {
@@ -45,6 +50,7 @@
 
 private:
   void End(int aSignal, milliseconds aGrace);
+  void Record(DisturbanceLine::Kind aKind, int64_t aFrom);
 
   const NodeOptions mOptions;
   const Timeline& mTimeline;
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -130,20 +130,20 @@
 void
 World::ReturnStore(const Fault& aFault)
 {
-  const std::lock_guard guard(mStoreLock);
-  const int64_t from = mTimeline.Now();
-  mIsStoreAway = true;
-  SetAccess(AccessOf(aFault.mMode));
-  std::this_thread::sleep_for(milliseconds(aFault.mFor));
-  mStore.ReturnTo(from - aFault.mLost);
-  SetAccess(StoreAccess::Open);
-  mIsStoreAway = false;
-  mRecorder.Record(
-    DisturbanceLine{ DisturbanceLine::Kind::Store, 0, from, mTimeline.Now() });
-  std::thread([this, after = milliseconds(aFault.mRewriteAfter)] {
-    std::this_thread::sleep_for(after);
-    mOperator.Rewrite();
-  }).detach();
+  {
+    const std::lock_guard guard(mStoreLock);
+    const int64_t from = mTimeline.Now();
+    mIsStoreAway = true;
+    SetAccess(AccessOf(aFault.mMode));
+    std::this_thread::sleep_for(milliseconds(aFault.mFor));
+    mStore.ReturnTo(from - aFault.mLost);
+    SetAccess(StoreAccess::Open);
+    mIsStoreAway = false;
+    mRecorder.Record(DisturbanceLine{
+      DisturbanceLine::Kind::Store, 0, from, mTimeline.Now() });
+  }
+  std::this_thread::sleep_for(milliseconds(aFault.mRewriteAfter));
+  mOperator.Rewrite();
 }
 
 void
--- a/emulator/storeport.cc
+++ b/emulator/storeport.cc
@@ -115,7 +115,7 @@
            const Json::Value& aBody)
 {
   aResponse.set(wire::kStoreEra, std::to_string(aEra));
-  Reply(aResponse, aStatus, ToText(aBody));
+  standin::SendReply(aResponse, aStatus, ToText(aBody));
 }
 
 std::optional<uint64_t>
@@ -184,9 +184,10 @@
 StorePort::StorePort(Store& aStore, const Timeline& aTimeline)
   : mStore(aStore)
   , mTimeline(aTimeline)
-  , mServer([this](HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) {
-    Handle(aRequest, aResponse);
-  })
+  , mServer(0,
+            [this](HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) {
+              Handle(aRequest, aResponse);
+            })
 {
 }
 
@@ -197,7 +198,7 @@
     case StoreAccess::Open:
       return false;
     case StoreAccess::Busy:
-      Reply(aResponse, 503, "{}");
+      standin::SendReply(aResponse, 503, "{}");
       return true;
     case StoreAccess::Silent:
       std::this_thread::sleep_for(kSilence);
@@ -205,7 +206,7 @@
     case StoreAccess::Reset:
       break;
   }
-  Cut(aRequest);
+  standin::CutConnection(aRequest);
   return true;
 }
 
@@ -223,7 +224,7 @@
                                          ParseCall(aRequest.getURI()),
                                          ParseText(aBody));
   if (fate != WriteFate::Answered) {
-    Cut(aRequest);
+    standin::CutConnection(aRequest);
     return;
   }
   ReplyInEra(aResponse,
@@ -235,7 +236,7 @@
 void
 StorePort::Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse)
 {
-  const std::string body = ReadBody(aRequest);
+  const std::string body = standin::ReadBody(aRequest);
   if (TurnsAway(aRequest, aResponse)) {
     return;
   }
--- a/emulator/storeport.h
+++ b/emulator/storeport.h
@@ -1,12 +1,15 @@
 #pragma once
 
-#include "emulator/httpserver.h"
 #include "emulator/store.h"
+#include "standin/server.h"
 
 #include <atomic>
 
 namespace hibiscushold::emulator {
 
+using standin::HTTPServerRequest;
+using standin::HTTPServerResponse;
+
 /// How the store answers one node.
 enum class StoreAccess
 {
@@ -31,7 +34,7 @@
 public:
   StorePort(Store& aStore, const Timeline& aTimeline);
 
-  std::string Address() const { return mServer.Address(); }
+  std::string Address() const { return ToString(mServer.Address()); }
   void SetAccess(StoreAccess aAccess) { mAccess = aAccess; }
   void SetWriteFate(WriteFate aFate) { mWriteFate = aFate; }
 
@@ -51,7 +54,7 @@
   std::atomic<StoreAccess> mAccess{ StoreAccess::Open };
   std::atomic<WriteFate> mWriteFate{ WriteFate::Answered };
   std::atomic<int64_t> mStaleLag{ 0 };
-  HttpServer mServer;
+  standin::Server mServer;
 };
 
 } // namespace hibiscushold::emulator
--- a/emulator/worker.cc
+++ b/emulator/worker.cc
@@ -3,6 +3,9 @@
 #include "emulator/configs.h"
 #include "platform/wirenames.h"
 
+#include <Poco/Net/HTTPServerRequestImpl.h>
+
+#include <sstream>
 #include <thread>
 
 namespace hibiscushold::emulator {
@@ -18,14 +21,30 @@
 /// Headers of answers that nodes need not know.
 constexpr const char* kAtServer = "At-Server";
 
+/// Sends the response once more on the same connection.
+/// @param aResponse the response that was sent
+void
+SendCopy(HTTPServerRequest& aRequest,
+         const HTTPServerResponse& aResponse,
+         const std::string& aBody)
+{
+  std::ostringstream out;
+  aResponse.write(out);
+  out << aBody;
+  const std::string bytes = out.str();
+  dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket().sendBytes(
+    bytes.data(), static_cast<int>(bytes.size()));
+}
+
 } // namespace
 
 WorkerAddress::WorkerAddress(const Timeline& aTimeline, Recorder& aRecorder)
   : mTimeline(aTimeline)
   , mRecorder(aRecorder)
-  , mServer([this](HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) {
-    Handle(aRequest, aResponse);
-  })
+  , mServer(0,
+            [this](HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) {
+              Handle(aRequest, aResponse);
+            })
 {
 }
 
@@ -65,7 +84,7 @@
 {
   Json::Value entry;
   entry["service"] = ServiceName(aWorker.mService);
-  entry["addr"] = mServer.Address();
+  entry["addr"] = ToString(mServer.Address());
   entry["zone"] = "zone-0";
   entry["version"] = 1;
   entry["slots"] = kSlots;
@@ -80,10 +99,10 @@
                       HTTPServerResponse& aResponse)
 {
   const std::string id = aRequest.get(wire::kRequestId, "0");
-  ReadBody(aRequest);
+  standin::ReadBody(aRequest);
   const std::optional<Worker> worker = Occupant();
   if (!worker) {
-    Cut(aRequest);
+    standin::CutConnection(aRequest);
     return;
   }
   aResponse.set(wire::kRequestId, id);
@@ -93,7 +112,7 @@
   if (aRequest.get(wire::kExpectVm, worker->mId) != worker->mId) {
     aResponse.set(wire::kNotRun, "1");
     aResponse.set(kAtServer, worker->mId);
-    Reply(aResponse, kMisdirected, "{}");
+    standin::SendReply(aResponse, kMisdirected, "{}");
     return;
   }
   mRecorder.Record(
@@ -110,10 +129,10 @@
 {
   switch (mAnswerFault) {
     case AnswerFault::None:
-      Reply(aResponse, 200, aBody);
+      standin::SendReply(aResponse, 200, aBody);
       return;
     case AnswerFault::SecondCopy:
-      Reply(aResponse, 200, aBody);
+      standin::SendReply(aResponse, 200, aBody);
       std::this_thread::sleep_for(kCopyDelay);
       SendCopy(aRequest, aResponse, aBody);
       return;
@@ -127,7 +146,7 @@
     case AnswerFault::Lost:
       break;
   }
-  Cut(aRequest);
+  standin::CutConnection(aRequest);
 }
 
 } // namespace hibiscushold::emulator
--- a/emulator/worker.h
+++ b/emulator/worker.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "emulator/httpserver.h"
 #include "emulator/lines.h"
 #include "emulator/store.h"
+#include "standin/server.h"
 
 #include <atomic>
 #include <memory>
@@ -10,6 +10,9 @@
 
 namespace hibiscushold::emulator {
 
+using standin::HTTPServerRequest;
+using standin::HTTPServerResponse;
+
 /// A program that serves requests of one service.
 struct Worker
 {
@@ -62,7 +65,7 @@
   mutable std::mutex mLock; ///< guards mOccupant
   std::optional<Worker> mOccupant;
   std::atomic<AnswerFault> mAnswerFault{ AnswerFault::None };
-  HttpServer mServer;
+  standin::Server mServer;
 };
 
 } // namespace hibiscushold::emulator
