List from the beginning again if the first reads of a node fail midway

Cause: the revision of the first list was recorded before its objects were applied, and the list that follows an ended history was not judged by its era.

Evidence, found by reading the fix again: RestoredWatcher, StartsAgainIfTheListAfterTheRecordFails and WaitsIfTheStoreReturnsWithinTheFirstList fail on the code before. Why it works: the revision is recorded only with the list that is applied, and every first list is judged by the record of its own era.

--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -50,20 +50,23 @@
 FleetWatcher::ReadFirst(WatchedPrefix& aWatched)
 {
   Result<Listing> read = mPlatform.List(aWatched.mPrefix, CallPriority::Config);
-  const uint64_t era = read ? EraOf(read.value().mRevision) : 0;
-  if (era == 0) {
+  if (!read || EraOf(read.value().mRevision) == 0) {
     return read;
   }
-  if (!IsEraComplete(mPlatform, era)) {
+  const uint64_t era = EraOf(read.value().mRevision);
+  bool isComplete = IsEraComplete(mPlatform, era);
+  if (isComplete) {
+    // The objects were listed before the record was read, so they may still
+    // lack what was written again just before the era was recorded.
+    read = mPlatform.List(aWatched.mPrefix, CallPriority::Config);
+    isComplete = !read || EraOf(read.value().mRevision) == era;
+  }
+  if (!isComplete) {
     LogEvent(EventId::StoreEraIncomplete,
              { { "objects", aWatched.mName }, { "era", std::to_string(era) } });
     aWatched.mRestoredUntil = mClock.Now() + kStoreRecoveryTime;
-    return read;
   }
-  // The objects were listed before the record was read, so they may still lack
-  // what was written again just before the era was recorded.
-  RecordRevision(aWatched, read.value().mRevision);
-  return mPlatform.List(aWatched.mPrefix, CallPriority::Config);
+  return read;
 }
 
 Result<Listing>
@@ -71,16 +74,18 @@
                    milliseconds aTimeout,
                    bool& aIsFull)
 {
-  aIsFull = aWatched.mRevision == 0;
+  const bool isFirst = aWatched.mRevision == 0;
+  aIsFull = isFirst;
   Result<Listing> read =
-    aIsFull ? ReadFirst(aWatched)
+    isFirst ? ReadFirst(aWatched)
             : mPlatform.Watch(aWatched.mPrefix, aWatched.mRevision, aTimeout);
   if (!read && read.error().mError == Error::StoreHistoryGone) {
     LogEvent(EventId::StoreHistoryGone,
              { { "objects", aWatched.mName },
                { "revision", std::to_string(aWatched.mRevision) } });
     aIsFull = true;
-    read = mPlatform.List(aWatched.mPrefix, CallPriority::Config);
+    read = isFirst ? ReadFirst(aWatched)
+                   : mPlatform.List(aWatched.mPrefix, CallPriority::Config);
   }
   if (read) {
     RecordRevision(aWatched, read.value().mRevision);
--- a/test/fakeplatform.h
+++ b/test/fakeplatform.h
@@ -3,6 +3,7 @@
 #include "store/platform.h"
 #include "store/revision.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 
@@ -14,6 +15,7 @@
   None,
   Unavailable,  ///< the call has no effect and no response arrives
   ResponseLost, ///< the call takes effect, but no response arrives
+  HistoryGone,  ///< a list ends as the store returns meanwhile
 };
 
 /// An in-memory object store that simulates faults of the platform's store.
@@ -22,20 +24,23 @@
 public:
   Result<Object> Get(std::string_view aKey, CallPriority) override
   {
-    if (TakeFault(mNextReadFault) != StoreFault::None ||
-        TakeFault(mNextGetFault) != StoreFault::None) {
-      return NoResponse();
+    if (mBeforeGet) {
+      mBeforeGet();
     }
-    const auto it = mObjects.find(std::string(aKey));
-    if (it == mObjects.end()) {
-      return Failure{ Error::StoreMissing, std::string(aKey), "" };
+    Result<Object> object = Find(aKey);
+    if (mAfterGet) {
+      mAfterGet();
     }
-    return it->second;
+    return object;
   }
 
   Result<Listing> List(std::string_view aPrefix, CallPriority) override
   {
-    if (TakeFault(mNextReadFault) != StoreFault::None) {
+    const StoreFault fault = TakeFault(mNextReadFault);
+    if (fault == StoreFault::HistoryGone) {
+      return Failure{ Error::StoreHistoryGone, std::string(aPrefix), "" };
+    }
+    if (fault != StoreFault::None) {
       return NoResponse();
     }
     return Changes(aPrefix, 0);
@@ -149,7 +154,8 @@
   void ForgetHistory() { mHistoryFrom = mRevision; }
 
   StoreFault mNextReadFault = StoreFault::None;
-  StoreFault mNextGetFault = StoreFault::None; ///< of a single object only
+  std::function<void()> mBeforeGet; ///< called before each read of an object
+  std::function<void()> mAfterGet;  ///< called after each read of an object
   StoreFault mNextWriteFault = StoreFault::None;
   std::map<std::string, Object> mObjects;
   std::vector<Vm> mVms;
@@ -185,6 +191,18 @@
     return mRevision;
   }
 
+  Result<Object> Find(std::string_view aKey)
+  {
+    if (TakeFault(mNextReadFault) != StoreFault::None) {
+      return NoResponse();
+    }
+    const auto it = mObjects.find(std::string(aKey));
+    if (it == mObjects.end()) {
+      return Failure{ Error::StoreMissing, std::string(aKey), "" };
+    }
+    return it->second;
+  }
+
   Listing Changes(std::string_view aPrefix, uint64_t aSince) const
   {
     Listing listing;
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -510,7 +510,48 @@
   Create("config/main", "7");
   mStore.Restore(mStore.Save());
   CHECK(RecordCompleteEra(mStore, 1).has_value());
-  mStore.mNextGetFault = StoreFault::Unavailable;
+  mStore.mBeforeGet = [&] { mStore.mNextReadFault = StoreFault::Unavailable; };
+  mWatcher.PollConfig(Duration::zero());
+  CHECK(mWatcher.Config() == nullptr);
+}
+
+// Guards against a node that never learns the configuration because its second
+// list failed.
+TEST(RestoredWatcher, StartsAgainIfTheListAfterTheRecordFails)
+{
+  Create("config/main", "7");
+  mStore.Restore(mStore.Save());
+  CHECK(RecordCompleteEra(mStore, 1).has_value());
+  mStore.mAfterGet = [&] { mStore.mNextReadFault = StoreFault::Unavailable; };
+  mWatcher.PollConfig(Duration::zero());
+  CHECK(mWatcher.Config() == nullptr);
+  mStore.mAfterGet = nullptr;
+  mWatcher.PollConfig(Duration::zero());
+  CHECK(mWatcher.Config() != nullptr);
+  CHECK_EQUAL(7U, mWatcher.Config()->mVersion);
+}
+
+// Guards against a store that returns within the first list, so that the next
+// one is trusted.
+TEST(RestoredWatcher, WaitsIfTheStoreReturnsWithinTheFirstList)
+{
+  Create("config/main", "7");
+  mStore.Restore(mStore.Save());
+  mStore.mNextReadFault = StoreFault::HistoryGone;
+  mWatcher.PollConfig(Duration::zero());
+  CHECK(mWatcher.Config() == nullptr);
+  CHECK(mWatcher.ConfigAsOf() == TimePoint{});
+}
+
+// Guards against a store that returns between the record and the list after it.
+TEST(RestoredWatcher, WaitsIfTheStoreReturnsAfterTheRecordWasRead)
+{
+  Create("config/main", "7");
+  mStore.Restore(mStore.Save());
+  CHECK(RecordCompleteEra(mStore, 1).has_value());
+  const FakePlatform::Copy copy = mStore.Save();
+  Update("8");
+  mStore.mAfterGet = [&] { mStore.Restore(copy); };
   mWatcher.PollConfig(Duration::zero());
   CHECK(mWatcher.Config() == nullptr);
 }
