--- a/emulator/caller.cc
+++ b/emulator/caller.cc
@@ -61,14 +61,14 @@
   aLine.mStatus = response.getStatus();
   aLine.mVerdict = VerdictOf(aLine.mStatus);
   if (aLine.mVerdict == Verdict::Accepted) {
-    aLine.mWorker = response.get(wire::kServerStamp, "");
+    aLine.mTarget = response.get(wire::kServerStamp, "");
     aLine.mService = std::strtoul(body.c_str(), nullptr, 10);
     aLine.mIsOwnAnswer =
       body == AnswerBody(aLine.mService, aLine.mId) &&
       response.get(wire::kRequestId, "") == std::to_string(aLine.mId);
   }
   if (response.has(wire::kServerLeaving)) {
-    aLine.mLeavingWorker = response.get(wire::kServerStamp, "");
+    aLine.mLeavingTarget = response.get(wire::kServerStamp, "");
   }
 }
 
--- a/emulator/judge.cc
+++ b/emulator/judge.cc
@@ -33,10 +33,7 @@
 VersionsOf(const RequestLine& aRequest)
 {
   const VersionRange any{ 0, aRequest.mNewestWritten };
-  if (aRequest.mVerdict == Verdict::Open) {
-    return any;
-  }
-  if (aRequest.mProbe == Probe::Once) {
+  if (aRequest.mVerdict == Verdict::Open || aRequest.mProbe == Probe::Once) {
     return any;
   }
   if (aRequest.mProbe == Probe::Moved) {
@@ -224,19 +221,19 @@
 JudgeDrain(const Lines& aLines, const JudgeBounds& aBounds)
 {
   std::unordered_map<uint64_t, const RequestLine*> requests;
-  /// By node and worker: when the node first passed on its announcement.
+  /// By node and target: when the node first passed on its announcement.
   std::map<std::pair<size_t, std::string>, int64_t> announced;
   for (const RequestLine& it : aLines.mRequests) {
     requests[it.mId] = &it;
-    if (!it.mLeavingWorker.empty()) {
+    if (!it.mLeavingTarget.empty()) {
       const auto [found, isNew] =
-        announced.try_emplace({ it.mNode, it.mLeavingWorker }, it.mEndedAt);
+        announced.try_emplace({ it.mNode, it.mLeavingTarget }, it.mEndedAt);
       found->second = std::min(found->second, it.mEndedAt);
     }
   }
   std::map<std::string, int64_t> acked;
   for (const LeavingLine& it : aLines.mLeavings) {
-    acked.try_emplace(it.mWorker, it.mAckedAt);
+    acked.try_emplace(it.mTarget, it.mAckedAt);
   }
   std::vector<Breach> breaches;
   for (const ArrivalLine& it : aLines.mArrivals) {
@@ -245,17 +242,17 @@
       continue;
     }
     const RequestLine& request = *found->second;
-    const auto ack = acked.find(it.mWorker);
+    const auto ack = acked.find(it.mTarget);
     if (ack != acked.end() &&
         request.mSentAt > ack->second + aBounds.mDrainMillis &&
         WasInTouch(aLines, aBounds, request)) {
       breaches.push_back({ "DRAIN",
                            request,
-                           it.mWorker + " left " +
+                           it.mTarget + " left " +
                              std::to_string(request.mSentAt - ack->second) +
                              " ms before" });
     }
-    const auto announcement = announced.find({ request.mNode, it.mWorker });
+    const auto announcement = announced.find({ request.mNode, it.mTarget });
     if (announcement != announced.end() &&
         request.mSentAt > announcement->second + aBounds.mDrainMillis &&
         std::none_of(aLines.mDisturbances.begin(),
@@ -269,7 +266,7 @@
       breaches.push_back(
         { "DRAIN",
           request,
-          it.mWorker + " announced that it leaves " +
+          it.mTarget + " announced that it leaves " +
             std::to_string(request.mSentAt - announcement->second) +
             " ms before" });
     }
@@ -280,16 +277,16 @@
 std::vector<Breach>
 JudgeAnswers(const Lines& aLines)
 {
-  std::unordered_map<uint64_t, std::vector<std::string>> workers;
+  std::unordered_map<uint64_t, std::vector<std::string>> targets;
   for (const ArrivalLine& it : aLines.mArrivals) {
-    workers[it.mId].push_back(it.mWorker);
+    targets[it.mId].push_back(it.mTarget);
   }
   std::vector<Breach> breaches;
   for (const RequestLine& it : aLines.mRequests) {
-    const std::vector<std::string>& ran = workers[it.mId];
+    const std::vector<std::string>& ran = targets[it.mId];
     if (it.mVerdict == Verdict::Accepted &&
         (!it.mIsOwnAnswer ||
-         std::find(ran.begin(), ran.end(), it.mWorker) == ran.end())) {
+         std::find(ran.begin(), ran.end(), it.mTarget) == ran.end())) {
       breaches.push_back({ "MIXED", it, "not its own whole answer" });
     }
     if (it.mProbe == Probe::Once && ran.size() > 1) {
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -35,13 +35,13 @@
 std::vector<Breach>
 JudgeConfig(const Lines& aLines, const JudgeBounds& aBounds);
 
-/// No request reaches a worker that leaves later than a bound after the store
+/// No request reaches a target that leaves later than a bound after the store
 /// has acknowledged it, from a node in touch; nor after a node has passed on an
 /// answer that announces it, from that node.
 std::vector<Breach>
 JudgeDrain(const Lines& aLines, const JudgeBounds& aBounds);
 
-/// A success is the whole answer of a worker to this request (MIXED); a request
+/// A success is the whole answer of a target to this request (MIXED); a request
 /// that may run once doesn't run twice (TWICE), nor at all if its answer says
 /// that it didn't run (REFUSED); and a node that runs on, or was asked to stop,
 /// answers each request that it has passed on (LOST).
--- a/emulator/lines.cc
+++ b/emulator/lines.cc
@@ -82,10 +82,10 @@
   json["ended_ms"] = Json::Int64(aLine.mEndedAt);
   json["verdict"] = NameOf(aLine.mVerdict);
   json["status"] = aLine.mStatus;
-  json["worker"] = aLine.mWorker;
+  json["target"] = aLine.mTarget;
   json["own"] = aLine.mIsOwnAnswer;
   json["service"] = Json::UInt64(aLine.mService);
-  json["leaving"] = aLine.mLeavingWorker;
+  json["leaving"] = aLine.mLeavingTarget;
   json["newest_written"] = Json::UInt64(aLine.mNewestWritten);
   const std::lock_guard guard(mLock);
   WriteLine(mFile, "request", std::move(json));
@@ -97,7 +97,7 @@
 {
   Json::Value json;
   json["id"] = Json::UInt64(aLine.mId);
-  json["worker"] = aLine.mWorker;
+  json["target"] = aLine.mTarget;
   json["at_ms"] = Json::Int64(aLine.mAt);
   const std::lock_guard guard(mLock);
   WriteLine(mFile, "arrival", std::move(json));
@@ -119,7 +119,7 @@
 Recorder::Record(const LeavingLine& aLine)
 {
   Json::Value json;
-  json["worker"] = aLine.mWorker;
+  json["target"] = aLine.mTarget;
   json["acked_ms"] = Json::Int64(aLine.mAckedAt);
   const std::lock_guard guard(mLock);
   WriteLine(mFile, "leaving", std::move(json));
--- a/emulator/lines.h
+++ b/emulator/lines.h
@@ -38,18 +38,18 @@
   Verdict mVerdict = Verdict::Open;
   int mStatus = 0;            ///< 0 if no answer came
   size_t mService = 0;        ///< that answered it
-  std::string mWorker;        ///< that answered it
+  std::string mTarget;        ///< that answered it
   bool mIsOwnAnswer = false;  ///< the whole answer to this request
-  std::string mLeavingWorker; ///< that announced in its answer that it leaves
+  std::string mLeavingTarget; ///< that announced in its answer that it leaves
   uint64_t mNewestWritten =
     0; ///< highest version sent to the store by mEndedAt
 };
 
-/// A request that a worker runs.
+/// A request that a target runs.
 struct ArrivalLine
 {
   uint64_t mId = 0;
-  std::string mWorker;
+  std::string mTarget;
   int64_t mAt = 0;
 };
 
@@ -60,10 +60,10 @@
   int64_t mAckedAt = 0;
 };
 
-/// A worker whose leaving the store has acknowledged.
+/// A target whose leaving the store has acknowledged.
 struct LeavingLine
 {
-  std::string mWorker;
+  std::string mTarget;
   int64_t mAckedAt = 0;
 };
 
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -4,7 +4,7 @@
 #include "emulator/nodeprocess.h"
 #include "emulator/operator.h"
 #include "emulator/storeport.h"
-#include "emulator/workers.h"
+#include "emulator/targets.h"
 
 #include <atomic>
 #include <fstream>
@@ -73,7 +73,7 @@
   Recorder mRecorder;
   Store mStore;
   Operator mOperator;
-  Workers mWorkers;
+  Targets mTargets;
   std::vector<Node> mNodes;
   std::mutex mStoreLock; ///< one return at a time
   std::atomic<bool> mIsStoreAway{ false };
@@ -87,7 +87,7 @@
   , mRecorder(aFolder + "/lines.jsonl")
   , mStore(mTimeline, kFirstEra, kFirstRevision)
   , mOperator(mStore, mTimeline, mRecorder)
-  , mWorkers(aScenario.mWorkersPerService,
+  , mTargets(aScenario.mTargetsPerService,
              aScenario.mSeed,
              mStore,
              mTimeline,
@@ -188,9 +188,9 @@
   } else if (aFault.mKind == FaultKind::BrokenOff) {
     fault = AnswerFault::BrokenOff;
   }
-  mWorkers.SpoilAnswers(fault);
+  mTargets.SpoilAnswers(fault);
   std::this_thread::sleep_for(milliseconds(aFault.mFor));
-  mWorkers.SpoilAnswers(AnswerFault::None);
+  mTargets.SpoilAnswers(AnswerFault::None);
 }
 
 void
@@ -216,8 +216,8 @@
     case FaultKind::HistoryGone:
       mStore.ForgetHistory();
       return;
-    case FaultKind::WorkerLeaves:
-      mWorkers.ReplaceOne();
+    case FaultKind::TargetLeaves:
+      mTargets.ReplaceOne();
       return;
     case FaultKind::AnswersLost:
     case FaultKind::WritesLate:
@@ -232,6 +232,7 @@
     default:
       break;
   }
+  // All others are faults of one node.
   Node& node = mNodes[aFault.mNode];
   const std::lock_guard guard(*node.mLock);
   switch (aFault.mKind) {
@@ -254,14 +255,14 @@
 World::Run()
 {
   mOperator.Change();
-  mWorkers.Sync(false);
+  mTargets.Sync(false);
   for (const Node& it : mNodes) {
     it.mProcess->Start(true);
   }
   std::vector<std::thread> threads;
   threads.emplace_back([this] {
     while (!mStopping) {
-      mWorkers.Sync(mIsStoreAway);
+      mTargets.Sync(mIsStoreAway);
       std::this_thread::sleep_for(kSyncInterval);
     }
   });
--- a/emulator/scenario.cc
+++ b/emulator/scenario.cc
@@ -25,7 +25,7 @@
   Changes,
   Returns,
   Nodes,
-  Workers,
+  Targets,
   Histories,
   Calls,
 };
@@ -47,7 +47,7 @@
     { "second-copies", FaultKind::SecondCopies },
     { "broken-off", FaultKind::BrokenOff },
     { "lost-answers", FaultKind::LostAnswers },
-    { "worker-leaves", FaultKind::WorkerLeaves },
+    { "target-leaves", FaultKind::TargetLeaves },
     { "node-kill", FaultKind::NodeKill },
     { "node-stop", FaultKind::NodeStop },
     { "node-freeze", FaultKind::NodeFreeze },
@@ -73,23 +73,23 @@
 
 /// Stores a value, which is text as in the file.
 /// @return whether the value is valid
-template<class Target>
-using Setter = std::function<bool(Target&, std::string_view)>;
+template<class Settable>
+using Setter = std::function<bool(Settable&, std::string_view)>;
 
-template<class Target, class Number>
-Setter<Target>
-ToNumber(Number Target::*aMember)
+template<class Settable, class Number>
+Setter<Settable>
+ToNumber(Number Settable::*aMember)
 {
-  return [aMember](Target& aInto, std::string_view aValue) {
+  return [aMember](Settable& aInto, std::string_view aValue) {
     return ParseNumber(aValue, aInto.*aMember);
   };
 }
 
-template<class Target, class Value>
-Setter<Target>
-ToName(Value Target::*aMember, const Names<Value>& aNames)
+template<class Settable, class Value>
+Setter<Settable>
+ToName(Value Settable::*aMember, const Names<Value>& aNames)
 {
-  return [aMember, &aNames](Target& aInto, std::string_view aValue) {
+  return [aMember, &aNames](Settable& aInto, std::string_view aValue) {
     const auto it = aNames.find(aValue);
     if (it == aNames.end()) {
       return false;
@@ -108,7 +108,7 @@
     { "run.draw_faults", ToName(&Scenario::mDrawsFaults, Flags()) },
     { "sizes.nodes", ToNumber(&Scenario::mNodes) },
     { "sizes.zones", ToNumber(&Scenario::mZones) },
-    { "sizes.workers_per_service", ToNumber(&Scenario::mWorkersPerService) },
+    { "sizes.targets_per_service", ToNumber(&Scenario::mTargetsPerService) },
   };
   return setters;
 }
@@ -129,10 +129,10 @@
 }
 
 /// Applies one setting of a line.
-template<class Target>
+template<class Settable>
 void
-Set(const Names<Setter<Target>>& aSetters,
-    Target& aInto,
+Set(const Names<Setter<Settable>>& aSetters,
+    Settable& aInto,
     const std::string& aName,
     std::string_view aValue,
     int aLine,
@@ -279,15 +279,15 @@
 std::vector<Fault>
 DrawLeavings(const Scenario& aScenario, const std::vector<Fault>& aReturns)
 {
-  Draw draw(aScenario.mSeed, Stream::Workers);
+  Draw draw(aScenario.mSeed, Stream::Targets);
   std::vector<Fault> leavings;
   for (int64_t at = kFirstFaultAt; at < aScenario.mRunTime - kQuietEnd;
        at += draw.Between(500, 3000)) {
-    leavings.push_back(FaultAt(FaultKind::WorkerLeaves, at));
+    leavings.push_back(FaultAt(FaultKind::TargetLeaves, at));
   }
   for (const Fault& it : aReturns) {
     leavings.push_back(
-      FaultAt(FaultKind::WorkerLeaves, it.mAt - draw.Between(0, 3000)));
+      FaultAt(FaultKind::TargetLeaves, it.mAt - draw.Between(0, 3000)));
   }
   return leavings;
 }
@@ -305,7 +305,7 @@
   return faults;
 }
 
-/// Draws disturbances of the store's calls and of the workers' answers.
+/// Draws disturbances of the store's calls and of the targets' answers.
 std::vector<Fault>
 DrawCallFaults(const Scenario& aScenario)
 {
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -18,10 +18,10 @@
   AnswersLost,  ///< writes are done, but not answered
   WritesLate,   ///< writes are not answered, and done seconds later
   ReadsStale,   ///< calls that allow stale answers get them
-  SecondCopies, ///< some workers send their answers twice
-  BrokenOff,    ///< some workers break off within their answers
-  LostAnswers,  ///< some workers run requests and don't answer
-  WorkerLeaves, ///< a worker leaves, and another starts at a free address
+  SecondCopies, ///< some targets send their answers twice
+  BrokenOff,    ///< some targets break off within their answers
+  LostAnswers,  ///< some targets run requests and don't answer
+  TargetLeaves, ///< a target leaves, and another starts at a free address
   NodeKill,     ///< a node is killed and starts again
   NodeStop,     ///< a node is asked to stop and starts again
   NodeFreeze,   ///< a node is suspended
@@ -54,7 +54,7 @@
   int64_t mRunTime = 26000; ///< ms
   size_t mNodes = 4;
   size_t mZones = 2;
-  size_t mWorkersPerService = 3;
+  size_t mTargetsPerService = 3;
   std::vector<Fault> mFaults; ///< besides those drawn from the seed
   bool mDrawsFaults = true;
 };
--- a/emulator/worker.cc
+++ b/emulator/target.cc
@@ -1,4 +1,4 @@
-#include "emulator/worker.h"
+#include "emulator/target.h"
 
 #include "emulator/configs.h"
 #include "platform/wirenames.h"
@@ -38,7 +38,7 @@
 
 } // namespace
 
-WorkerAddress::WorkerAddress(const Timeline& aTimeline, Recorder& aRecorder)
+TargetAddress::TargetAddress(const Timeline& aTimeline, Recorder& aRecorder)
   : mTimeline(aTimeline)
   , mRecorder(aRecorder)
   , mServer(0,
@@ -49,14 +49,14 @@
 }
 
 void
-WorkerAddress::Start(Worker aWorker)
+TargetAddress::Start(Target aTarget)
 {
   const std::lock_guard guard(mLock);
-  mOccupant = std::move(aWorker);
+  mOccupant = std::move(aTarget);
 }
 
 void
-WorkerAddress::Leave()
+TargetAddress::Leave()
 {
   const std::lock_guard guard(mLock);
   if (mOccupant) {
@@ -66,64 +66,64 @@
 }
 
 void
-WorkerAddress::End()
+TargetAddress::End()
 {
   const std::lock_guard guard(mLock);
   mOccupant.reset();
 }
 
-std::optional<Worker>
-WorkerAddress::Occupant() const
+std::optional<Target>
+TargetAddress::Occupant() const
 {
   const std::lock_guard guard(mLock);
   return mOccupant;
 }
 
 Json::Value
-WorkerAddress::EntryOf(const Worker& aWorker) const
+TargetAddress::EntryOf(const Target& aTarget) const
 {
   Json::Value entry;
-  entry["service"] = ServiceName(aWorker.mService);
+  entry["service"] = ServiceName(aTarget.mService);
   entry["addr"] = ToString(mServer.Address());
   entry["zone"] = "zone-0";
   entry["version"] = 1;
   entry["slots"] = kSlots;
-  entry["state"] = aWorker.mIsLeaving ? "draining" : "ready";
-  entry["seq"] = Json::UInt64(aWorker.mSequence);
-  entry["born"] = Json::UInt64(aWorker.mBorn);
+  entry["state"] = aTarget.mIsLeaving ? "draining" : "ready";
+  entry["seq"] = Json::UInt64(aTarget.mSequence);
+  entry["born"] = Json::UInt64(aTarget.mBorn);
   return entry;
 }
 
 void
-WorkerAddress::Handle(HTTPServerRequest& aRequest,
+TargetAddress::Handle(HTTPServerRequest& aRequest,
                       HTTPServerResponse& aResponse)
 {
   const std::string id = aRequest.get(wire::kRequestId, "0");
   standin::ReadBody(aRequest);
-  const std::optional<Worker> worker = Occupant();
-  if (!worker) {
+  const std::optional<Target> target = Occupant();
+  if (!target) {
     standin::CutConnection(aRequest);
     return;
   }
   aResponse.set(wire::kRequestId, id);
-  if (worker->mIsLeaving && worker->mAnnouncesLeaving) {
+  if (target->mIsLeaving && target->mAnnouncesLeaving) {
     aResponse.set(wire::kServerLeaving, "1");
   }
-  if (aRequest.get(wire::kExpectVm, worker->mId) != worker->mId) {
+  if (aRequest.get(wire::kExpectVm, target->mId) != target->mId) {
     aResponse.set(wire::kNotRun, "1");
-    aResponse.set(kAtServer, worker->mId);
+    aResponse.set(kAtServer, target->mId);
     standin::SendReply(aResponse, kMisdirected, "{}");
     return;
   }
   mRecorder.Record(
-    ArrivalLine{ std::stoull(id), worker->mId, mTimeline.Now() });
+    ArrivalLine{ std::stoull(id), target->mId, mTimeline.Now() });
   std::this_thread::sleep_for(kServiceTime);
-  aResponse.set(wire::kServerStamp, worker->mId);
-  Answer(aRequest, aResponse, AnswerBody(worker->mService, std::stoull(id)));
+  aResponse.set(wire::kServerStamp, target->mId);
+  Answer(aRequest, aResponse, AnswerBody(target->mService, std::stoull(id)));
 }
 
 void
-WorkerAddress::Answer(HTTPServerRequest& aRequest,
+TargetAddress::Answer(HTTPServerRequest& aRequest,
                       HTTPServerResponse& aResponse,
                       const std::string& aBody) const
 {
--- a/emulator/worker.h
+++ b/emulator/target.h
@@ -14,7 +14,7 @@
 using standin::HTTPServerResponse;
 
 /// A program that serves requests of one service.
-struct Worker
+struct Target
 {
   std::string mId;
   size_t mService = 0;
@@ -24,7 +24,7 @@
   bool mAnnouncesLeaving = false; ///< in its answers, while it leaves
 };
 
-/// How a worker spoils its answers.
+/// How a target spoils its answers.
 enum class AnswerFault
 {
   None,
@@ -33,26 +33,26 @@
   Lost,       ///< the connection ends before the answer
 };
 
-/// An address at which one worker after another runs. Thread-safe.
-class WorkerAddress
+/// An address at which one target after another runs. Thread-safe.
+class TargetAddress
 {
 public:
-  WorkerAddress(const Timeline& aTimeline, Recorder& aRecorder);
+  TargetAddress(const Timeline& aTimeline, Recorder& aRecorder);
 
-  /// Starts a worker here, in place of the one that is here.
-  void Start(Worker aWorker);
-  /// The worker says from now on that it leaves.
+  /// Starts a target here, in place of the one that is here.
+  void Start(Target aTarget);
+  /// The target says from now on that it leaves.
   void Leave();
-  /// Ends the worker; connections to the address are closed from then on.
+  /// Ends the target; connections to the address are closed from then on.
   void End();
 
   /// Spoils the answers from now on.
   void SetAnswerFault(AnswerFault aFault) { mAnswerFault = aFault; }
 
-  std::optional<Worker> Occupant() const;
+  std::optional<Target> Occupant() const;
 
-  /// @return the specification of the worker's entry in the store
-  Json::Value EntryOf(const Worker& aWorker) const;
+  /// @return the specification of the target's entry in the store
+  Json::Value EntryOf(const Target& aTarget) const;
 
 private:
   void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse);
@@ -63,7 +63,7 @@
   const Timeline& mTimeline;
   Recorder& mRecorder;
   mutable std::mutex mLock; ///< guards mOccupant
-  std::optional<Worker> mOccupant;
+  std::optional<Target> mOccupant;
   std::atomic<AnswerFault> mAnswerFault{ AnswerFault::None };
   standin::Server mServer;
 };
--- a/emulator/workers.cc
+++ b/emulator/targets.cc
@@ -1,4 +1,4 @@
-#include "emulator/workers.h"
+#include "emulator/targets.h"
 
 #include "emulator/configs.h"
 #include "platform/wirenames.h"
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int64_t kBeatMillis = 1200;
-/// An entry whose worker is silent goes after this time.
+/// An entry whose target is silent goes after this time.
 constexpr int64_t kExpiryMillis = 3 * kBeatMillis;
 constexpr int64_t kDrainMillis = 2000;
 constexpr int64_t kMaxExtraDrainMillis = 3000;
@@ -37,7 +37,7 @@
 
 } // namespace
 
-Workers::Workers(size_t aPerService,
+Targets::Targets(size_t aPerService,
                  uint64_t aSeed,
                  Store& aStore,
                  const Timeline& aTimeline,
@@ -49,7 +49,7 @@
 {
   for (size_t i = 0; i < aPerService * kServices + kSparePlaces; ++i) {
     mPlaces.push_back(
-      { std::make_unique<WorkerAddress>(aTimeline, aRecorder) });
+      { std::make_unique<TargetAddress>(aTimeline, aRecorder) });
   }
   for (size_t i = 0; i < aPerService * kServices; ++i) {
     StartAt(mPlaces[i], i % kServices);
@@ -57,21 +57,21 @@
 }
 
 void
-Workers::StartAt(Place& aPlace, size_t aService)
+Targets::StartAt(Place& aPlace, size_t aService)
 {
-  Worker worker;
-  worker.mId = "worker-" + std::to_string(mNextId++);
-  worker.mService = aService;
-  worker.mBorn = UnixMillis();
-  worker.mAnnouncesLeaving = std::bernoulli_distribution(0.5)(mRandom);
+  Target target;
+  target.mId = "target-" + std::to_string(mNextId++);
+  target.mService = aService;
+  target.mBorn = UnixMillis();
+  target.mAnnouncesLeaving = std::bernoulli_distribution(0.5)(mRandom);
   aPlace.mIsLeavingAcked = false;
   aPlace.mEndsAt = 0;
   aPlace.mNextBeatAt = mTimeline.Now();
-  aPlace.mAddress->Start(std::move(worker));
+  aPlace.mAddress->Start(std::move(target));
 }
 
-Workers::Place*
-Workers::FindFree()
+Targets::Place*
+Targets::FindFree()
 {
   std::vector<Place*> free;
   for (Place& it : mPlaces) {
@@ -84,14 +84,14 @@
 }
 
 void
-Workers::ReplaceOne()
+Targets::ReplaceOne()
 {
   const std::lock_guard guard(mLock);
   Place* free = FindFree();
   std::vector<Place*> staying;
   for (Place& it : mPlaces) {
-    const std::optional<Worker> worker = it.mAddress->Occupant();
-    if (worker && !worker->mIsLeaving) {
+    const std::optional<Target> target = it.mAddress->Occupant();
+    if (target && !target->mIsLeaving) {
       staying.push_back(&it);
     }
   }
@@ -109,7 +109,7 @@
 }
 
 void
-Workers::SpoilAnswers(AnswerFault aFault)
+Targets::SpoilAnswers(AnswerFault aFault)
 {
   const std::lock_guard guard(mLock);
   for (const Place& it : mPlaces) {
@@ -119,18 +119,18 @@
 }
 
 void
-Workers::SyncPlace(Place& aPlace, bool aIsStoreAway)
+Targets::SyncPlace(Place& aPlace, bool aIsStoreAway)
 {
   const int64_t now = mTimeline.Now();
-  const std::optional<Worker> worker = aPlace.mAddress->Occupant();
-  if (!worker) {
+  const std::optional<Target> target = aPlace.mAddress->Occupant();
+  if (!target) {
     return;
   }
-  if (worker->mIsLeaving && aPlace.mIsLeavingAcked && now >= aPlace.mEndsAt &&
+  if (target->mIsLeaving && aPlace.mIsLeavingAcked && now >= aPlace.mEndsAt &&
       !aIsStoreAway) {
     aPlace.mAddress->End();
     aPlace.mFreeFrom = now + kReuseMillis;
-    mStore.Delete(VmKind(), worker->mId, std::nullopt);
+    mStore.Delete(VmKind(), target->mId, std::nullopt);
     return;
   }
   if (now < aPlace.mNextBeatAt || aIsStoreAway) {
@@ -138,22 +138,22 @@
   }
   aPlace.mNextBeatAt = now + kBeatMillis;
   mStore.Put(
-    VmKind(), worker->mId, aPlace.mAddress->EntryOf(*worker), std::nullopt);
-  if (worker->mIsLeaving && !aPlace.mIsLeavingAcked) {
+    VmKind(), target->mId, aPlace.mAddress->EntryOf(*target), std::nullopt);
+  if (target->mIsLeaving && !aPlace.mIsLeavingAcked) {
     aPlace.mIsLeavingAcked = true;
-    mRecorder.Record(LeavingLine{ worker->mId, mTimeline.Now() });
+    mRecorder.Record(LeavingLine{ target->mId, mTimeline.Now() });
   }
 }
 
 void
-Workers::RemoveOrphans()
+Targets::RemoveOrphans()
 {
-  std::map<std::string, int64_t> orphans;
+  Orphans orphans;
   for (const StoredObject& it : mStore.Read(VmKind(), "").mObjects) {
     const bool isAlive =
       std::any_of(mPlaces.begin(), mPlaces.end(), [&](const Place& aPlace) {
-        const std::optional<Worker> worker = aPlace.mAddress->Occupant();
-        return worker && worker->mId == it.mName;
+        const std::optional<Target> target = aPlace.mAddress->Occupant();
+        return target && target->mId == it.mName;
       });
     if (isAlive) {
       continue;
@@ -171,7 +171,7 @@
 }
 
 void
-Workers::Sync(bool aIsStoreAway)
+Targets::Sync(bool aIsStoreAway)
 {
   const std::lock_guard guard(mLock);
   for (Place& it : mPlaces) {
--- a/emulator/workers.h
+++ b/emulator/targets.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "emulator/worker.h"
+#include "emulator/target.h"
 
 #include <memory>
 #include <random>
@@ -8,19 +8,19 @@
 
 namespace hibiscushold::emulator {
 
-/// The workers of all services. They write their entries in the store at
+/// The targets of all services. They write their entries in the store at
 /// intervals, and again if the store has lost them. Thread-safe.
-class Workers
+class Targets
 {
 public:
-  Workers(size_t aPerService,
+  Targets(size_t aPerService,
           uint64_t aSeed,
           Store& aStore,
           const Timeline& aTimeline,
           Recorder& aRecorder);
 
-  /// A worker leaves, and another of its service starts at a free address,
-  /// which a worker of another service may have had.
+  /// A target leaves, and another of its service starts at a free address,
+  /// which a target of another service may have had.
   void ReplaceOne();
 
   /// Some addresses spoil their answers from now on.
@@ -32,17 +32,17 @@
   void Sync(bool aIsStoreAway);
 
 private:
-  /// A place for a worker, and what is due there.
+  /// A place for a target, and what is due there.
   struct Place
   {
-    std::unique_ptr<WorkerAddress> mAddress;
+    std::unique_ptr<TargetAddress> mAddress;
     int64_t mNextBeatAt = 0;
-    int64_t mEndsAt = 0;   ///< of a worker that leaves
-    int64_t mFreeFrom = 0; ///< another worker may start here from this time
+    int64_t mEndsAt = 0;   ///< of a target that leaves
+    int64_t mFreeFrom = 0; ///< another target may start here from this time
     bool mIsLeavingAcked = false;
   };
 
-  /// When an entry without a living worker was first seen.
+  /// When an entry without a living target was first seen.
   using Orphans = std::map<std::string, int64_t>;
 
   void StartAt(Place& aPlace, size_t aService);
--- a/test/emulator-test.cc
+++ b/test/emulator-test.cc
@@ -135,22 +135,22 @@
   CheckConfig(0, MakeRequest(Probe::Key, 4, Verdict::Denied, kAck + 600));
 }
 
-// Guards against a judge that misses requests to a worker that has left.
-TEST(EmulatorJudge, NamesAnArrivalAtAWorkerThatLeaves)
+// Guards against a judge that misses requests to a target that has left.
+TEST(EmulatorJudge, NamesAnArrivalAtATargetThatLeaves)
 {
   mLines.mLeavings.push_back({ "w", kAck });
   CheckDrain(0, kAck + 2000);
   CheckDrain(1, kAck + 2001);
 }
 
-// Guards against a judge that excuses a node to which a worker has said itself
+// Guards against a judge that excuses a node to which a target has said itself
 // that it leaves.
 TEST(EmulatorJudge, NamesAnArrivalAfterAnAnnouncementAlsoAtACutNode)
 {
   RequestLine announced =
     MakeRequest(Probe::Moved, 4, Verdict::Accepted, kAck - 5);
   announced.mId = 6;
-  announced.mLeavingWorker = "w";
+  announced.mLeavingTarget = "w";
   mLines.mRequests.push_back(announced);
   mLines.mDisturbances.push_back(
     { DisturbanceLine::Kind::Cut, 0, kAck, kAck + 9000 });
@@ -163,13 +163,13 @@
 {
   RequestLine request = MakeRequest(Probe::Once, 4, Verdict::Accepted, kAck);
   request.mStatus = 200;
-  request.mWorker = "w";
+  request.mTarget = "w";
   request.mIsOwnAnswer = true;
   mLines.mArrivals.push_back({ request.mId, "w", kAck + 1 });
   CheckAnswers(nullptr, request);
-  request.mWorker = "v";
+  request.mTarget = "v";
   CheckAnswers("MIXED", request);
-  request.mWorker = "w";
+  request.mTarget = "w";
   request.mIsOwnAnswer = false;
   CheckAnswers("MIXED", request);
 }
