--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -18,6 +18,14 @@
          "\r\nContent-Length: 0\r\n\r\n";
 }
 
+/// @return a plain request for this path below that of its route
+std::string
+LookupRequest(const std::string& aPath, const std::string& aMethod = "GET")
+{
+  return aMethod + " /lookup/" + aPath +
+         " HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n";
+}
+
 } // namespace
 
 TEST_GROUP(Quarantine)
@@ -46,11 +54,18 @@
     return n;
   }
 
-  /// Sends a request with these parts, then removes the targets that ended.
+  /// Sends a stream request with these parts, then removes the targets that
+  /// ended.
   std::string Ask(const std::string& aParts)
+  {
+    return AskAndRemove(StreamRequest(aParts));
+  }
+
+  /// Sends a request, then removes the targets that ended.
+  std::string AskAndRemove(const std::string& aRequest)
   {
     std::this_thread::sleep_for(kBetweenEnds);
-    const ReceivedResponse got = mGateway.Ask(StreamRequest(aParts), "}");
+    const ReceivedResponse got = mGateway.Ask(aRequest, "}");
     const std::lock_guard guard(mGateway.mTargetsLock);
     std::erase_if(mGateway.mTargets.mByService["engines"], [&](const auto& it) {
       const size_t index = std::stoul(it.mVmId.substr(3)) - 1;
@@ -93,6 +108,27 @@
   CHECK_EQUAL(4U, RequestsAtTargets());
 }
 
+// Guards against one request that ends target after target because each repeat
+// has another query or method, and so counts as a new request.
+TEST(Quarantine, RepeatsThatDifferInTheirQueryReachNoFurtherTarget)
+{
+  AddEndingTargets(10);
+  mGateway.mConfig.mRoutes[1].mAttempts = 1;
+  mGateway.Start();
+  for (const char* it : { "bad?page=1", "bad?page=2&sort=new", "bad" }) {
+    STRCMP_CONTAINS("HTTP/1.1 502", AskAndRemove(LookupRequest(it)).c_str());
+  }
+  for (const char* it : { "bad?page=3", "bad?page=2&sort=new", "bad?" }) {
+    STRCMP_CONTAINS("HTTP/1.1 503", AskAndRemove(LookupRequest(it)).c_str());
+  }
+  STRCMP_CONTAINS("HTTP/1.1 503",
+                  AskAndRemove(LookupRequest("bad", "OPTIONS")).c_str());
+  CHECK_EQUAL(3U, RequestsAtTargets());
+  // Other requests of the same account still reach targets.
+  STRCMP_CONTAINS("HTTP/1.1 502",
+                  AskAndRemove(LookupRequest("good?page=1")).c_str());
+}
+
 // Guards against a request that is tried again after its part has been found to
 // end targets.
 TEST(Quarantine, RequestIsNotRepeatedOnceItsPartIsKnown)
