--- a/src/fleet/crashevidence.cc
+++ b/src/fleet/crashevidence.cc
@@ -46,7 +46,7 @@
 {
   bool mOnlyAtBeginning;  ///< others don't count
   size_t mCrashes;        ///< apart from each other
-  size_t mContents;       ///< different requests
+  size_t mContents;       ///< different requests with the part of a prompt
   milliseconds mStanding; ///< how long they must have stood
 };
 
@@ -61,6 +61,24 @@
     { true, kMinCrashes, 2, kTimeToRefute / 4 } }
 };
 
+/// Different requests that the crashes of a resource need: with a single one,
+/// its whole content is the cause, and other queries remain sound.
+constexpr size_t kMinContentsOfResource = 2;
+
+/// @return the number of different requests that the proof needs
+size_t
+MinContents(const Proof& aProof, uint8_t aRank)
+{
+  switch (aRank) {
+    case kContentRank:
+      return 1;
+    case kResourceRank:
+      return kMinContentsOfResource;
+    default:
+      return aProof.mContents;
+  }
+}
+
 bool
 IsMet(const Proof& aProof,
       uint8_t aRank,
@@ -77,7 +95,7 @@
     }
   }
   return CountApart(counted) >= aProof.mCrashes &&
-         (aRank == kContentRank || contents.size() >= aProof.mContents);
+         contents.size() >= MinContents(aProof, aRank);
 }
 
 /// How well a trait explains crashes; the larger, the better.
--- a/src/fleet/crashevidence.h
+++ b/src/fleet/crashevidence.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <vector>
@@ -11,20 +12,26 @@
 namespace hibiscushold {
 
 /// What requests can have in common that crashes targets: a shared part of
-/// their prompts, or their whole content.
+/// their prompts, what repeats of a request share, or their whole content.
 using TraitId = uint64_t;
 
 /// The traits of one request.
 struct RequestTraits
 {
-  TraitId mContent = 0; ///< hash of the whole request; repeats have the same
+  TraitId mContent = 0;        ///< hash of the whole request
   std::vector<TraitId> mParts; ///< shared parts of its prompt, in order
+  /// Hash of account, path and body, which repeats of a request share although
+  /// their queries may differ.
+  std::optional<TraitId> mResource{};
 };
 
-/// The rank of a request's whole content; parts of a prompt rank by their
-/// position, so that later ones, which fewer requests share, rank higher.
-inline constexpr uint8_t kContentRank = 255;
+/// The ranks of a request's resource and of its whole content. Parts of a
+/// prompt rank between them by their position, so that later ones, which fewer
+/// requests share, rank higher.
+inline constexpr uint8_t kResourceRank = 0;
+inline constexpr uint8_t kMinPartRank = 1;
 inline constexpr uint8_t kMaxPartRank = 254;
+inline constexpr uint8_t kContentRank = 255;
 
 /// The end of a target while a request with a trait was at it.
 struct Crash
--- a/src/fleet/quarantine.cc
+++ b/src/fleet/quarantine.cc
@@ -19,7 +19,8 @@
 /// A target that crashes under an answer does so this soon after it has begun.
 constexpr auto kBeginningTime = milliseconds(250);
 constexpr size_t kMaxCrashesPerSuspect = 16;
-constexpr size_t kMaxPartsPerCrash = 64;
+/// Further parts of a prompt count for nothing.
+constexpr size_t kMaxRankedParts = 64;
 constexpr size_t kMaxStrongNotices = 96;
 
 /// @return when too few crashes will be left to keep the trait quarantined
@@ -33,6 +34,28 @@
   return crashes[kMinCrashes - 1].mAt + kQuarantineTime;
 }
 
+/// @return the rank of the n-th shared part of a prompt
+uint8_t
+RankOfPart(size_t aIndex)
+{
+  return static_cast<uint8_t>(
+    std::min<size_t>(kMinPartRank + aIndex, kMaxPartRank));
+}
+
+/// @return the name of a trait's kind, for the log
+std::string
+KindOf(uint8_t aRank)
+{
+  switch (aRank) {
+    case kContentRank:
+      return "request";
+    case kResourceRank:
+      return "resource";
+    default:
+      return "part";
+  }
+}
+
 void
 AppendNotices(TraitId aTrait,
               const Suspect& aSuspect,
@@ -60,11 +83,8 @@
   const bool atBeginning = aBeganAt && aNow - *aBeganAt < kBeginningTime;
   const Crash crash{ aTarget, aTraits.mContent, aNow, false, atBeginning };
   const std::lock_guard guard(mLock);
-  Add({ aTraits.mContent, kContentRank, false, crash }, aNow);
-  for (size_t n = 0; n < std::min(aTraits.mParts.size(), kMaxPartsPerCrash);
-       ++n) {
-    const size_t rank = std::min<size_t>(n, kMaxPartRank);
-    Add({ aTraits.mParts[n], static_cast<uint8_t>(rank), false, crash }, aNow);
+  for (const RankedTrait& it : RankedTraitsOf(aTraits)) {
+    Add({ it.mTrait, it.mRank, false, crash }, aNow);
   }
   UpdateCulprits(aNow);
 }
@@ -74,18 +94,18 @@
                          TimePoint aBeganAt,
                          TimePoint aNow)
 {
-  mSoundContents.RecordAnswer(aTraits.mContent, aNow);
-  for (const TraitId it : aTraits.mParts) {
-    mSoundParts.RecordAnswer(it, aNow);
+  const std::vector<RankedTrait> traits = RankedTraitsOf(aTraits);
+  for (const RankedTrait& it : traits) {
+    SoundTraitsOf(it.mRank).RecordAnswer(it.mTrait, aNow);
   }
   if (mSuspectCount == 0) {
     return;
   }
   const std::lock_guard guard(mLock);
   const auto precedes = [&](const Crash& it) { return it.mAt < aBeganAt; };
-  bool refuted = Refute(aTraits.mContent, precedes, aNow);
-  for (const TraitId it : aTraits.mParts) {
-    refuted = Refute(it, precedes, aNow) || refuted;
+  bool refuted = false;
+  for (const RankedTrait& it : traits) {
+    refuted = Refute(it.mTrait, precedes, aNow) || refuted;
   }
   if (refuted) {
     UpdateCulprits(aNow);
@@ -188,20 +208,29 @@
   return due;
 }
 
+std::vector<Quarantine::RankedTrait>
+Quarantine::RankedTraitsOf(const RequestTraits& aTraits)
+{
+  std::vector<RankedTrait> traits{ { aTraits.mContent, kContentRank } };
+  if (aTraits.mResource) {
+    traits.push_back({ *aTraits.mResource, kResourceRank });
+  }
+  const size_t parts = std::min(aTraits.mParts.size(), kMaxRankedParts);
+  for (size_t i = 0; i < parts; ++i) {
+    traits.push_back({ aTraits.mParts[i], RankOfPart(i) });
+  }
+  return traits;
+}
+
 std::vector<TraitId>
 Quarantine::QuarantinedOf(const RequestTraits& aTraits) const
 {
   std::vector<TraitId> found;
-  const auto isCulprit = [this](TraitId aIt) {
-    return mCulprits.contains(aIt);
-  };
-  if (isCulprit(aTraits.mContent)) {
-    found.push_back(aTraits.mContent);
+  for (const RankedTrait& it : RankedTraitsOf(aTraits)) {
+    if (mCulprits.contains(it.mTrait)) {
+      found.push_back(it.mTrait);
+    }
   }
-  std::copy_if(aTraits.mParts.begin(),
-               aTraits.mParts.end(),
-               std::back_inserter(found),
-               isCulprit);
   return found;
 }
 
@@ -250,10 +279,9 @@
   }
   Suspect& suspect = mSuspects[aNotice.mTrait];
   suspect.mRank = std::max(suspect.mRank, aNotice.mRank);
-  const SoundTraits& sound =
-    aNotice.mRank == kContentRank ? mSoundContents : mSoundParts;
-  const bool wasAnswered = suspect.mWasAnswered || aNotice.mWasAnswered ||
-                           sound.WasAnswered(aNotice.mTrait, aNow);
+  const bool wasAnswered =
+    suspect.mWasAnswered || aNotice.mWasAnswered ||
+    SoundTraitsOf(aNotice.mRank).WasAnswered(aNotice.mTrait, aNow);
   if (wasAnswered != suspect.mWasAnswered) {
     suspect.mWasAnswered = wasAnswered;
     mChangedAt[aNotice.mTrait] = aNow;
@@ -296,6 +324,19 @@
   mChangedAt[aNotice.mTrait] = aNow;
 }
 
+SoundTraits&
+Quarantine::SoundTraitsOf(uint8_t aRank)
+{
+  switch (aRank) {
+    case kContentRank:
+      return mSoundContents;
+    case kResourceRank:
+      return mSoundResources;
+    default:
+      return mSoundParts;
+  }
+}
+
 void
 Quarantine::MakeRoom()
 {
@@ -353,7 +394,7 @@
     if (isNew) {
       LogEvent(EventId::QuarantineStarted,
                { { "trait", ToHex(it) },
-                 { "kind", suspect.mRank == kContentRank ? "request" : "part" },
+                 { "kind", KindOf(suspect.mRank) },
                  { "answered", suspect.mWasAnswered ? "yes" : "no" },
                  { "crashes", std::to_string(NotRefuted(suspect).size()) } });
     }
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -79,9 +79,19 @@
   size_t CountQuarantined() const { return mCulpritCount; }
 
   /// Suspects that are remembered at the same time.
-  static constexpr size_t kMaxSuspects = 1024;
+  static constexpr size_t kMaxSuspects = 1536;
 
 private:
+  /// A trait with its rank, see kContentRank.
+  struct RankedTrait
+  {
+    TraitId mTrait = 0;
+    uint8_t mRank = 0;
+  };
+
+  /// @return the traits that count, from the request's whole content on
+  static std::vector<RankedTrait> RankedTraitsOf(const RequestTraits& aTraits);
+
   /// The quarantine of one trait.
   struct Confinement
   {
@@ -103,6 +113,9 @@
   /// Finds the culprits anew, and logs which are new or no longer quarantined.
   void UpdateCulprits(TimePoint aNow);
 
+  /// @return where answers to requests with a trait of the rank are remembered
+  SoundTraits& SoundTraitsOf(uint8_t aRank);
+
   mutable std::mutex mLock; ///< guards the members below, but not the counts
   Suspects mSuspects;
   std::map<TraitId, TimePoint> mChangedAt; ///< latest change of each suspect
@@ -112,6 +125,7 @@
   std::atomic<size_t> mSuspectCount{ 0 }; ///< spares most requests the lock
   std::atomic<size_t> mCulpritCount{ 0 };
   SoundTraits mSoundParts;
+  SoundTraits mSoundResources;
   SoundTraits mSoundContents;
 };
 
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -40,7 +40,9 @@
              { "vm", aTarget.mVmId },
              { "start", std::to_string(aTarget.mStartedMillis) },
              { "expected", aExpected ? "yes" : "no" },
-             { "parts", PartsText(aRequest.mTraits.mParts) } });
+             { "parts", PartsText(aRequest.mTraits.mParts) },
+             { "content", ToHex(aRequest.mTraits.mContent) },
+             { "resource", ToHex(aRequest.mTraits.mResource.value_or(0)) } });
 }
 
 } // namespace
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <initializer_list>
 #include <set>
 
 namespace hibiscushold {
@@ -154,6 +155,23 @@
   return aParsed.mArrivedAt + timeout;
 }
 
+uint64_t
+HashOf(std::initializer_list<std::string_view> aTexts)
+{
+  uint64_t hash = kHashStart;
+  for (const std::string_view it : aTexts) {
+    hash = Hash64(it, hash);
+  }
+  return hash;
+}
+
+void
+AddBodyTo(RequestTraits& aTraits, std::string_view aBody)
+{
+  aTraits.mContent = Hash64(aBody, aTraits.mContent);
+  aTraits.mResource = Hash64(aBody, aTraits.mResource.value_or(kHashStart));
+}
+
 /// Limits the next read to aLeft.
 /// @throw Poco::TimeoutException if no time is left
 void
@@ -181,9 +199,8 @@
   request.mId = aRequest.get(aProtocol.mRequestId, "");
   request.mMethod = aRequest.getMethod();
   request.mUri = aRequest.getURI();
-  const std::string_view uri = request.mUri;
-  request.mRoute =
-    FindRoute(*aConfig, aRequest.get("Host", ""), uri.substr(0, uri.find('?')));
+  const std::string path = request.mUri.substr(0, request.mUri.find('?'));
+  request.mRoute = FindRoute(*aConfig, aRequest.get("Host", ""), path);
   if (request.mRoute == nullptr) {
     return Refusal{ RefusalKind::NoRoute, "no route takes this host and path" };
   }
@@ -196,14 +213,9 @@
     ParseNumber(aRequest.get(aProtocol.mTokenCounts, "0")));
   const std::string parts = aRequest.get(aProtocol.mPromptParts, "");
   request.mTraits.mParts = ParseSharedParts(parts);
-  request.mTraits.mContent = kHashStart;
-  for (const std::string& it : { request.mAccount,
-                                 request.mMethod,
-                                 request.mUri,
-                                 request.mModel,
-                                 parts }) {
-    request.mTraits.mContent = Hash64(it, request.mTraits.mContent);
-  }
+  request.mTraits.mContent = HashOf(
+    { request.mAccount, request.mMethod, request.mUri, request.mModel, parts });
+  request.mTraits.mResource = HashOf({ request.mAccount, path });
   CopyFields(aRequest, aProtocol, request);
   if (!request.mAccount.empty()) {
     request.mFields.push_back({ aProtocol.mAccount, request.mAccount });
@@ -218,6 +230,7 @@
 {
   const bool chunked = aRequest.getChunkedTransferEncoding();
   if (!chunked && !aRequest.hasContentLength()) {
+    AddBodyTo(aInto.mTraits, {});
     return boost::outcome_v2::success();
   }
   auto& request = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest);
@@ -248,7 +261,7 @@
   } catch (const Poco::Exception& e) {
     return Invalid("body: " + e.displayText());
   }
-  aInto.mTraits.mContent = Hash64(aInto.mBody, aInto.mTraits.mContent);
+  AddBodyTo(aInto.mTraits, aInto.mBody);
   return boost::outcome_v2::success();
 }
 
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -51,8 +51,8 @@
          TimePoint aNow,
          double aFraction);
 
-/// Reads the whole body into aInto.mBody and adds it to the hash of the
-/// content.
+/// Reads the whole body into aInto.mBody and adds it to the hashes of content
+/// and resource.
 /// @param aRequest must belong to a CallerSession
 /// @return InvalidRequest if the body is cut off or its chunks are malformed,
 ///         BodyTooLarge if it exceeds the configured limit, DeadlinePassed if
--- a/test/crashevidence-test.cc
+++ b/test/crashevidence-test.cc
@@ -141,6 +141,45 @@
   CHECK(!IsQuarantined({ kFirst, kBad }));
 }
 
+// Guards against other queries of a resource that are refused because of one
+// request that is sent again and again.
+TEST(CrashEvidence, OneRequestIsQuarantinedWithoutItsResource)
+{
+  for (int n = 0; n < 3; ++n) {
+    mNow += kApart;
+    mNode.RecordCrash({ 55, {}, kBad }, ++mTarget, {}, mNow);
+  }
+  CHECK(mNode.EndOfQuarantine({ 55, {}, kBad }).has_value());
+  CHECK(!mNode.EndOfQuarantine({ 56, {}, kBad }).has_value());
+}
+
+// Guards against a resource that is refused although other requests for it are
+// answered, as targets end for another reason.
+TEST(CrashEvidence, AnswersForAResourceClearIt)
+{
+  for (int n = 0; n < 6; ++n) {
+    mNow += kApart;
+    mNode.RecordCrash({ ++mContent, {}, kBad }, ++mTarget, {}, mNow);
+    if (n % 2 == 1) {
+      mNow += kApart;
+      mNode.RecordAnswer({ ++mContent, {}, kBad }, mNow, mNow);
+    }
+  }
+  CHECK(!mNode.EndOfQuarantine({ ++mContent, {}, kBad }).has_value());
+}
+
+// Guards against requests for the same resource that are refused because of a
+// part of their prompts that ends targets.
+TEST(CrashEvidence, PartIsBlamedBeforeTheResource)
+{
+  for (int n = 0; n < 3; ++n) {
+    mNow += kApart;
+    mNode.RecordCrash({ ++mContent, { kBad }, kFirst }, ++mTarget, {}, mNow);
+  }
+  CHECK(mNode.EndOfQuarantine({ kOther, { kBad }, kFirst }).has_value());
+  CHECK(!mNode.EndOfQuarantine({ kOther, {}, kFirst }).has_value());
+}
+
 // Guards against a part that is never found, because each of the requests that
 // have it is quarantined by itself.
 TEST(CrashEvidence, PartIsFoundBehindRepeatedRequests)
--- a/test/quarantine-soak-test.cc
+++ b/test/quarantine-soak-test.cc
@@ -26,6 +26,7 @@
 constexpr size_t kTargets = 13;
 constexpr TraitId kBadPart = 0xbad;
 constexpr TraitId kBadContent = 0xbadc;
+constexpr TraitId kBadResource = 0xbad5;
 constexpr uint32_t kFirstParts = 60;
 
 enum class Trouble
@@ -33,11 +34,12 @@
   NewPart,                ///< a part that no sound request has crashes targets
   TurnedPart,             ///< a part that was sound turns bad
   TurnedPartAmongCrashes, ///< the same, while other targets end in series
-  Request, ///< one request that is sent again and again crashes targets
-  Crashes, ///< targets end in series, whatever they work on
-  Loss,    ///< a third of the targets end together, twice
-  Cascade, ///< half of the targets end shortly after each other, twice
-  Resets,  ///< connections are reset while the targets go on
+  Request,  ///< one request that is sent again and again crashes targets
+  Resource, ///< the same, with another query each time
+  Crashes,  ///< targets end in series, whatever they work on
+  Loss,     ///< a third of the targets end together, twice
+  Cascade,  ///< half of the targets end shortly after each other, twice
+  Resets,   ///< connections are reset while the targets go on
 };
 
 struct Running
@@ -120,6 +122,13 @@
 
   bool IsBadTime() const { return mNow >= mBadFrom; }
 
+  /// @return crashes from which on the time to react runs
+  uint32_t AllowedCrashes() const
+  {
+    return mTrouble == Trouble::Request || mTrouble == Trouble::Resource ? 3
+                                                                         : 5;
+  }
+
   /// @return one of the parts that sound requests share, some often
   TraitId FirstPart()
   {
@@ -133,7 +142,9 @@
   {
     const double perStep = static_cast<double>(kStep.count()) / 1000;
     if (Chance(120 * perStep)) {
-      Send({ ++mContents, { FirstPart() } }, false);
+      // Different parameters of a few resources.
+      const TraitId resource = mContents % kFirstParts + 1;
+      Send({ ++mContents, { FirstPart() }, resource }, false);
       ++mSound;
     }
     if (!IsBadTime() || !Chance(mBadPerSecond * perStep)) {
@@ -150,6 +161,9 @@
       case Trouble::Request:
         Send({ kBadContent, { FirstPart() } }, true);
         break;
+      case Trouble::Resource:
+        Send({ ++mContents, {}, kBadResource }, true);
+        break;
       default:
         break;
     }
@@ -201,8 +215,8 @@
   void Forward(Running aRequest)
   {
     aRequest.mCrashes =
-      aRequest.mCrashes ||
-      (IsBadTime() && aRequest.mTraits.mParts.front() == kBadPart);
+      aRequest.mCrashes || (IsBadTime() && !aRequest.mTraits.mParts.empty() &&
+                            aRequest.mTraits.mParts.front() == kBadPart);
     if (mNodes[aRequest.mNode]->EndOfQuarantine(aRequest.mTraits)) {
       mSoundRefused += aRequest.mCrashes ? 0 : 1;
       return;
@@ -225,8 +239,8 @@
       aRequest.mBeginsAt +
       (aRequest.mCrashes ? Between(50, 120) : Between(50, 2000));
     target.mRunning.push_back(aRequest);
-    if (aRequest.mCrashes && mFifthCrashAt != TimePoint{} &&
-        mNow > mFifthCrashAt + kReactionTime &&
+    if (aRequest.mCrashes && mLastAllowedAt != TimePoint{} &&
+        mNow > mLastAllowedAt + kReactionTime &&
         mNow > mStartedAt[aRequest.mNode] + kReactionTime) {
       ++mArrivalsAfter;
     }
@@ -240,8 +254,8 @@
                !mNodes[it.mNode]->EndOfQuarantine(it.mTraits);
       });
     if (crashed != aTarget.mRunning.end()) {
-      if (++mBadCrashes == 5) {
-        mFifthCrashAt = mNow;
+      if (++mBadCrashes == AllowedCrashes()) {
+        mLastAllowedAt = mNow;
       }
       End(aTarget);
       return;
@@ -340,7 +354,7 @@
   TimePoint mBadFrom;
   TimePoint mNextReportAt;
   TimePoint mNextDisturbanceAt;
-  TimePoint mFifthCrashAt;
+  TimePoint mLastAllowedAt;
   uint64_t mStarts = 0;
   TraitId mContents = 1000000;
   double mBadPerSecond = 0;
@@ -402,6 +416,13 @@
   Soak(Trouble::Request);
 }
 
+// Guards against a request that ends target after target because its repeats
+// differ in their queries.
+TEST(QuarantineSoak, RequestThatIsRepeatedWithOtherQueries)
+{
+  Soak(Trouble::Resource);
+}
+
 // Guards against sound requests that are refused because targets end for other
 // reasons.
 TEST(QuarantineSoak, CrashesInSeries)
