--- a/src/core/guardedsocket.cc
+++ b/src/core/guardedsocket.cc
@@ -38,6 +38,7 @@
   void connect(const Poco::Net::SocketAddress& aAddress,
                const Poco::Timespan& aTimeout) override
   {
+    mLimiter.SetAtEnd(false);
     StreamSocketImpl::connect(aAddress, aTimeout);
     setRawOption(IPPROTO_TCP,
                  TCP_USER_TIMEOUT,
@@ -48,7 +49,11 @@
   int receiveBytes(void* aBuffer, int aLength, int aFlags) override
   {
     WaitForSocket(POLLIN);
-    return SocketImpl::receiveBytes(aBuffer, aLength, aFlags);
+    const int n = SocketImpl::receiveBytes(aBuffer, aLength, aFlags);
+    if (n == 0) {
+      mLimiter.SetAtEnd(true);
+    }
+    return n;
   }
 
   int sendBytes(const void* aBuffer, int aLength, int aFlags) override
--- a/src/core/guardedsocket.h
+++ b/src/core/guardedsocket.h
@@ -63,6 +63,13 @@
 
   void AddSent(uint64_t aBytes) { mSent += aBytes; }
 
+  /// @param aIsAtEnd whether the peer has closed the connection and all its
+  ///        bytes were read
+  void SetAtEnd(bool aIsAtEnd) { mIsAtEnd = aIsAtEnd; }
+
+  /// @return whether a read has met the end of the connection
+  bool IsAtEnd() const { return mIsAtEnd; }
+
 private:
   const Clock& mClock;
   TimePoint mDeadline = TimePoint::max();
@@ -72,6 +79,7 @@
   std::function<bool()> mIsAbandoned;
   uint64_t mSent = 0;
   TransferStop mStop = TransferStop::None;
+  bool mIsAtEnd = false;
 };
 
 /// A TCP socket whose transfers are limited by a TransferLimiter.
--- a/src/core/sessionpool.cc
+++ b/src/core/sessionpool.cc
@@ -70,6 +70,18 @@
          !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
 }
 
+std::istream&
+HttpSession::receiveResponse(Poco::Net::HTTPResponse& aHead)
+{
+  std::istream& body = HTTPClientSession::receiveResponse(aHead);
+  // Nothing is read beyond a whole head unless it arrived with it. With TLS,
+  // which the limiter doesn't see, an unexpected end is an error by itself.
+  if (mLimiter.IsAtEnd()) {
+    throw Poco::Net::ConnectionAbortedException("the head was cut off");
+  }
+  return body;
+}
+
 bool
 HttpSession::SendRaw(std::string_view aBytes)
 {
--- a/src/core/sessionpool.h
+++ b/src/core/sessionpool.h
@@ -7,6 +7,7 @@
 #include "core/tls.h"
 
 #include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Timespan.h>
 
 #include <map>
@@ -66,6 +67,12 @@
   /// @return whether the receive buffer of the session holds unread bytes
   bool HasUnreadBytes() const { return buffered() > 0; }
 
+  /// Receives the head of a response, as the base class does, which takes the
+  /// end of the connection for the end of the head.
+  /// @throw Poco::Net::ConnectionAbortedException when the connection ends
+  ///        within the head
+  std::istream& receiveResponse(Poco::Net::HTTPResponse& aHead) override;
+
   /// Sends bytes without framing until all are sent or the peer responds.
   /// @return whether all bytes were sent
   /// @throw Poco::Exception when the connection fails or a limit ends the
--- a/test/callers.h
+++ b/test/callers.h
@@ -14,6 +14,10 @@
 inline const std::string kStreamRequest =
   "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 0\r\n\r\n";
 
+/// A request that may run once.
+inline const std::string kOrderRequest =
+  "POST /order/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 0\r\n\r\n";
+
 /// Silence of a target that goes on afterwards; longer than any time after
 /// which a target counts as stalled.
 inline constexpr auto kSilence = milliseconds(1200);
@@ -53,6 +57,14 @@
   STRCMP_EQUAL((expected + kEnd).c_str(), got.mBytes.substr(body + 4).c_str());
 }
 
+/// @return what follows the head of the response
+inline std::string
+BodyOf(const std::string& aResponse)
+{
+  const size_t end = aResponse.find("\r\n\r\n");
+  return end == std::string::npos ? "" : aResponse.substr(end + 4);
+}
+
 /// @return a whole response of a target
 inline std::string
 Reply(const std::string& aBody, const std::string& aId = "r1")
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -55,7 +55,11 @@
     lookup.mRetryPolicy = RetryPolicy::Idempotent;
     lookup.mResumable = false;
     mConfig.mVersion = 1;
-    mConfig.mRoutes = { stream, lookup };
+    FleetRoute order = lookup;
+    order.mName = "order";
+    order.mPathPrefix = "/order/";
+    order.mRetryPolicy = RetryPolicy::AtMostOnce;
+    mConfig.mRoutes = { stream, lookup, order };
   }
 
   ~GatewayFixture()
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -82,6 +82,18 @@
 
 // Guards against a connection that ends without a reply and is reported as if
 // the reply had been malformed.
+// Guards against a reply of the store that lacks headers, such as that of its
+// era, because its head was cut off.
+TEST(Http, ReportsAHeadThatIsCutOffAsTruncated)
+{
+  ScriptedServer server(
+    { { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", true } });
+  const Result<HttpReply> got = mClient.Call(server.Address(),
+                                             { "GET", "/v1/report", {}, {} },
+                                             mClock.Now() + milliseconds(1000));
+  CHECK(Error::ReplyTruncated == got.error().mError);
+}
+
 TEST(Http, ReportsAConnectionThatEndsWithoutAReplyAsTruncated)
 {
   ScriptedServer server({ { "", true } });
