--- a/src/serve/listen.cc
+++ b/src/serve/listen.cc
@@ -46,4 +46,10 @@
   return params;
 }
 
+int
+PoolCapacity(int aThreads)
+{
+  return 2 * aThreads;
+}
+
 } // namespace hibiscushold
--- a/src/serve/listen.h
+++ b/src/serve/listen.h
@@ -22,4 +22,12 @@
 Poco::Net::HTTPServerParams::Ptr
 MakeServerParams(int aThreads);
 
+/// A thread whose connection has ended keeps its place in the pool for a
+/// moment. A server that needs another thread then, and finds the pool full,
+/// leaves the new connection waiting until the next one comes.
+/// @param aThreads maximum number of connections, as for MakeServerParams
+/// @return capacity of a server's pool of threads
+int
+PoolCapacity(int aThreads);
+
 } // namespace hibiscushold
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -270,8 +270,8 @@
     BOOST_OUTCOME_TRY(peers,
                       ListenOn(mSettings.mPeerListen, mCredentials->PeerTls()));
     const int callerThreads = static_cast<int>(mSettings.mMaxConnections);
-    mCallerThreads.emplace(2, callerThreads);
-    mPeerThreads.emplace(2, kPeerThreads);
+    mCallerThreads.emplace(2, PoolCapacity(callerThreads));
+    mPeerThreads.emplace(2, PoolCapacity(kPeerThreads));
     mPeerServer.emplace(
       new PeerHandlerFactory({ mPeerMethods,
                                mOperatorMethods,
--- a/test/callerconnection-test.cc
+++ b/test/callerconnection-test.cc
@@ -123,6 +123,28 @@
   }
 }
 
+// Guards against a new connection that waits until the next one comes, because
+// the thread of one that has just ended still had its place in the pool.
+TEST(CallerConnection, NewConnectionIsServedJustAfterAnotherHasEnded)
+{
+  constexpr int kCallers = 400;
+  ScriptedServer target(
+    std::vector<ScriptedServer::Response>(kCallers, { Reply("ok") }));
+  mGateway.AddTarget(target);
+  mGateway.Start();
+  std::vector<Poco::Net::StreamSocket> kept;
+  for (int n = 0; n < kCallers; ++n) {
+    Poco::Net::StreamSocket caller = mGateway.Connect();
+    caller.setReceiveTimeout(Poco::Timespan(2, 0));
+    Send(caller, kLookupRequest);
+    const ReceivedResponse got = GatewayFixture::Receive(caller, "ok");
+    STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
+    if (n < GatewayFixture::kThreads - 1) {
+      kept.push_back(caller);
+    }
+  }
+}
+
 // Guards against a target that works for a caller that has closed its
 // connection. A caller that ended only its sending side can't be told from it.
 TEST(CallerConnection, CallerThatEndsItsSendingCountsAsGone)
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -37,7 +37,7 @@
           [](const Object&) { return Result<FleetVm>(FleetVm{}); },
           [this](const Object&) { return Result<FleetConfig>(mConfig); } },
         mClock)
-    , mThreads(2, kThreads)
+    , mThreads(2, PoolCapacity(kThreads))
   {
     FleetRoute stream;
     stream.mName = "stream";
--- a/test/standin/server.cc
+++ b/test/standin/server.cc
@@ -148,7 +148,7 @@
 Server::Server(const Poco::Net::ServerSocket& aSocket,
                uint16_t aPort,
                Handler aHandler)
-  : mThreads(2, kMaxThreads)
+  : mThreads(2, 2 * kMaxThreads) // as PoolCapacity
   , mSocket(Bind(aSocket, aPort))
   , mServer(new FunctionFactory(std::move(aHandler)),
             mThreads,
