--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -198,7 +198,9 @@
       BodyReader body(*mSession, head, mRequest.mMethod == "HEAD");
       const std::string id = head.get(mDependencies.mProtocol.mRequestId, "");
       const bool isRefusal =
-        id.empty() && head.has(mDependencies.mProtocol.mNotRun);
+        id.empty() &&
+        (head.has(mDependencies.mProtocol.mNotRun) ||
+         head.getStatus() == mDependencies.mProtocol.mMisdirected);
       if (isRefusal && mReport.mReused) {
         SetOutcome(ExchangeOutcome::Invalid,
                    "a refusal without id may be of an earlier request");
