--- a/src/gateway/eventsplitter.cc
+++ b/src/gateway/eventsplitter.cc
@@ -1,12 +1,15 @@
 #include "gateway/eventsplitter.h"
 
+#include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace hibiscushold {
 
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr char kCommentMark = ':';
 
 /// @return the length of all complete events at the start of the text
 size_t
@@ -19,6 +22,21 @@
   return std::max(afterLf, afterCrlf);
 }
 
+/// @return the id that the line of an event has, if any
+std::optional<uint64_t>
+IdOf(std::string_view aLine)
+{
+  if (!aLine.starts_with(kIdField)) {
+    return std::nullopt;
+  }
+  aLine.remove_prefix(kIdField.size());
+  aLine.remove_prefix(std::min(aLine.find_first_not_of(' '), aLine.size()));
+  uint64_t id = 0;
+  const auto [pos, ec] =
+    std::from_chars(aLine.data(), aLine.data() + aLine.size(), id);
+  return ec == std::errc() ? std::optional(id) : std::nullopt;
+}
+
 } // namespace
 
 std::string
@@ -34,23 +52,25 @@
 void
 EventSplitter::CheckIds(std::string_view aEvents)
 {
+  bool hasId = false;
+  bool hasContent = false;
   for (size_t at = 0; at < aEvents.size();) {
     const size_t end = std::min(aEvents.find('\n', at), aEvents.size());
-    std::string_view line = aEvents.substr(at, end - at);
+    const std::string_view line = aEvents.substr(at, end - at);
     at = end + 1;
-    if (!line.starts_with(kIdField)) {
+    if (line.empty() || line == "\r") {
+      // In a stream with ids, an event without one can't be part of it.
+      mOutOfOrder = mOutOfOrder || (hasContent && !hasId && mLastId != 0);
+      hasId = hasContent = false;
       continue;
     }
-    line.remove_prefix(kIdField.size());
-    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-    uint64_t id = 0;
-    const auto [pos, ec] =
-      std::from_chars(line.data(), line.data() + line.size(), id);
-    if (ec != std::errc()) {
-      continue;
+    hasContent = hasContent || line.front() != kCommentMark;
+    const std::optional<uint64_t> id = IdOf(line);
+    if (id) {
+      mOutOfOrder = mOutOfOrder || (mLastId != 0 && *id != mLastId + 1);
+      mLastId = *id;
+      hasId = true;
     }
-    mOutOfOrder = mOutOfOrder || (mLastId != 0 && id != mLastId + 1);
-    mLastId = id;
   }
 }
 
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -7,7 +7,7 @@
 namespace hibiscushold {
 
 /// Splits a server-sent event stream into complete events and checks that their
-/// ids are consecutive.
+/// ids are consecutive. Once an event had an id, all need one.
 class EventSplitter
 {
 public:
@@ -31,7 +31,8 @@
   /// @return id of the last event that was taken
   uint64_t LastId() const { return mLastId; }
 
-  /// @return whether the id of a taken event did not follow its predecessor
+  /// @return whether the id of a taken event did not follow its predecessor, or
+  ///         was missing
   bool IsOutOfOrder() const { return mOutOfOrder; }
 
 private:
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -300,6 +300,23 @@
   CHECK(!splitter.IsOutOfOrder());
 }
 
+// Guards against comments that keep a connection alive and are taken for events
+// without an id.
+TEST(EventSplitter, CommentsNeedNoId)
+{
+  EventSplitter splitter(0);
+  splitter.Add(": wait\n\nid: 1\n\n: wait\n\n\n\nid: 2\n\n");
+  (void)splitter.TakeCompleteEvents();
+  CHECK(!splitter.IsOutOfOrder());
+  splitter.Add("data: x\n\n");
+  (void)splitter.TakeCompleteEvents();
+  CHECK(splitter.IsOutOfOrder());
+  EventSplitter withoutIds(0);
+  withoutIds.Add("data: x\n\ndata: y\n\n");
+  (void)withoutIds.TakeCompleteEvents();
+  CHECK(!withoutIds.IsOutOfOrder());
+}
+
 TEST(EventSplitter, DetectsNonConsecutiveIds)
 {
   EventSplitter repeated(3);
