--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -17,6 +17,8 @@
 constexpr auto kConfigWatchTimeout = milliseconds(600);
 constexpr auto kVmWatchTimeout = milliseconds(600);
 constexpr auto kRetryInterval = milliseconds(250);
+/// How often a watcher that has started looks whether its wait can end.
+constexpr auto kRecordCheckInterval = milliseconds(200);
 /// A VM whose entry goes after the store is available again has probably left.
 /// It gets no new work from about this time on.
 constexpr auto kMaxLapseTime = milliseconds(1200);
@@ -66,9 +68,40 @@
              { { "objects", aWatched.mName }, { "era", std::to_string(era) } });
     aWatched.mRestoredUntil = mClock.Now() + kStoreRecoveryTime;
   }
+  aWatched.mAwaitsRecord = !isComplete;
   return read;
 }
 
+void
+FleetWatcher::EndWaitIfRecorded(WatchedPrefix& aWatched) const
+{
+  if (!aWatched.mAwaitsRecord) {
+    return;
+  }
+  if (mClock.Now() >= aWatched.mRestoredUntil) {
+    aWatched.mAwaitsRecord = false;
+  } else if (IsEraComplete(mPlatform, EraOf(aWatched.mRevision))) {
+    // What was read before the record was written may lack a change.
+    aWatched.mRevision = 0;
+    aWatched.mRestoredUntil = {};
+    aWatched.mAwaitsRecord = false;
+  }
+}
+
+milliseconds
+FleetWatcher::WatchTimeout(const WatchedPrefix& aWatched,
+                           milliseconds aTimeout) const
+{
+  const Duration left = TimeLeft(aWatched.mRestoredUntil, mClock.Now());
+  if (left == Duration::zero()) {
+    return aTimeout;
+  }
+  // Only a read that begins after the wait confirms anything.
+  return std::clamp(std::chrono::ceil<milliseconds>(left),
+                    milliseconds(1),
+                    aWatched.mAwaitsRecord ? kRecordCheckInterval : aTimeout);
+}
+
 Result<Listing>
 FleetWatcher::Read(WatchedPrefix& aWatched,
                    milliseconds aTimeout,
@@ -218,10 +251,11 @@
 void
 FleetWatcher::PollConfig(Duration aPause)
 {
+  EndWaitIfRecorded(mWatchedConfig);
   const TimePoint sentAt = mClock.Now();
   bool isFull = false;
-  const Result<Listing> read =
-    Read(mWatchedConfig, kConfigWatchTimeout, isFull);
+  const Result<Listing> read = Read(
+    mWatchedConfig, WatchTimeout(mWatchedConfig, kConfigWatchTimeout), isFull);
   if (!read) {
     return;
   }
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -30,7 +30,7 @@
 /// configuration may lack a change until they are written again. For that time
 /// the list is not settled, and reads do not confirm the configuration. A
 /// watcher that starts can't know when the store has returned, so it waits as
-/// well unless the era is recorded as complete (store/erarecord.h).
+/// well until the era is recorded as complete (store/erarecord.h).
 class FleetWatcher
 {
 public:
@@ -86,9 +86,16 @@
     bool mIsCatchingUp = false;
     /// Until when objects may be missing after a return from an older copy.
     TimePoint mRestoredUntil{};
+    /// Whether that wait ends early once the era is recorded as complete.
+    bool mAwaitsRecord = false;
   };
 
   Result<Listing> ReadFirst(WatchedPrefix& aWatched);
+  /// Has the objects listed anew if the awaited record is there.
+  void EndWaitIfRecorded(WatchedPrefix& aWatched) const;
+  /// @return how long a watch of the objects may wait
+  milliseconds WatchTimeout(const WatchedPrefix& aWatched,
+                            milliseconds aTimeout) const;
   Result<Listing> Read(WatchedPrefix& aWatched,
                        milliseconds aTimeout,
                        bool& aIsFull);
--- a/test/fakeplatform.h
+++ b/test/fakeplatform.h
@@ -81,8 +81,9 @@
 
   Result<Listing> Watch(std::string_view aPrefix,
                         uint64_t aSince,
-                        milliseconds) override
+                        milliseconds aTimeout) override
   {
+    mLastWatchTimeout = aTimeout;
     const bool isUnknown = EraOf(mRevision) > 0 && aSince > mRevision;
     if (EraOf(aSince) != EraOf(mRevision) || isUnknown ||
         aSince < mHistoryFrom) {
@@ -154,6 +155,7 @@
   void ForgetHistory() { mHistoryFrom = mRevision; }
 
   StoreFault mNextReadFault = StoreFault::None;
+  milliseconds mLastWatchTimeout{ 0 };
   std::function<void()> mBeforeGet; ///< called before each read of an object
   std::function<void()> mAfterGet;  ///< called after each read of an object
   StoreFault mNextWriteFault = StoreFault::None;
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -491,6 +491,54 @@
   CHECK_EQUAL(1U, mWatcher.CompleteEra());
 }
 
+// Guards against a node that refuses requests for the whole wait although
+// another node has recorded meanwhile that the era is complete.
+TEST(RestoredWatcher, EndsItsWaitOnceTheEraIsRecorded)
+{
+  Create("config/main", "7");
+  const FakePlatform::Copy copy = mStore.Save();
+  Update("8");
+  mStore.Restore(copy);
+  Poll();
+  mClock.Advance(milliseconds(500));
+  Poll();
+  CHECK(mWatcher.Config() == nullptr);
+  Update("8");
+  CHECK(RecordCompleteEra(mStore, 1).has_value());
+  Poll();
+  CHECK(mWatcher.Config() != nullptr);
+  CHECK_EQUAL(8U, mWatcher.Config()->mVersion);
+  CHECK(mWatcher.ConfigAsOf() == mClock.Now());
+}
+
+// Guards against a node that takes the record for one of a later era, of which
+// it has read an older copy.
+TEST(RestoredWatcher, WaitsAgainIfTheStoreReturnsDuringTheWait)
+{
+  Create("config/main", "7");
+  mStore.Restore(mStore.Save());
+  Poll();
+  CHECK(RecordCompleteEra(mStore, 1).has_value());
+  mStore.Restore(mStore.Save());
+  Poll();
+  CHECK(mWatcher.Config() == nullptr);
+  mClock.Advance(milliseconds(2400));
+  Poll();
+  CHECK(mWatcher.Config() != nullptr);
+}
+
+// Guards against a node that goes on refusing requests after its wait, because
+// the watch that it waits in began before.
+TEST(RestoredWatcher, ReadsAgainAtTheEndOfItsWait)
+{
+  Create("config/main", "7");
+  mStore.Restore(mStore.Save());
+  Poll();
+  mClock.Advance(milliseconds(2250));
+  mWatcher.PollConfig(Duration::zero());
+  CHECK(mStore.mLastWatchTimeout <= milliseconds(50));
+}
+
 // Guards against the record of an earlier era that a copy still has.
 TEST(RestoredWatcher, DoesNotTrustTheRecordOfAnEarlierEra)
 {
