--- a/emulator/caller.cc
+++ b/emulator/caller.cc
@@ -41,10 +41,12 @@
 
 /// Sends the request and reads its response into aLine.
 void
-Exchange(HTTPClientSession& aSession, RequestLine& aLine)
+Exchange(HTTPClientSession& aSession,
+         RequestLine& aLine,
+         const std::string& aQuery)
 {
   HTTPRequest request(HTTPRequest::HTTP_POST,
-                      PathOfProbe(aLine.mProbe, aLine.mVersion),
+                      PathOfProbe(aLine.mProbe, aLine.mVersion) + aQuery,
                       HTTPRequest::HTTP_1_1);
   request.setHost(kHost);
   request.set(wire::kRequestId, std::to_string(aLine.mId));
@@ -115,19 +117,42 @@
   session.setTimeout(
     Poco::Timespan(kTimeoutMillis * Poco::Timespan::MILLISECONDS));
   while (!aStopping) {
-    RequestLine line = MakeRequest();
-    line.mSentAt = mTimeline.Now();
-    try {
-      Exchange(session, line);
-    } catch (const std::exception&) {
-      // Recorded as open: the node is away, or didn't answer in time.
-      session.reset();
-    }
-    line.mEndedAt = mTimeline.Now();
-    line.mNewestWritten = mOperator.NewestWritten();
-    mRecorder.Record(line);
+    Send(session, MakeRequest(), "");
     std::this_thread::sleep_for(kPause);
   }
 }
 
+void
+Caller::SendCrash()
+{
+  HTTPClientSession session(mOptions.mHost, mOptions.mPort);
+  session.setTimeout(
+    Poco::Timespan(kTimeoutMillis * Poco::Timespan::MILLISECONDS));
+  RequestLine line;
+  line.mId = mNextId++;
+  line.mNode = mOptions.mNode;
+  line.mProbe = Probe::Crash;
+  const std::string query = std::bernoulli_distribution(0.5)(mRandom)
+                              ? "?page=" + std::to_string(line.mId)
+                              : "";
+  Send(session, line, query);
+}
+
+void
+Caller::Send(HTTPClientSession& aSession,
+             RequestLine aLine,
+             const std::string& aQuery)
+{
+  aLine.mSentAt = mTimeline.Now();
+  try {
+    Exchange(aSession, aLine, aQuery);
+  } catch (const std::exception&) {
+    // Recorded as open: the node is away, or didn't answer in time.
+    aSession.reset();
+  }
+  aLine.mEndedAt = mTimeline.Now();
+  aLine.mNewestWritten = mOperator.NewestWritten();
+  mRecorder.Record(aLine);
+}
+
 } // namespace hibiscushold::emulator
--- a/emulator/caller.h
+++ b/emulator/caller.h
@@ -3,6 +3,8 @@
 #include "emulator/lines.h"
 #include "emulator/operator.h"
 
+#include <Poco/Net/HTTPClientSession.h>
+
 #include <atomic>
 #include <random>
 
@@ -31,8 +33,16 @@
   /// Sends requests until aStopping is set.
   void Run(const std::atomic<bool>& aStopping);
 
+  /// Sends a request that ends its targets on a connection of its own. Repeats
+  /// have different queries, or none.
+  void SendCrash();
+
 private:
   RequestLine MakeRequest();
+  /// Sends a request and records it with its end.
+  void Send(Poco::Net::HTTPClientSession& aSession,
+            RequestLine aLine,
+            const std::string& aQuery);
 
   const Options mOptions;
   const Operator& mOperator;
--- a/emulator/configs.cc
+++ b/emulator/configs.cc
@@ -15,10 +15,12 @@
 constexpr const char* kKeyPrefix = "/key/";
 constexpr const char* kMovedPrefix = "/moved/";
 constexpr const char* kOncePrefix = "/once/";
+constexpr const char* kCrashPrefix = "/crash/";
 
 constexpr size_t kKeyService = 0;
 constexpr size_t kRouteService = 1;
 constexpr size_t kOnceService = 2;
+constexpr size_t kCrashService = 3;
 constexpr const char* kIdempotent = "idempotent";
 /// More than one segment of TCP, so that an answer can break off within.
 constexpr size_t kAnswerBytes = 3000;
@@ -72,12 +74,20 @@
       return std::string(kMovedPrefix) + "x";
     case Probe::Once:
       return std::string(kOncePrefix) + "x";
+    case Probe::Crash:
+      return std::string(kCrashPrefix) + "x";
     case Probe::Route:
       break;
   }
   return RoutePrefix(aVersion) + "x";
 }
 
+bool
+IsCrashPath(std::string_view aPath)
+{
+  return aPath.starts_with(kCrashPrefix);
+}
+
 std::string
 AnswerBody(size_t aService, uint64_t aRequestId)
 {
@@ -97,6 +107,7 @@
   routes.append(
     MakeRoute("moved", kMovedPrefix, aVersion % kMovedServices, kIdempotent));
   routes.append(MakeRoute("once", kOncePrefix, kOnceService, "non_idempotent"));
+  routes.append(MakeRoute("crash", kCrashPrefix, kCrashService, kIdempotent));
   Json::Value tenant;
   tenant["name"] = "tenant";
   for (const uint64_t it : { aVersion - 1, aVersion }) {
--- a/emulator/configs.h
+++ b/emulator/configs.h
@@ -5,6 +5,7 @@
 #include <json/value.h>
 
 #include <string>
+#include <string_view>
 
 namespace hibiscushold::emulator {
 
@@ -26,6 +27,10 @@
 std::string
 PathOfProbe(Probe aProbe, uint64_t aVersion);
 
+/// @return whether requests with the path end their targets
+bool
+IsCrashPath(std::string_view aPath);
+
 /// @return the whole answer of a service to a request
 std::string
 AnswerBody(size_t aService, uint64_t aRequestId);
--- a/emulator/judge.cc
+++ b/emulator/judge.cc
@@ -1,7 +1,9 @@
 #include "emulator/judge.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace hibiscushold::emulator {
@@ -33,7 +35,8 @@
 VersionsOf(const RequestLine& aRequest)
 {
   const VersionRange any{ 0, aRequest.mNewestWritten };
-  if (aRequest.mVerdict == Verdict::Open || aRequest.mProbe == Probe::Once) {
+  if (aRequest.mVerdict == Verdict::Open || aRequest.mProbe == Probe::Once ||
+      aRequest.mProbe == Probe::Crash) {
     return any;
   }
   if (aRequest.mProbe == Probe::Moved) {
@@ -158,6 +161,11 @@
   }
 }
 
+/// Targets that a request may end before the time to react runs, and repeats
+/// that may reach targets later.
+constexpr size_t kCrashesBeforeReaction = 3;
+constexpr size_t kRepeatsAllowed = 3;
+
 bool
 SaysNotRun(int aStatus)
 {
@@ -302,4 +310,41 @@
   return breaches;
 }
 
+std::vector<Breach>
+JudgeBudget(const Lines& aLines, const JudgeBounds& aBounds)
+{
+  std::unordered_map<uint64_t, const RequestLine*> crashing;
+  for (const RequestLine& it : aLines.mRequests) {
+    if (it.mProbe == Probe::Crash) {
+      crashing[it.mId] = &it;
+    }
+  }
+  std::vector<ArrivalLine> arrivals = aLines.mArrivals;
+  std::erase_if(arrivals,
+                [&](const auto& it) { return !crashing.contains(it.mId); });
+  std::sort(arrivals.begin(),
+            arrivals.end(),
+            [](const auto& aL, const auto& aR) { return aL.mAt < aR.mAt; });
+  std::set<std::string> ended;
+  int64_t boundAt = std::numeric_limits<int64_t>::max();
+  size_t late = 0;
+  std::vector<Breach> breaches;
+  for (const ArrivalLine& it : arrivals) {
+    const RequestLine& request = *crashing.at(it.mId);
+    if (it.mAt > boundAt && WasInTouch(aLines, aBounds, request) &&
+        ++late > kRepeatsAllowed) {
+      breaches.push_back({ "BUDGET",
+                           request,
+                           std::to_string(ended.size()) +
+                             " targets had ended, repeat " +
+                             std::to_string(late) });
+    }
+    if (ended.insert(it.mTarget).second &&
+        ended.size() == kCrashesBeforeReaction) {
+      boundAt = it.mAt + aBounds.mTouchMillis;
+    }
+  }
+  return breaches;
+}
+
 } // namespace hibiscushold::emulator
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -48,4 +48,9 @@
 std::vector<Breach>
 JudgeAnswers(const Lines& aLines);
 
+/// Once a request has ended three targets, no more than three repeats of it
+/// reach targets from nodes in touch after a bound (BUDGET).
+std::vector<Breach>
+JudgeBudget(const Lines& aLines, const JudgeBounds& aBounds);
+
 } // namespace hibiscushold::emulator
--- a/emulator/lines.cc
+++ b/emulator/lines.cc
@@ -29,6 +29,8 @@
       return "moved";
     case Probe::Once:
       return "once";
+    case Probe::Crash:
+      return "crash";
   }
   return "";
 }
--- a/emulator/lines.h
+++ b/emulator/lines.h
@@ -16,6 +16,7 @@
   Route, ///< on a route that versions N and N + 1 have
   Moved, ///< on a route that each version moves to another service
   Once,  ///< on a route whose requests may run at most once
+  Crash, ///< ends each target that runs it; only sent by its fault
 };
 
 /// What a node did with a request.
--- a/emulator/main.cc
+++ b/emulator/main.cc
@@ -62,7 +62,7 @@
   const Lines lines = Play(aScenario, aProgram, folder);
   std::vector<Breach> breaches = JudgeConfig(lines, {});
   for (const std::vector<Breach>& it :
-       { JudgeDrain(lines, {}), JudgeAnswers(lines) }) {
+       { JudgeDrain(lines, {}), JudgeAnswers(lines), JudgeBudget(lines, {}) }) {
     breaches.insert(breaches.end(), it.begin(), it.end());
   }
   std::cout << "seed " << aSeed << ": " << Count(lines, Verdict::Accepted)
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -21,6 +21,7 @@
 constexpr int64_t kTrafficAt = 6000;
 constexpr auto kSyncInterval = milliseconds(20);
 constexpr auto kRetryInterval = milliseconds(10);
+constexpr auto kCrashInterval = milliseconds(150);
 constexpr auto kStopGrace = milliseconds(8000);
 constexpr size_t kCallersPerNode = 2;
 constexpr uint16_t kFirstPort = 7000;
@@ -64,6 +65,8 @@
   void CutStore(Node& aNode, const Fault& aFault);
   void DisturbCalls(const Fault& aFault);
   void SpoilAnswers(const Fault& aFault);
+  void CrashTargets(const Fault& aFault);
+  std::unique_ptr<Caller> MakeCaller(size_t aIndex);
   void Change();
   void SetAccess(StoreAccess aAccess);
   void WaitUntil(int64_t aTime) const;
@@ -75,7 +78,8 @@
   Operator mOperator;
   Targets mTargets;
   std::vector<Node> mNodes;
-  std::mutex mStoreLock; ///< one return at a time
+  std::mutex mStoreLock;              ///< one return at a time
+  std::atomic<uint64_t> mNextId{ 1 }; ///< of the requests
   std::atomic<bool> mIsStoreAway{ false };
   std::atomic<bool> mStopping{ false };
 };
@@ -193,6 +197,34 @@
   mTargets.SpoilAnswers(AnswerFault::None);
 }
 
+std::unique_ptr<Caller>
+World::MakeCaller(size_t aIndex)
+{
+  const size_t n = aIndex % mNodes.size();
+  const NodeOptions& node = mNodes[n].mProcess->Options();
+  return std::make_unique<Caller>(
+    Caller::Options{
+      n, node.mHost, node.mCallerPort, mScenario.mSeed * 1000 + aIndex },
+    mOperator,
+    mNextId,
+    mTimeline,
+    mRecorder);
+}
+
+void
+World::CrashTargets(const Fault& aFault)
+{
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (size_t i = 0; i < mNodes.size(); ++i) {
+    callers.push_back(MakeCaller((kCallersPerNode + 1) * mNodes.size() + i));
+  }
+  const int64_t end = aFault.mAt + aFault.mFor;
+  for (size_t n = 0; mTimeline.Now() < end; ++n) {
+    callers[n % callers.size()]->SendCrash();
+    std::this_thread::sleep_for(kCrashInterval);
+  }
+}
+
 void
 World::Change()
 {
@@ -229,6 +261,9 @@
     case FaultKind::LostAnswers:
       SpoilAnswers(aFault);
       return;
+    case FaultKind::Crashes:
+      CrashTargets(aFault);
+      return;
     default:
       break;
   }
@@ -267,19 +302,9 @@
     }
   });
   WaitUntil(kTrafficAt);
-  std::atomic<uint64_t> nextId{ 1 };
   std::vector<std::unique_ptr<Caller>> callers;
   for (size_t i = 0; i < kCallersPerNode * mNodes.size(); ++i) {
-    const size_t n = i % mNodes.size();
-    callers.push_back(std::make_unique<Caller>(
-      Caller::Options{ n,
-                       mNodes[n].mProcess->Options().mHost,
-                       mNodes[n].mProcess->Options().mCallerPort,
-                       mScenario.mSeed * 1000 + i },
-      mOperator,
-      nextId,
-      mTimeline,
-      mRecorder));
+    callers.push_back(MakeCaller(i));
     threads.emplace_back(
       [this, caller = callers.back().get()] { caller->Run(mStopping); });
   }
--- a/emulator/scenario.cc
+++ b/emulator/scenario.cc
@@ -28,6 +28,7 @@
   Targets,
   Histories,
   Calls,
+  Crashes,
 };
 
 template<class Value>
@@ -47,6 +48,7 @@
     { "second-copies", FaultKind::SecondCopies },
     { "broken-off", FaultKind::BrokenOff },
     { "lost-answers", FaultKind::LostAnswers },
+    { "crashes", FaultKind::Crashes },
     { "target-leaves", FaultKind::TargetLeaves },
     { "node-kill", FaultKind::NodeKill },
     { "node-stop", FaultKind::NodeStop },
@@ -329,6 +331,20 @@
   return faults;
 }
 
+std::vector<Fault>
+DrawCrashes(const Scenario& aScenario)
+{
+  Draw draw(aScenario.mSeed, Stream::Crashes);
+  std::vector<Fault> faults;
+  if (draw.Chance(0.3)) {
+    Fault fault = FaultAt(FaultKind::Crashes,
+                          draw.Between(kFirstFaultAt, 2 * kFirstFaultAt));
+    fault.mFor = draw.Between(6000, 10000);
+    faults.push_back(fault);
+  }
+  return faults;
+}
+
 } // namespace
 
 Scenario
@@ -371,7 +387,8 @@
                                         DrawNodeFaults(aScenario, returns),
                                         DrawLeavings(aScenario, returns),
                                         DrawHistories(aScenario),
-                                        DrawCallFaults(aScenario) }) {
+                                        DrawCallFaults(aScenario),
+                                        DrawCrashes(aScenario) }) {
     all.insert(all.end(), it.begin(), it.end());
   }
   std::stable_sort(
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -21,6 +21,7 @@
   SecondCopies, ///< some targets send their answers twice
   BrokenOff,    ///< some targets break off within their answers
   LostAnswers,  ///< some targets run requests and don't answer
+  Crashes,      ///< a request that ends its targets comes again and again
   TargetLeaves, ///< a target leaves, and another starts at a free address
   NodeKill,     ///< a node is killed and starts again
   NodeStop,     ///< a node is asked to stop and starts again
--- a/emulator/target.cc
+++ b/emulator/target.cc
@@ -7,6 +7,7 @@
 
 #include <sstream>
 #include <thread>
+#include <utility>
 
 namespace hibiscushold::emulator {
 
@@ -16,6 +17,8 @@
 /// Time from an answer to its second copy, in which its connection may be used
 /// again.
 constexpr auto kCopyDelay = milliseconds(3);
+/// Time from the start of a request that ends its target to that end.
+constexpr auto kCrashDelay = milliseconds(50);
 constexpr int kSlots = 8;
 constexpr int kMisdirected = 421;
 /// Headers of answers that nodes need not know.
@@ -72,6 +75,24 @@
   mOccupant.reset();
 }
 
+std::optional<size_t>
+TargetAddress::TakeCrashed()
+{
+  const std::lock_guard guard(mLock);
+  return std::exchange(mCrashedService, std::nullopt);
+}
+
+void
+TargetAddress::Crash(const std::string& aTarget)
+{
+  std::this_thread::sleep_for(kCrashDelay);
+  const std::lock_guard guard(mLock);
+  if (mOccupant && mOccupant->mId == aTarget) {
+    mCrashedService = mOccupant->mService;
+    mOccupant.reset();
+  }
+}
+
 std::optional<Target>
 TargetAddress::Occupant() const
 {
@@ -117,6 +138,11 @@
   }
   mRecorder.Record(
     ArrivalLine{ std::stoull(id), target->mId, mTimeline.Now() });
+  if (IsCrashPath(aRequest.getURI())) {
+    Crash(target->mId);
+    standin::CutConnection(aRequest);
+    return;
+  }
   std::this_thread::sleep_for(kServiceTime);
   aResponse.set(wire::kServerStamp, target->mId);
   Answer(aRequest, aResponse, AnswerBody(target->mService, std::stoull(id)));
--- a/emulator/target.h
+++ b/emulator/target.h
@@ -46,6 +46,10 @@
   /// Ends the target; connections to the address are closed from then on.
   void End();
 
+  /// @return the service of a target that has ended by itself since the last
+  ///         call
+  std::optional<size_t> TakeCrashed();
+
   /// Spoils the answers from now on.
   void SetAnswerFault(AnswerFault aFault) { mAnswerFault = aFault; }
 
@@ -55,6 +59,8 @@
   Json::Value EntryOf(const Target& aTarget) const;
 
 private:
+  /// Ends the target a moment after it has begun to work on a request.
+  void Crash(const std::string& aTarget);
   void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse);
   void Answer(HTTPServerRequest& aRequest,
               HTTPServerResponse& aResponse,
@@ -62,8 +68,9 @@
 
   const Timeline& mTimeline;
   Recorder& mRecorder;
-  mutable std::mutex mLock; ///< guards mOccupant
+  mutable std::mutex mLock; ///< guards the members below
   std::optional<Target> mOccupant;
+  std::optional<size_t> mCrashedService;
   std::atomic<AnswerFault> mAnswerFault{ AnswerFault::None };
   standin::Server mServer;
 };
--- a/emulator/targets.cc
+++ b/emulator/targets.cc
@@ -15,6 +15,7 @@
 constexpr int64_t kDrainMillis = 2000;
 constexpr int64_t kMaxExtraDrainMillis = 3000;
 constexpr int64_t kReuseMillis = 2000;
+constexpr int64_t kRestartMillis = 3000;
 constexpr size_t kSparePlaces = 4;
 constexpr double kSpoiledShare = 0.3;
 
@@ -75,7 +76,8 @@
 {
   std::vector<Place*> free;
   for (Place& it : mPlaces) {
-    if (!it.mAddress->Occupant() && it.mFreeFrom <= mTimeline.Now()) {
+    if (!it.mAddress->Occupant() && !it.mRestartedService &&
+        it.mFreeFrom <= mTimeline.Now()) {
       free.push_back(&it);
     }
   }
@@ -122,6 +124,14 @@
 Targets::SyncPlace(Place& aPlace, bool aIsStoreAway)
 {
   const int64_t now = mTimeline.Now();
+  if (const std::optional<size_t> crashed = aPlace.mAddress->TakeCrashed()) {
+    aPlace.mRestartsAt = now + kRestartMillis;
+    aPlace.mRestartedService = crashed;
+  }
+  if (aPlace.mRestartedService && now >= aPlace.mRestartsAt) {
+    StartAt(aPlace, *aPlace.mRestartedService);
+    aPlace.mRestartedService.reset();
+  }
   const std::optional<Target> target = aPlace.mAddress->Occupant();
   if (!target) {
     return;
--- a/emulator/targets.h
+++ b/emulator/targets.h
@@ -40,6 +40,8 @@
     int64_t mEndsAt = 0;   ///< of a target that leaves
     int64_t mFreeFrom = 0; ///< another target may start here from this time
     bool mIsLeavingAcked = false;
+    int64_t mRestartsAt = 0; ///< after a crash
+    std::optional<size_t> mRestartedService{};
   };
 
   /// When an entry without a living target was first seen.
--- a/test/emulator-test.cc
+++ b/test/emulator-test.cc
@@ -203,6 +203,21 @@
   CheckAnswers(nullptr, request);
 }
 
+// Guards against a judge that misses repeats of a request that has ended three
+// targets, or counts those that a node may still send.
+TEST(EmulatorJudge, NamesTheFourthLateRepeatOfACrashingRequest)
+{
+  for (int n = 0; n < 10; ++n) {
+    const int64_t at = n < 3 ? kAck + n : kAck + 3000 + n;
+    RequestLine request = MakeRequest(Probe::Crash, 4, Verdict::Open, at);
+    request.mId = static_cast<uint64_t>(at);
+    mLines.mRequests.push_back(request);
+    mLines.mArrivals.push_back({ request.mId, "w" + std::to_string(n), at });
+    CHECK_EQUAL(n >= 6, !JudgeBudget(mLines, {}).empty());
+  }
+  CHECK_EQUAL(kAck + 3006, JudgeBudget(mLines, {})[0].mRequest.mSentAt);
+}
+
 TEST_GROUP(EmulatorStore)
 {
   Timeline mTimeline;
