--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -15,6 +15,8 @@
 /// is newer than its lease, which takes one watch. A list costs a call per
 /// page.
 constexpr auto kListInterval = milliseconds(200);
+/// How long a node that was cut off from its VMs does not take the lease.
+constexpr auto kCutOffTime = milliseconds(3000);
 /// Orders go to many VMs at once, and an order to a dead VM occupies its thread
 /// until the timeout.
 constexpr size_t kOrderThreads = 24;
@@ -61,8 +63,10 @@
     const std::lock_guard guard(mLeaseLock);
     lease = mLease;
   }
+  const bool isEligible = !mDependencies.mStopping &&
+                          mDependencies.mClock.Now() >= mCutOffUntil.load();
   const LeaseRole role =
-    mDependencies.mStopping ? LeaseRole::Ineligible : LeaseRole::Preferred;
+    isEligible ? LeaseRole::Preferred : LeaseRole::Ineligible;
   lease.mAllowStaleReads =
     aAllowStaleReads && !lease.mHeld && !lease.mPendingWrite;
   mLeases.Step(kLeaseName, role, 0, lease);
@@ -155,6 +159,9 @@
     service.mState = MakePlannerState(mFence);
   }
   ProbeSuspects(aService, service);
+  if (IsCutOff(aService.mName, service.mState)) {
+    return;
+  }
   const PlannerView view{
     *aVms, aService.mName, *aService.mEngine, mDependencies.mIsBeforeTraffic()
   };
@@ -217,9 +224,51 @@
       suspects.insert(id);
     }
   }
+  AddControls(aState, aNow, suspects);
   return suspects;
 }
 
+void
+PlanRunner::AddControls(const PlannerState& aState,
+                        TimePoint aNow,
+                        std::set<std::string>& aSuspects)
+{
+  CallSummary summary;
+  for (const auto& [id, vm] : aState.mVms) {
+    Summarize(vm.mSilence, aNow, summary);
+  }
+  if (summary.mMissing < kManyMissing) {
+    return;
+  }
+  const size_t step = aState.mVms.size() / kControlCalls + 1;
+  size_t n = 0;
+  for (const auto& [id, vm] : aState.mVms) {
+    if (n++ % step == 0) {
+      aSuspects.insert(id);
+    }
+  }
+}
+
+bool
+PlanRunner::IsCutOff(const std::string& aService, const PlannerState& aState)
+{
+  const TimePoint now = mDependencies.mClock.Now();
+  CallSummary summary;
+  for (const auto& [id, vm] : aState.mVms) {
+    Summarize(vm.mSilence, now, summary);
+  }
+  if (!SuggestsCut(summary)) {
+    return now < mCutOffUntil.load();
+  }
+  if (now >= mCutOffUntil.load()) {
+    LogEvent(EventId::PlannerCutOff,
+             { { "service", aService },
+               { "missing", std::to_string(summary.mMissing) } });
+  }
+  mCutOffUntil = now + kCutOffTime;
+  return true;
+}
+
 void
 PlanRunner::ProbeSuspects(const FleetService& aService, Service& aState)
 {
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -58,6 +58,14 @@
     TimePoint mNextLogAt;
   };
 
+  /// Adds VMs that nothing is suspected of, from all over the service, if many
+  /// suspects don't respond.
+  static void AddControls(const PlannerState& aState,
+                          TimePoint aNow,
+                          std::set<std::string>& aSuspects);
+  /// @return whether this node is cut off from its VMs, which then says nothing
+  ///         about them
+  bool IsCutOff(const std::string& aService, const PlannerState& aState);
   /// @return a list of the VMs that is newer than the lease, or null
   FleetVmsPtr FreshVms();
   void PlanService(const FleetService& aService, const FleetVmsPtr& aVms);
@@ -80,6 +88,8 @@
   const PlannerLimits mLimits;
   const TimePoint mPlanningStartsAt; ///< before, the list may lack VMs
   LeaseClient mLeases;
+  /// A planner that is cut off from its VMs gives the lease to another node.
+  std::atomic<TimePoint> mCutOffUntil{ TimePoint{} };
   std::mutex mLeaseLock; ///< guards mLease
   LeaseState mLease;
   // Used by the planning thread only:
--- a/src/fleet/silence.cc
+++ b/src/fleet/silence.cc
@@ -14,6 +14,14 @@
 /// from its list within three of its intervals.
 constexpr auto kUnresponsiveTime = milliseconds(5000);
 
+/// Calls without response in a row, one of which may have been lost.
+constexpr uint32_t kMinMissesOfSummary = 2;
+constexpr auto kSummarizedTime = milliseconds(1000);
+/// Least number of VMs that are missing in a cut, and how many of them there
+/// are at least for each VM that responds.
+constexpr size_t kMinMissingInCut = 9;
+constexpr size_t kMissingPerResponding = 10;
+
 } // namespace
 
 void
@@ -63,4 +71,22 @@
          aNow - aSilence.mLastMissAt <= kMaxTimeBetweenCalls;
 }
 
+void
+Summarize(const VmSilence& aSilence, TimePoint aNow, CallSummary& aInto)
+{
+  const bool missed = aSilence.mMisses >= kMinMissesOfSummary;
+  if (missed && aNow - aSilence.mLastMissAt <= kSummarizedTime) {
+    ++aInto.mMissing;
+  } else if (!missed && aNow - aSilence.mLastResponseAt <= kSummarizedTime) {
+    ++aInto.mResponding;
+  }
+}
+
+bool
+SuggestsCut(const CallSummary& aSummary)
+{
+  return aSummary.mMissing >= kMinMissingInCut &&
+         aSummary.mResponding * kMissingPerResponding <= aSummary.mMissing;
+}
+
 } // namespace hibiscushold
--- a/src/fleet/silence.h
+++ b/src/fleet/silence.h
@@ -52,4 +52,25 @@
 bool
 IsInDoubt(const VmSilence& aSilence, TimePoint aNow);
 
+/// How the VMs of a service, or some of them, respond to this node's calls.
+struct CallSummary
+{
+  size_t mMissing = 0;    ///< VMs that did not respond lately
+  size_t mResponding = 0; ///< VMs that did
+};
+
+/// VMs that are missing together before others are called as well, to tell a
+/// loss of VMs from a cut of this node.
+inline constexpr size_t kManyMissing = 6;
+/// Number of those others.
+inline constexpr size_t kControlCalls = 12;
+
+/// Adds the latest call to a VM to the summary.
+void
+Summarize(const VmSilence& aSilence, TimePoint aNow, CallSummary& aInto);
+
+/// @return whether it is rather this node that is cut off than its VMs
+bool
+SuggestsCut(const CallSummary& aSummary);
+
 } // namespace hibiscushold
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -86,6 +86,9 @@
              "fleet_group_changed",
              log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::FleetCounts, "fleet_counts", log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::PlannerCutOff,
+             "planner_cut_off",
+             log4cplus::WARN_LOG_LEVEL },
   EventType{ EventId::TargetEjected,
              "target_ejected",
              log4cplus::WARN_LOG_LEVEL },
@@ -123,6 +126,12 @@
   EventType{ EventId::QuarantineEnded,
              "quarantine_ended",
              log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::TargetsUnreachable,
+             "targets_unreachable",
+             log4cplus::WARN_LOG_LEVEL },
+  EventType{ EventId::TargetsReachable,
+             "targets_reachable",
+             log4cplus::INFO_LOG_LEVEL },
 };
 
 std::atomic<bool> gIsJson{ false };
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -41,6 +41,7 @@
   OrderGiven = 4006,
   FleetGroupChanged = 4007,
   FleetCounts = 4008,
+  PlannerCutOff = 4009,
   TargetEjected = 4101,
   RequestRefused = 5001,
   RequestRetried = 5002,
@@ -54,6 +55,8 @@
   TargetBrokeOff = 5010,
   QuarantineStarted = 5011,
   QuarantineEnded = 5012,
+  TargetsUnreachable = 5013,
+  TargetsReachable = 5014,
 };
 
 /// Name and value of a field of an event.
--- a/test/planrunner-test.cc
+++ b/test/planrunner-test.cc
@@ -15,9 +15,11 @@
 /// A VM that is silent for good must be given up within this time, of which a
 /// busy machine may take a part.
 constexpr auto kGivenUpWithin = seconds(8);
+/// A node that was cut off may plan again within this time.
+constexpr auto kCutOffEndsWithin = seconds(6);
 constexpr const char* kService = "drafting";
 
-/// Engines that respond at once, except one that may be silent.
+/// Engines that respond at once, except one or all that may be silent.
 class ScriptedEngines final : public EngineControl
 {
 public:
@@ -33,7 +35,7 @@
   {
     {
       const std::lock_guard guard(mLock);
-      if (aTo != mSilent) {
+      if (aTo != mSilent && !mAllSilent) {
         return EngineReport{};
       }
       ++mProbes;
@@ -59,6 +61,7 @@
 
   mutable std::mutex mLock; ///< guards the members below
   Endpoint mSilent;
+  bool mAllSilent = false;
   std::vector<FleetOrder> mOrders;
   int mProbes = 0; ///< of the silent VM
   int mOpenProbes = 0;
@@ -134,6 +137,31 @@
     RunFor(milliseconds(50));
   }
 
+  void SetAllSilent(bool aSilent)
+  {
+    const std::lock_guard guard(mEngines.mLock);
+    mEngines.mAllSilent = aSilent;
+  }
+
+  /// Lists more open groups, whose heads have a request without any progress.
+  void AddGroups(uint32_t aCount)
+  {
+    for (uint32_t group = 2; group < 2 + aCount; ++group) {
+      for (uint32_t rank = 0; rank < 3; ++rank) {
+        FleetVm vm = mVms["v" + std::to_string(rank)];
+        vm.mId = "w" + std::to_string(group) + "-" + std::to_string(rank);
+        vm.mAddress.mPort = static_cast<uint16_t>(1000 + 10 * group + rank);
+        vm.mDomain = "d" + std::to_string(group);
+        vm.mMembership->mKey = { "g" + std::to_string(group), group };
+        mVms[vm.mId] = vm;
+        (void)mStore.Create("vm/" + vm.mId, "", CallPriority::Config);
+        if (rank == 0) {
+          mLoads.Begin(vm.mId, mClock.Now() - seconds(1));
+        }
+      }
+    }
+  }
+
   /// Runs the planner for a time, or until it has sent an order.
   void RunFor(Duration aTime)
   {
@@ -185,3 +213,54 @@
   mRunner.reset();
   CHECK_EQUAL(0, mEngines.mProbes);
 }
+
+// Guards against a planner that loses the way to all VMs and dissolves all
+// groups, which the other nodes still reach.
+TEST(PlanRunner, ANodeThatIsCutOffGivesUpTheLeaseAndNoGroup)
+{
+  AddGroups(4);
+  RunFor(milliseconds(100));
+  CHECK(mRunner->IsLeaseHolder());
+  SetAllSilent(true);
+  RunFor(seconds(4));
+  CHECK_EQUAL(0U, mEngines.CountOrders());
+  CHECK(!mRunner->IsLeaseHolder());
+  SetAllSilent(false);
+  RunFor(kCutOffEndsWithin);
+  CHECK(mRunner->IsLeaseHolder());
+  CHECK_EQUAL(0U, mEngines.CountOrders());
+  mRunner.reset();
+}
+
+TEST_GROUP(CutSuggestion){};
+
+// Guards against a planner that takes the loss of a domain, a zone or half of
+// the VMs for a cut of its own, and replaces nothing.
+TEST(CutSuggestion, VmsThatRespondSpeakAgainstACut)
+{
+  CHECK(SuggestsCut({ 45, 0 }));
+  CHECK(SuggestsCut({ 45, 1 }));
+  CHECK(!SuggestsCut({ 8, 0 }));
+  CHECK(!SuggestsCut({ 9, 10 }));
+  CHECK(!SuggestsCut({ 18, 8 }));
+  CHECK(!SuggestsCut({ 27, 6 }));
+}
+
+// Guards against old calls, or a single lost one, that count for a cut.
+TEST(CutSuggestion, OnlyRecentCallsCount)
+{
+  const TimePoint now{ std::chrono::hours(1) };
+  CallSummary summary;
+  VmSilence silence;
+  RecordMiss(silence, { now, now + milliseconds(120) });
+  Summarize(silence, now + milliseconds(130), summary);
+  CHECK_EQUAL(0U, summary.mMissing);
+  RecordMiss(silence, { now + milliseconds(200), now + milliseconds(320) });
+  Summarize(silence, now + milliseconds(330), summary);
+  CHECK_EQUAL(1U, summary.mMissing);
+  Summarize(silence, now + milliseconds(1400), summary);
+  CHECK_EQUAL(1U, summary.mMissing);
+  RecordResponse(silence, { now, now + milliseconds(1500) });
+  Summarize(silence, now + milliseconds(1600), summary);
+  CHECK_EQUAL(1U, summary.mResponding);
+}
