--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -129,9 +129,14 @@
               address,
               std::min<Duration>(remaining, mRequest.mConnectTimeout));
     if (!opened) {
+      mDependencies.mReach.RecordConnectFailure(mRequest.mTarget.mVmId,
+                                                mDependencies.mClock.Now());
       SetOutcome(ExchangeOutcome::ConnectFailed, Describe(opened.error()));
       return false;
     }
+    if (!mReport.mReused) {
+      mDependencies.mReach.RecordConnected(mDependencies.mClock.Now());
+    }
     TransferLimiter& limiter = mSession->Guard();
     limiter.ResetSent();
     limiter.SetDeadline(mRequest.mDeadline);
@@ -208,6 +213,7 @@
       }
       if (id == mRequest.mRequestId || isRefusal) {
         mReport.mBeganAt = mDependencies.mClock.Now();
+        mDependencies.mReach.RecordAnswer(*mReport.mBeganAt);
         RecordAnnouncements(mDependencies, mRequest.mTarget, head);
         HandleResponse(head, body);
         return;
@@ -330,6 +336,7 @@
     }
     const TimePoint now = mDependencies.mClock.Now();
     const std::string& vm = mRequest.mTarget.mVmId;
+    mDependencies.mReach.RecordAnswer(now);
     if (mInFlightEntry->mStreaming) {
       mReport.mLongestEventGap =
         std::max(mReport.mLongestEventGap, now - mLastEventAt);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -4,6 +4,7 @@
 #include "core/http.h"
 #include "core/nestedattempt.h"
 #include "core/sessionpool.h"
+#include "fleet/reach.h"
 #include "fleet/targetchoice.h"
 #include "fleet/targetloads.h"
 #include "gateway/protocolnames.h"
@@ -124,6 +125,7 @@
   SessionPool& mPool;
   TargetLoads& mLoads;
   ByteBudget& mBuffers; ///< for what is received and not yet forwarded
+  TargetReach& mReach;
   const ProtocolNames& mProtocol;
   const Clock& mClock;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -23,7 +23,7 @@
 /// milliseconds.
 constexpr uint32_t kUnreadyRetryMillis = 300;
 /// Short, because another node can serve the request at once.
-constexpr uint32_t kStoppingRetryMillis = 20;
+constexpr uint32_t kElsewhereRetryMillis = 20;
 
 /// @return the time in seconds with three decimals, such as "0.300"
 std::string
@@ -42,6 +42,12 @@
   return aDependencies.mClock.Now() < until;
 }
 
+Reach
+AssessReachOf(const GatewayDependencies& aDependencies)
+{
+  return aDependencies.mReach.Assess(aDependencies.mClock.Now());
+}
+
 /// Handles one request of a caller.
 class CallerHandler final : public Poco::Net::HTTPRequestHandler
 {
@@ -69,8 +75,10 @@
               HTTPServerResponse& aResponse,
               ResponseWriter& aWriter)
   {
+    // Callers are to come back at another node.
     aResponse.setKeepAlive(aResponse.getKeepAlive() &&
-                           !mDependencies.mStopping);
+                           !mDependencies.mStopping &&
+                           AssessReachOf(mDependencies) == Reach::Full);
     ResultOrRefusal<GatewayRequest> request = Admit(aRequest);
     if (request) {
       const ResultOrRefusal<void> body =
@@ -123,7 +131,7 @@
       return Refusal{ RefusalKind::Stopping,
                       "the node is about to stop",
                       Ran::No,
-                      kStoppingRetryMillis };
+                      kElsewhereRetryMillis };
     }
     const FleetConfigPtr config = mDependencies.mWatcher.Config();
     if (config == nullptr) {
@@ -144,6 +152,12 @@
                       Ran::No,
                       kUnreadyRetryMillis };
     }
+    if (AssessReachOf(mDependencies) == Reach::None) {
+      return Refusal{ RefusalKind::NoTarget,
+                      "the node reaches no target",
+                      Ran::No,
+                      kElsewhereRetryMillis };
+    }
     return request;
   }
 
@@ -199,7 +213,8 @@
 {
   return !aDependencies.mStopping &&
          aDependencies.mWatcher.Config() != nullptr &&
-         IsConfigFresh(aDependencies);
+         IsConfigFresh(aDependencies) &&
+         AssessReachOf(aDependencies) == Reach::Full;
 }
 
 } // namespace hibiscushold
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,7 @@
   TargetLoads& mLoads;
   Quarantine& mQuarantine;
   ByteBudget& mBuffers;
+  TargetReach& mReach;
   ServiceRetryBudget& mRetryBudget;
   const ProtocolNames& mProtocol;
   Metrics& mMetrics;
@@ -52,8 +53,8 @@
   const GatewayDependencies mDependencies;
 };
 
-/// @return whether the node is not stopping and its configuration is recent
-///         enough to serve requests
+/// @return whether the node is not stopping, its configuration is recent enough
+///         to serve requests, and targets accept its connections
 bool
 IsReady(const GatewayDependencies& aDependencies);
 
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -311,6 +311,7 @@
     ExchangeReport report = RunExchange({ mDependencies.mSessions,
                                           mDependencies.mLoads,
                                           mDependencies.mBuffers,
+                                          mDependencies.mReach,
                                           mDependencies.mProtocol,
                                           mDependencies.mClock },
                                         MakeExchange(aTarget, aOuter),
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -69,6 +69,7 @@
   SessionPool mPool{ mClock };
   TargetLoads mLoads;
   ByteBudget mBuffers{ 1000000 };
+  TargetReach mReach{ mClock.Now() };
   RecordingSink mSink;
 
   ExchangeReport Run(const ScriptedServer& aServer,
@@ -86,7 +87,7 @@
     request.mStream = aStream;
     request.mLastEvent = aLastEvent;
     return RunExchange(
-      { mPool, mLoads, mBuffers, kProtocol, mClock }, request, mSink);
+      { mPool, mLoads, mBuffers, mReach, kProtocol, mClock }, request, mSink);
   }
 };
 
@@ -277,8 +278,8 @@
     target, "GET", "/x",  {},   "", "r1", deadline, deadline, milliseconds(200),
     {},     0,     false, false
   };
-  const ExchangeReport report =
-    RunExchange({ mPool, mLoads, mBuffers, kProtocol, mClock }, request, mSink);
+  const ExchangeReport report = RunExchange(
+    { mPool, mLoads, mBuffers, mReach, kProtocol, mClock }, request, mSink);
   CHECK(ExchangeOutcome::ConnectFailed == report.mOutcome);
   CHECK_EQUAL(0U, report.mSentBytes);
   CHECK_EQUAL(0U, mLoads.Get("vm-1").mInFlight);
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -174,6 +174,7 @@
   TargetLoads mLoads;
   Quarantine mQuarantine;
   ByteBudget mBuffers{ 64000000 };
+  TargetReach mReach{ mClock.Now() };
   ServiceRetryBudget mRetryBudget{ { 0.2, milliseconds(10000), 100 } };
   const ProtocolNames mProtocol{ "Id",          "Wait", "Last",    "Proof",
                                  "Account",     "Vm",   "Not-Run", "Model",
@@ -203,6 +204,7 @@
              mLoads,
              mQuarantine,
              mBuffers,
+             mReach,
              mRetryBudget,
              mProtocol,
              mMetrics,
