--- a/src/fleet/crashevidence.cc
+++ b/src/fleet/crashevidence.cc
@@ -9,6 +9,17 @@
 
 namespace {
 
+/// Further parts of a prompt count for nothing.
+constexpr size_t kMaxRankedParts = 64;
+
+/// @return the rank of the n-th shared part of a prompt
+uint8_t
+RankOfPart(size_t aIndex)
+{
+  return static_cast<uint8_t>(
+    std::min<size_t>(kMinPartRank + aIndex, kMaxPartRank));
+}
+
 /// The crashes that the culprits found so far explain, by target. They say
 /// nothing about the other requests at the same targets.
 class Explained
@@ -189,6 +200,20 @@
 
 } // namespace
 
+std::vector<RankedTrait>
+RankedTraitsOf(const RequestTraits& aTraits)
+{
+  std::vector<RankedTrait> traits{ { aTraits.mContent, kContentRank } };
+  if (aTraits.mResource) {
+    traits.push_back({ *aTraits.mResource, kResourceRank });
+  }
+  const size_t parts = std::min(aTraits.mParts.size(), kMaxRankedParts);
+  for (size_t i = 0; i < parts; ++i) {
+    traits.push_back({ aTraits.mParts[i], RankOfPart(i) });
+  }
+  return traits;
+}
+
 std::vector<Crash>
 NotRefuted(const Suspect& aSuspect)
 {
--- a/src/fleet/crashevidence.h
+++ b/src/fleet/crashevidence.h
@@ -33,6 +33,17 @@
 inline constexpr uint8_t kMaxPartRank = 254;
 inline constexpr uint8_t kContentRank = 255;
 
+/// A trait with its rank.
+struct RankedTrait
+{
+  TraitId mTrait = 0;
+  uint8_t mRank = 0;
+};
+
+/// @return the traits that count, the request's whole content first
+std::vector<RankedTrait>
+RankedTraitsOf(const RequestTraits& aTraits);
+
 /// The end of a target while a request with a trait was at it.
 struct Crash
 {
--- a/src/fleet/quarantine.cc
+++ b/src/fleet/quarantine.cc
@@ -19,8 +19,6 @@
 /// A target that crashes under an answer does so this soon after it has begun.
 constexpr auto kBeginningTime = milliseconds(250);
 constexpr size_t kMaxCrashesPerSuspect = 16;
-/// Further parts of a prompt count for nothing.
-constexpr size_t kMaxRankedParts = 64;
 constexpr size_t kMaxStrongNotices = 96;
 
 /// @return when too few crashes will be left to keep the trait quarantined
@@ -34,14 +32,6 @@
   return crashes[kMinCrashes - 1].mAt + kQuarantineTime;
 }
 
-/// @return the rank of the n-th shared part of a prompt
-uint8_t
-RankOfPart(size_t aIndex)
-{
-  return static_cast<uint8_t>(
-    std::min<size_t>(kMinPartRank + aIndex, kMaxPartRank));
-}
-
 /// @return the name of a trait's kind, for the log
 std::string
 KindOf(uint8_t aRank)
@@ -208,20 +198,6 @@
   return due;
 }
 
-std::vector<Quarantine::RankedTrait>
-Quarantine::RankedTraitsOf(const RequestTraits& aTraits)
-{
-  std::vector<RankedTrait> traits{ { aTraits.mContent, kContentRank } };
-  if (aTraits.mResource) {
-    traits.push_back({ *aTraits.mResource, kResourceRank });
-  }
-  const size_t parts = std::min(aTraits.mParts.size(), kMaxRankedParts);
-  for (size_t i = 0; i < parts; ++i) {
-    traits.push_back({ aTraits.mParts[i], RankOfPart(i) });
-  }
-  return traits;
-}
-
 std::vector<TraitId>
 Quarantine::QuarantinedOf(const RequestTraits& aTraits) const
 {
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -82,16 +82,6 @@
   static constexpr size_t kMaxSuspects = 1536;
 
 private:
-  /// A trait with its rank, see kContentRank.
-  struct RankedTrait
-  {
-    TraitId mTrait = 0;
-    uint8_t mRank = 0;
-  };
-
-  /// @return the traits that count, from the request's whole content on
-  static std::vector<RankedTrait> RankedTraitsOf(const RequestTraits& aTraits);
-
   /// The quarantine of one trait.
   struct Confinement
   {
