--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -36,6 +36,16 @@
                                         milliseconds(250),
                                         milliseconds(450) };
 
+CallSummary
+SummarizeCalls(const PlannerState& aState, TimePoint aNow)
+{
+  CallSummary summary;
+  for (const auto& [id, vm] : aState.mVms) {
+    Summarize(vm.mSilence, aNow, summary);
+  }
+  return summary;
+}
+
 } // namespace
 
 PlanRunner::PlanRunner(std::string aNodeId,
@@ -231,20 +241,16 @@
 void
 PlanRunner::AddControls(const PlannerState& aState,
                         TimePoint aNow,
-                        std::set<std::string>& aSuspects)
+                        std::set<std::string>& aToProbe)
 {
-  CallSummary summary;
-  for (const auto& [id, vm] : aState.mVms) {
-    Summarize(vm.mSilence, aNow, summary);
-  }
-  if (summary.mMissing < kManyMissing) {
+  if (SummarizeCalls(aState, aNow).mMissing < kManyMissing) {
     return;
   }
   const size_t step = aState.mVms.size() / kControlCalls + 1;
   size_t n = 0;
   for (const auto& [id, vm] : aState.mVms) {
     if (n++ % step == 0) {
-      aSuspects.insert(id);
+      aToProbe.insert(id);
     }
   }
 }
@@ -253,10 +259,7 @@
 PlanRunner::IsCutOff(const std::string& aService, const PlannerState& aState)
 {
   const TimePoint now = mDependencies.mClock.Now();
-  CallSummary summary;
-  for (const auto& [id, vm] : aState.mVms) {
-    Summarize(vm.mSilence, now, summary);
-  }
+  const CallSummary summary = SummarizeCalls(aState, now);
   if (!SuggestsCut(summary)) {
     return now < mCutOffUntil.load();
   }
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -58,11 +58,11 @@
     TimePoint mNextLogAt;
   };
 
-  /// Adds VMs that nothing is suspected of, from all over the service, if many
-  /// suspects don't respond.
+  /// Adds some VMs from all over the service if many suspects don't respond.
+  /// Their responses tell the loss of VMs from a cut of this node.
   static void AddControls(const PlannerState& aState,
                           TimePoint aNow,
-                          std::set<std::string>& aSuspects);
+                          std::set<std::string>& aToProbe);
   /// @return whether this node is cut off from its VMs, which then says nothing
   ///         about them
   bool IsCutOff(const std::string& aService, const PlannerState& aState);
@@ -73,7 +73,8 @@
                  Service& aService,
                  const PlannerView& aView);
   /// @return the members of the groups whose head shows no progress, and the
-  ///         VMs that did not respond to recent calls
+  ///         VMs that did not respond to recent calls; if those are many, also
+  ///         some of the others
   std::set<std::string> FindSuspects(const FleetService& aService,
                                      const PlannerState& aState,
                                      TimePoint aNow) const;
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -30,7 +30,8 @@
 /// configuration may lack a change until they are written again. For that time
 /// the list is not settled, and reads do not confirm the configuration. A
 /// watcher that starts can't know when the store has returned, so it waits as
-/// well until the era is recorded as complete (store/erarecord.h).
+/// well, unless the era is recorded as complete or until it is
+/// (store/erarecord.h).
 class FleetWatcher
 {
 public:
