--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -73,8 +73,7 @@
     const std::lock_guard guard(mLeaseLock);
     lease = mLease;
   }
-  const bool isEligible = !mDependencies.mStopping &&
-                          mDependencies.mClock.Now() >= mCutOffUntil.load();
+  const bool isEligible = !mDependencies.mStopping && !IsCutOff();
   const LeaseRole role =
     isEligible ? LeaseRole::Preferred : LeaseRole::Ineligible;
   lease.mAllowStaleReads =
@@ -169,7 +168,8 @@
     service.mState = MakePlannerState(mFence);
   }
   ProbeSuspects(aService, service);
-  if (IsCutOff(aService.mName, service.mState)) {
+  RecordCut(aService.mName, service.mState);
+  if (IsCutOff()) {
     return;
   }
   const PlannerView view{
@@ -255,21 +255,26 @@
   }
 }
 
-bool
-PlanRunner::IsCutOff(const std::string& aService, const PlannerState& aState)
+void
+PlanRunner::RecordCut(const std::string& aService, const PlannerState& aState)
 {
   const TimePoint now = mDependencies.mClock.Now();
   const CallSummary summary = SummarizeCalls(aState, now);
   if (!SuggestsCut(summary)) {
-    return now < mCutOffUntil.load();
+    return;
   }
-  if (now >= mCutOffUntil.load()) {
+  if (!IsCutOff()) {
     LogEvent(EventId::PlannerCutOff,
              { { "service", aService },
                { "missing", std::to_string(summary.mMissing) } });
   }
   mCutOffUntil = now + kCutOffTime;
-  return true;
+}
+
+bool
+PlanRunner::IsCutOff() const
+{
+  return mDependencies.mClock.Now() < mCutOffUntil.load();
 }
 
 void
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -63,9 +63,12 @@
   static void AddControls(const PlannerState& aState,
                           TimePoint aNow,
                           std::set<std::string>& aToProbe);
-  /// @return whether this node is cut off from its VMs, which then says nothing
-  ///         about them
-  bool IsCutOff(const std::string& aService, const PlannerState& aState);
+  /// Records whether the calls to a service's VMs suggest that this node is cut
+  /// off from them.
+  void RecordCut(const std::string& aService, const PlannerState& aState);
+  /// @return whether this node is, or was lately, cut off from its VMs, whose
+  ///         silence then says nothing about them
+  bool IsCutOff() const;
   /// @return a list of the VMs that is newer than the lease, or null
   FleetVmsPtr FreshVms();
   void PlanService(const FleetService& aService, const FleetVmsPtr& aVms);
