--- a/src/fleet/reach.h
+++ b/src/fleet/reach.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <string>
@@ -13,43 +14,64 @@
 enum class Reach
 {
   Full,
-  OpenConnectionsOnly, ///< targets answer, but accept no new connection
-  None,                ///< nothing comes from any target
+  Partial, ///< few targets accept a connection, or only open ones still answer
+  None,    ///< nothing comes from any target
 };
 
-/// What connections to targets have shown.
-struct ReachEvidence
+/// How many of the targets that were tried accepted a connection.
+struct ProbeRound
 {
-  TimePoint mConnectedAt;    ///< when a new connection was last accepted
-  TimePoint mAnsweredAt;     ///< when something was last received
-  size_t mFailedTargets = 0; ///< that lately refused one, since mConnectedAt
+  size_t mAccepted = 0;
+  size_t mFailed = 0;
 };
 
-/// Targets that are dead or slow don't look like a cut, as others accept
+/// Targets that are dead or slow don't look like a cut, as most others accept
 /// connections meanwhile.
-Reach
-AssessReach(const ReachEvidence& aEvidence, TimePoint aNow);
+/// @param aLately sum of the latest rounds, whose targets were chosen at random
+/// @return whether they show that the node is cut off from its targets
+bool
+ShowsCut(const ProbeRound& aLately);
 
-/// Collects the evidence. Thread-safe.
+/// @return whether the round ends a cut; takes more than ShowsCut refutes
+bool
+EndsCut(const ProbeRound& aRound);
+
+/// Collects the evidence of a node's reach. Failures and silence that requests
+/// meet raise a suspicion; probes of targets from all services confirm or
+/// refute it. Thread-safe.
 class TargetReach
 {
 public:
   explicit TargetReach(TimePoint aNow);
 
-  /// A target has accepted a new connection.
-  void RecordConnected(TimePoint aNow);
   /// A new connection to the target has failed.
   void RecordConnectFailure(const std::string& aVmId, TimePoint aNow);
+  /// A request was sent to a target.
+  void RecordSent(TimePoint aNow);
   /// A part of a response has arrived.
   void RecordAnswer(TimePoint aNow);
+  /// Some targets were probed.
+  void RecordProbes(const ProbeRound& aRound, TimePoint aNow);
+
+  /// @return whether targets are to be probed
+  bool NeedsProbes(TimePoint aNow) const;
 
   Reach Assess(TimePoint aNow) const;
 
 private:
+  struct TimedRound
+  {
+    ProbeRound mRound;
+    TimePoint mAt;
+  };
+
   std::atomic<TimePoint> mAnsweredAt;
-  mutable std::mutex mLock; ///< guards the members below
-  TimePoint mConnectedAt;
+  /// When a request was sent after which nothing has arrived.
+  std::atomic<TimePoint> mWaitingSince{ TimePoint::max() };
+  std::atomic<bool> mIsCutOff{ false };
+  mutable std::mutex mLock;                   ///< guards the members below
   std::map<std::string, TimePoint> mFailedAt; ///< by target
+  std::deque<TimedRound> mRounds;
 };
 
 } // namespace hibiscushold
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -134,9 +134,7 @@
       SetOutcome(ExchangeOutcome::ConnectFailed, Describe(opened.error()));
       return false;
     }
-    if (!mReport.mReused) {
-      mDependencies.mReach.RecordConnected(mDependencies.mClock.Now());
-    }
+    mDependencies.mReach.RecordSent(mDependencies.mClock.Now());
     TransferLimiter& limiter = mSession->Guard();
     limiter.ResetSent();
     limiter.SetDeadline(mRequest.mDeadline);
--- a/src/gateway/reachprober.cc
+++ b/src/gateway/reachprober.cc
@@ -1,27 +1,92 @@
 #include "gateway/reachprober.h"
 
 #include "core/random.h"
+#include "core/sessionpool.h"
 #include "observe/events.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+
+#include <algorithm>
+#include <optional>
+#include <span>
 #include <vector>
 
 namespace hibiscushold {
 
 namespace {
 
-constexpr size_t kProbedTargets = 3;
+constexpr size_t kProbedTargets = 6;
+/// With fewer targets, a cut can't be told from their end.
+constexpr size_t kMinTargets = 4;
 constexpr auto kConnectTimeout = milliseconds(150);
 
+/// @return some of the targets of all services, chosen at random
 std::vector<const FleetTarget*>
-AllOf(const FleetTargets& aTargets)
+SomeOf(const FleetTargets& aTargets)
 {
-  std::vector<const FleetTarget*> all;
+  std::vector<const FleetTarget*> some;
   for (const auto& [service, targets] : aTargets.mByService) {
     for (const FleetTarget& it : targets) {
-      all.push_back(&it);
+      some.push_back(&it);
     }
   }
-  return all;
+  const size_t count =
+    some.size() < kMinTargets ? 0 : std::min(some.size(), kProbedTargets);
+  for (size_t n = 0; n < count; ++n) {
+    const size_t rest = some.size() - n;
+    std::swap(some[n], some[n + NextRandom() % rest]);
+  }
+  some.resize(count);
+  return some;
+}
+
+/// @return a socket that connects to the target, or none if that has failed
+std::optional<Poco::Net::StreamSocket>
+BeginConnecting(const FleetTarget& aTarget)
+{
+  Poco::Net::StreamSocket socket;
+  try {
+    socket.connectNB({ aTarget.mAddress.mHost, aTarget.mAddress.mPort });
+  } catch (const Poco::Exception&) {
+    return std::nullopt; // counts as a failed probe
+  }
+  return socket;
+}
+
+/// Waits until the socket is connected.
+/// @return whether it is
+bool
+FinishConnecting(const Poco::Net::StreamSocket& aSocket, Duration aTimeout)
+{
+  constexpr int kAnyEvent = Poco::Net::Socket::SELECT_READ |
+                            Poco::Net::Socket::SELECT_WRITE |
+                            Poco::Net::Socket::SELECT_ERROR;
+  try {
+    return aSocket.poll(ToTimespan(aTimeout), kAnyEvent) &&
+           aSocket.impl()->socketError() == 0;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
+ProbeRound
+Probe(std::span<const FleetTarget* const> aTargets, const Clock& aClock)
+{
+  const TimePoint deadline = aClock.Now() + kConnectTimeout;
+  std::vector<std::optional<Poco::Net::StreamSocket>> sockets;
+  for (const FleetTarget* it : aTargets) {
+    sockets.push_back(BeginConnecting(*it));
+  }
+  ProbeRound round;
+  for (const auto& it : sockets) {
+    const bool accepted =
+      it && FinishConnecting(*it, TimeLeft(deadline, aClock.Now()));
+    ++(accepted ? round.mAccepted : round.mFailed);
+  }
+  return round;
 }
 
 } // namespace
@@ -36,31 +101,17 @@
 void
 ReachProber::ProbeOnce()
 {
-  const Reach reach = mDependencies.mReach.Assess(mDependencies.mClock.Now());
-  LogChange(reach);
-  if (reach == Reach::Full) {
-    return;
-  }
-  const FleetTargetsPtr targets = mTargets();
-  const std::vector<const FleetTarget*> all = AllOf(*targets);
-  if (all.empty()) {
+  TargetReach& reach = mDependencies.mReach;
+  const Clock& clock = mDependencies.mClock;
+  if (reach.NeedsProbes(clock.Now())) {
+    const FleetTargetsPtr targets = mTargets();
+    const std::vector<const FleetTarget*> some = SomeOf(*targets);
     // Without targets there is no reason to send callers elsewhere.
-    mDependencies.mReach.RecordConnected(mDependencies.mClock.Now());
-    return;
-  }
-  for (size_t n = 0; n < kProbedTargets; ++n) {
-    const double fraction = NextFraction();
-    const FleetTarget& target =
-      *all[static_cast<size_t>(fraction * static_cast<double>(all.size()))];
-    const SessionPool::Session session =
-      mDependencies.mSessions.CreateSession(target.mAddress);
-    if (Connect(*session, target.mAddress, kConnectTimeout)) {
-      mDependencies.mReach.RecordConnected(mDependencies.mClock.Now());
-      return;
-    }
-    mDependencies.mReach.RecordConnectFailure(target.mVmId,
-                                              mDependencies.mClock.Now());
+    const ProbeRound round =
+      some.empty() ? ProbeRound{ 1, 0 } : Probe(some, clock);
+    reach.RecordProbes(round, clock.Now());
   }
+  LogChange(reach.Assess(clock.Now()));
 }
 
 void
--- a/src/gateway/reachprober.h
+++ b/src/gateway/reachprober.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "core/sessionpool.h"
 #include "fleet/reach.h"
 #include "fleet/targetchoice.h"
 #include "observe/metrics.h"
@@ -17,7 +16,6 @@
   struct Dependencies
   {
     TargetReach& mReach;
-    const SessionPool& mSessions;
     Metrics& mMetrics;
     const Clock& mClock;
   };
@@ -25,8 +23,7 @@
   ReachProber(std::function<FleetTargetsPtr()> aTargets,
               Dependencies aDependencies);
 
-  /// Logs a change of the reach. Connects to some targets unless the reach is
-  /// full.
+  /// Connects to some targets if the reach is in doubt, and logs its changes.
   void ProbeOnce();
 
 private:
--- a/test/callers.h
+++ b/test/callers.h
@@ -25,6 +25,16 @@
 /// End of a chunked response.
 inline constexpr const char* kEnd = "0\r\n\r\n";
 
+/// Makes the node count as cut off from its targets, without an answer for a
+/// second.
+inline void
+CutOffFromTargets(GatewayFixture& aNode)
+{
+  const TimePoint now = aNode.mClock.Now();
+  aNode.mReach.RecordAnswer(now - milliseconds(1500));
+  aNode.mReach.RecordProbes({ 0, 10 }, now);
+}
+
 /// @return the head of a target's event stream
 inline std::string
 StreamHead()
--- a/test/reach-test.cc
+++ b/test/reach-test.cc
@@ -14,13 +14,18 @@
 {
   TargetReach mReach{ kStart };
 
-  void FailTargets(int aCount, TimePoint aNow)
+  void FailTargets(int aCount, milliseconds aAt)
   {
     for (int n = 0; n < aCount; ++n) {
-      mReach.RecordConnectFailure("vm-" + std::to_string(n), aNow);
+      mReach.RecordConnectFailure("vm-" + std::to_string(n), kStart + aAt);
     }
   }
 
+  void Probe(const ProbeRound& aRound, milliseconds aAt)
+  {
+    mReach.RecordProbes(aRound, kStart + aAt);
+  }
+
   void CheckReach(Reach aExpected, milliseconds aAt) const
   {
     CHECK(aExpected == mReach.Assess(kStart + aAt));
@@ -30,43 +35,77 @@
 // Guards against a node that is sent new callers although it reaches no target.
 TEST(Reach, IsNoneIfNoTargetAcceptsConnectionsOrAnswers)
 {
-  FailTargets(5, kStart + milliseconds(900));
-  CheckReach(Reach::Full, milliseconds(900));
+  Probe({ 0, 6 }, milliseconds(600));
+  CheckReach(Reach::Full, milliseconds(1100));
+  Probe({ 0, 6 }, milliseconds(1100));
   CheckReach(Reach::None, milliseconds(1100));
-  mReach.RecordConnected(kStart + milliseconds(1200));
-  CheckReach(Reach::Full, milliseconds(3000));
+  Probe({ 4, 2 }, milliseconds(1500));
+  CheckReach(Reach::Full, milliseconds(1500));
 }
 
 // Guards against requests that are refused although open connections serve
 // them.
 TEST(Reach, OpenConnectionsMayStillAnswer)
 {
-  FailTargets(5, kStart + milliseconds(900));
   mReach.RecordAnswer(kStart + milliseconds(1000));
-  CheckReach(Reach::OpenConnectionsOnly, milliseconds(1900));
+  Probe({ 0, 6 }, milliseconds(900));
+  Probe({ 0, 6 }, milliseconds(1300));
+  CheckReach(Reach::Partial, milliseconds(1900));
   CheckReach(Reach::None, milliseconds(2100));
 }
 
-// Guards against a node that takes dead targets for a cut of its own.
-TEST(Reach, IsFullWhileSomeTargetAcceptsConnections)
+// Guards against a node that counts as connected again and again because one
+// of many targets accepts connections.
+TEST(Reach, StaysCutOffWhileFewTargetsAccept)
+{
+  Probe({ 0, 6 }, milliseconds(100));
+  Probe({ 1, 5 }, milliseconds(500));
+  CheckReach(Reach::Partial, milliseconds(500));
+  for (int n = 2; n < 20; ++n) {
+    Probe({ static_cast<size_t>(n % 3), 4 }, n * milliseconds(400));
+    CHECK(Reach::Full != mReach.Assess(kStart + n * milliseconds(400)));
+  }
+  Probe({ 5, 1 }, milliseconds(9000));
+  CheckReach(Reach::Full, milliseconds(9000));
+}
+
+// Guards against a node that takes the loss of many targets, such as those of
+// a zone, for a cut of its own.
+TEST(Reach, IsFullWhileEnoughTargetsAccept)
 {
   for (int n = 1; n < 20; ++n) {
-    const TimePoint at = kStart + n * milliseconds(300);
-    FailTargets(10, at);
-    mReach.RecordConnected(at);
-    FailTargets(10, at);
-    CheckReach(Reach::Full, (n + 1) * milliseconds(300));
+    Probe({ 2, 4 }, n * milliseconds(400));
+    CheckReach(Reach::Full, n * milliseconds(400));
   }
 }
 
-// Guards against a cut that is seen in a few targets that went one after the
-// other.
-TEST(Reach, FewOrOldFailuresAreNoCut)
+// Guards against a cut that is seen in rounds long apart.
+TEST(Reach, OldProbesDontCount)
 {
-  FailTargets(3, kStart + milliseconds(5000));
-  CheckReach(Reach::Full, milliseconds(6500));
-  mReach.RecordConnectFailure("vm-8", kStart + milliseconds(8500));
-  CheckReach(Reach::Full, milliseconds(8600));
+  Probe({ 0, 6 }, milliseconds(100));
+  Probe({ 0, 6 }, milliseconds(1500));
+  CheckReach(Reach::Full, milliseconds(1500));
+}
+
+// Guards against a cut that goes unnoticed, and against a sound node that
+// probes targets all the time.
+TEST(Reach, IsProbedAfterFailuresAndSilence)
+{
+  CHECK(!mReach.NeedsProbes(kStart + seconds(9)));
+  FailTargets(1, milliseconds(100));
+  CHECK(!mReach.NeedsProbes(kStart + milliseconds(100)));
+  FailTargets(2, milliseconds(200));
+  CHECK(mReach.NeedsProbes(kStart + milliseconds(200)));
+  CHECK(!mReach.NeedsProbes(kStart + milliseconds(3500)));
+  FailTargets(2, milliseconds(4000));
+  Probe({ 6, 0 }, milliseconds(4000));
+  CHECK(!mReach.NeedsProbes(kStart + milliseconds(4000)));
+  mReach.RecordSent(kStart + milliseconds(5000));
+  mReach.RecordSent(kStart + milliseconds(5500));
+  CHECK(!mReach.NeedsProbes(kStart + milliseconds(5500)));
+  CHECK(mReach.NeedsProbes(kStart + milliseconds(5600)));
+  mReach.RecordAnswer(kStart + milliseconds(5610));
+  CHECK(!mReach.NeedsProbes(kStart + milliseconds(9000)));
 }
 
 TEST_GROUP(CutOffNode)
@@ -80,15 +119,10 @@
     mGateway.Start();
   }
 
+  /// Makes the node count as cut off, without an answer for a second.
   void CutOff()
   {
-    const TimePoint now = mGateway.mClock.Now();
-    const TimePoint before = now - milliseconds(1500);
-    mGateway.mReach.RecordConnected(before);
-    mGateway.mReach.RecordAnswer(before);
-    for (const char* it : { "a", "b", "c", "d" }) {
-      mGateway.mReach.RecordConnectFailure(it, now);
-    }
+    CutOffFromTargets(mGateway);
   }
 
   ReachProber MakeProber()
@@ -96,10 +130,7 @@
     return { [this] {
               return std::make_shared<const FleetTargets>(mGateway.mTargets);
             },
-             { mGateway.mReach,
-               mGateway.mSessions,
-               mGateway.mMetrics,
-               mGateway.mClock } };
+             { mGateway.mReach, mGateway.mMetrics, mGateway.mClock } };
   }
 };
 
@@ -127,9 +158,6 @@
   Start();
   CutOff();
   mGateway.mReach.RecordAnswer(mGateway.mClock.Now());
-  for (const char* it : { "e", "f", "g", "h" }) {
-    mGateway.mReach.RecordConnectFailure(it, mGateway.mClock.Now());
-  }
   Poco::Net::StreamSocket caller = mGateway.Connect();
   Send(caller, kLookupRequest);
   const ReceivedResponse got = ReceiveWhole(caller);
@@ -139,9 +167,12 @@
 
 // Guards against a node that stays out of use after its cut, as it gets no
 // requests that could show the end of it.
-TEST(CutOffNode, IsBackOnceATargetAcceptsAConnection)
+TEST(CutOffNode, IsBackOnceTargetsAcceptConnections)
 {
-  Start();
+  for (int n = 0; n < 4; ++n) {
+    mGateway.AddTarget(mTarget);
+  }
+  mGateway.Start();
   CutOff();
   ReachProber prober = MakeProber();
   prober.ProbeOnce();
@@ -149,6 +180,27 @@
   STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
 }
 
+// Guards against a cut that a node does not notice, as most of its requests
+// use open connections.
+TEST(CutOffNode, IsNoticedByProbes)
+{
+  for (int n = 0; n < 5; ++n) {
+    const Poco::Net::ServerSocket closed(
+      Poco::Net::SocketAddress("127.0.0.1", 0));
+    FleetTarget target;
+    target.mVmId = "vm-" + std::to_string(n);
+    target.mAddress = { "127.0.0.1", closed.address().port() };
+    mGateway.mTargets.mByService["engines"].push_back(target);
+  }
+  ReachProber prober = MakeProber();
+  prober.ProbeOnce();
+  CHECK(Reach::Full == mGateway.mReach.Assess(mGateway.mClock.Now()));
+  mGateway.mReach.RecordSent(mGateway.mClock.Now() - milliseconds(700));
+  prober.ProbeOnce();
+  prober.ProbeOnce();
+  CHECK(Reach::Full != mGateway.mReach.Assess(mGateway.mClock.Now()));
+}
+
 // Guards against a node that is out of use because the service has no targets.
 TEST(CutOffNode, IsReadyWithoutTargets)
 {
