--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -5,6 +5,7 @@
 #include "gateway/bodyreader.h"
 #include "gateway/callersession.h"
 #include "gateway/exchange.h"
+#include "gateway/peers.h"
 #include "gateway/promptparts.h"
 
 #include <Poco/Exception.h>
@@ -95,6 +96,8 @@
                                  aProtocol.mExpectVm,
                                  aProtocol.mLastEvent,
                                  aProtocol.mPriority,
+                                 std::string(kPeerField),
+                                 std::string(kPeerVersionField),
                                  std::string("Authorization"),
                                  std::string("Expect") }) {
     names.insert(Poco::toLower(it));
@@ -207,6 +210,7 @@
   BOOST_OUTCOME_TRY(Authenticate(aRequest, request));
   request.mDeadline = DeadlineOf(aRequest, aProtocol, request);
   request.mService = std::string(PickService(*request.mRoute, aFraction));
+  request.mAuthorization = aRequest.get("Authorization", "");
   request.mModel = aRequest.get(aProtocol.mModel, "");
   request.mLastEvent = ParseNumber(aRequest.get(aProtocol.mLastEvent, "0"));
   request.mPromptTokens = static_cast<uint32_t>(
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -30,7 +30,9 @@
   const FleetRoute* mRoute = nullptr; ///< points into mConfig
   FleetConfigPtr mConfig;
   std::string mAccount;
+  std::string mAuthorization; ///< header with the caller's key
   std::string mService;
+  bool mIsFromPeer = false; ///< another node has passed it on
 
   /// @return whether the request may be sent again after it may have run
   bool AllowsRetry() const
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -3,6 +3,7 @@
 #include "gateway/announcements.h"
 #include "gateway/bodyreader.h"
 #include "gateway/eventsplitter.h"
+#include "gateway/peers.h"
 #include "gateway/progress.h"
 
 #include <Poco/Exception.h>
@@ -265,6 +266,12 @@
         mReport.mResponse.mFields.push_back({ name, value });
       }
     }
+    if (mRequest.mNamesTarget) {
+      mReport.mResponse.mFields.push_back(
+        { kTargetField,
+          mRequest.mTarget.mVmId + " " +
+            std::to_string(mRequest.mTarget.mStartedMillis) });
+    }
     mReport.mResponse.mStatus = aHead.getStatus();
   }
 
@@ -448,6 +455,14 @@
   return "";
 }
 
+bool
+WasSent(const ExchangeReport& aReport)
+{
+  return aReport.mOutcome != ExchangeOutcome::ConnectFailed &&
+         (aReport.mSentBytes > 0 ||
+          aReport.mOutcome != ExchangeOutcome::Broken);
+}
+
 ExchangeReport
 RunExchange(const ExchangeDependencies& aDependencies,
             const ExchangeRequest& aRequest,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -58,6 +58,8 @@
   uint32_t mPromptTokens = 0;
   /// Silence of the target before the start of the exchange doesn't count.
   bool mIgnoresEarlierSilence = false;
+  /// The response is for another node, and names the target (kTargetField).
+  bool mNamesTarget = false;
 };
 
 /// A complete response that is not an event stream.
@@ -86,6 +88,10 @@
   std::string mDetail; ///< what went wrong, for the log
 };
 
+/// @return whether a byte of the request may have reached the target
+bool
+WasSent(const ExchangeReport& aReport);
+
 /// Receives the events of a stream as they arrive, and decides how long an
 /// exchange waits for its target.
 class StreamSink
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 #include "gateway/callerrequest.h"
+#include "gateway/peerforwarder.h"
 #include "gateway/requestforwarder.h"
 #include "observe/events.h"
 
@@ -9,6 +10,8 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 
+#include <optional>
+
 namespace hibiscushold {
 
 namespace {
@@ -48,6 +51,34 @@
   return aDependencies.mReach.Assess(aDependencies.mClock.Now());
 }
 
+/// One of the places for requests of other nodes.
+class PeerPlace
+{
+public:
+  explicit PeerPlace(Peers& aPeers)
+    : mPeers(aPeers)
+    , mIsTaken(aPeers.TryBeginServing())
+  {
+  }
+
+  ~PeerPlace()
+  {
+    if (mIsTaken) {
+      mPeers.EndServing();
+    }
+  }
+
+  PeerPlace(const PeerPlace&) = delete;
+  PeerPlace& operator=(const PeerPlace&) = delete;
+
+  /// @return whether there was one
+  bool IsTaken() const { return mIsTaken; }
+
+private:
+  Peers& mPeers;
+  const bool mIsTaken;
+};
+
 /// Handles one request of a caller.
 class CallerHandler final : public Poco::Net::HTTPRequestHandler
 {
@@ -75,11 +106,20 @@
               HTTPServerResponse& aResponse,
               ResponseWriter& aWriter)
   {
-    // Callers are to come back at another node.
-    aResponse.setKeepAlive(aResponse.getKeepAlive() &&
-                           !mDependencies.mStopping &&
-                           AssessReachOf(mDependencies) == Reach::Full);
+    // Callers are to come back at another node. Other nodes use a connection
+    // once.
+    aResponse.setKeepAlive(
+      aResponse.getKeepAlive() && !mDependencies.mStopping &&
+      AssessReachOf(mDependencies) == Reach::Full && !aRequest.has(kPeerField));
     ResultOrRefusal<GatewayRequest> request = Admit(aRequest);
+    std::optional<PeerPlace> place;
+    if (request && request.value().mIsFromPeer &&
+        !place.emplace(mDependencies.mPeers).IsTaken()) {
+      request = Refusal{ RefusalKind::Overloaded,
+                         "the node serves many requests of other nodes",
+                         Ran::No,
+                         kElsewhereRetryMillis };
+    }
     if (request) {
       const ResultOrRefusal<void> body =
         ReadBody(aRequest, mDependencies.mClock, request.value());
@@ -90,15 +130,29 @@
     if (!request) {
       // Unread bytes of the body must not be parsed as the next request.
       aResponse.setKeepAlive(false);
-      SendRefusal(aRequest, aWriter, request.error());
+      SendRefusal(aRequest, aWriter, request.error(), aRequest.has(kPeerField));
       aWriter.DiscardRest(mDependencies.mClock);
       return;
     }
-    const ResultOrRefusal<void> forwarded =
-      ForwardRequest(mDependencies, request.value(), aWriter);
-    if (!forwarded) {
-      SendRefusal(aRequest, aWriter, forwarded.error());
+    const ResultOrRefusal<void> served = Serve(request.value(), aWriter);
+    if (!served) {
+      SendRefusal(aRequest, aWriter, served.error(), false);
+    }
+  }
+
+  ResultOrRefusal<void> Serve(const GatewayRequest& aRequest,
+                              ResponseWriter& aWriter)
+  {
+    const Reach reach = AssessReachOf(mDependencies);
+    if (reach != Reach::Full && !aRequest.mIsFromPeer) {
+      if (const auto served = PassOnRequest(mDependencies, aRequest, aWriter)) {
+        return *served;
+      }
+    }
+    if (reach == Reach::None) {
+      return UnreachableTargets();
     }
+    return ForwardRequest(mDependencies, aRequest, aWriter);
   }
 
   /// Ends a request whose handling failed; it may have run by then. A response
@@ -122,7 +176,8 @@
                 aWriter,
                 { RefusalKind::TargetFailed,
                   "the node failed to handle the request",
-                  Ran::Unknown });
+                  Ran::Unknown },
+                false);
   }
 
   ResultOrRefusal<GatewayRequest> Admit(const HTTPServerRequest& aRequest)
@@ -140,6 +195,8 @@
                       Ran::No,
                       kUnreadyRetryMillis };
     }
+    BOOST_OUTCOME_TRY(
+      isFromPeer, CheckPeer(aRequest, mDependencies.mPeers, config->mVersion));
     BOOST_OUTCOME_TRY(request,
                       ReadHead(aRequest,
                                config,
@@ -152,18 +209,27 @@
                       Ran::No,
                       kUnreadyRetryMillis };
     }
-    if (AssessReachOf(mDependencies) == Reach::None) {
-      return Refusal{ RefusalKind::NoTarget,
-                      "the node reaches no target",
-                      Ran::No,
-                      kElsewhereRetryMillis };
+    if (isFromPeer && AssessReachOf(mDependencies) != Reach::Full) {
+      return UnreachableTargets();
     }
+    request.mIsFromPeer = isFromPeer;
     return request;
   }
 
+  static Refusal UnreachableTargets()
+  {
+    return { RefusalKind::NoTarget,
+             "the node reaches no target",
+             Ran::No,
+             kElsewhereRetryMillis };
+  }
+
+  /// @param aForPeer whether another node has passed the request on, and may
+  ///        offer it to a further one if it was refused with status 503
   void SendRefusal(const HTTPServerRequest& aRequest,
                    ResponseWriter& aWriter,
-                   const Refusal& aRefusal)
+                   const Refusal& aRefusal,
+                   bool aForPeer)
   {
     const std::string id = aRequest.get(mDependencies.mProtocol.mRequestId, "");
     mDependencies.mMetrics.CountRefusal(NameOf(aRefusal.mKind));
@@ -184,6 +250,9 @@
     if (!id.empty()) {
       fields.push_back({ mDependencies.mProtocol.mRequestId, id });
     }
+    if (aForPeer && StatusOf(aRefusal.mKind) == 503) {
+      fields.push_back({ kElsewhereField, NameOf(aRefusal.mKind) });
+    }
     if (aRefusal.mRetryAfterMillis > 0) {
       fields.push_back(
         { "Retry-After", SecondsText(aRefusal.mRetryAfterMillis) });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "fleet/targetchoice.h"
 #include "fleet/watcher.h"
 #include "gateway/exchange.h"
+#include "gateway/peers.h"
 #include "gateway/protocolnames.h"
 #include "gateway/responsewriter.h"
 #include "observe/metrics.h"
@@ -27,6 +28,7 @@
   Quarantine& mQuarantine;
   ByteBudget& mBuffers;
   TargetReach& mReach;
+  Peers& mPeers;
   ServiceRetryBudget& mRetryBudget;
   const ProtocolNames& mProtocol;
   Metrics& mMetrics;
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -39,15 +39,6 @@
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
 }
 
-/// @return whether a byte of the request may have reached the target
-bool
-WasSent(const ExchangeReport& aReport)
-{
-  return aReport.mOutcome != ExchangeOutcome::ConnectFailed &&
-         (aReport.mSentBytes > 0 ||
-          aReport.mOutcome != ExchangeOutcome::Broken);
-}
-
 /// State of one request over all its attempts.
 class RequestForwarder final : public AttemptOwner
 {
@@ -284,7 +275,8 @@
                               !mRequest.AllowsRetry(),
                               stream,
                               mRequest.mPromptTokens,
-                              aOuter != nullptr };
+                              aOuter != nullptr,
+                              mRequest.mIsFromPeer };
     if (mLastEvent > 0) {
       exchange.mFields.push_back(
         { mDependencies.mProtocol.mLastEvent, std::to_string(mLastEvent) });
--- a/src/relay/registrar.cc
+++ b/src/relay/registrar.cc
@@ -21,10 +21,12 @@
 
 Registrar::Registrar(RosterEntry aSelf,
                      TokenSet& aTokens,
-                     RelayedPlatform& aRelay)
+                     RelayedPlatform& aRelay,
+                     PeersSink aOnPeers)
   : mSelf(std::move(aSelf))
   , mTokens(aTokens)
   , mRelay(aRelay)
+  , mOnPeers(std::move(aOnPeers))
   , mKey(std::string(kRosterPrefix) + mSelf.mId)
 {
 }
@@ -63,6 +65,19 @@
   ApplyListing(read.value(), isSnapshot);
   SyncOwnEntry();
   mRelay.SetUpstreams(UpstreamsOf(mRoster, mSelf));
+  mOnPeers(OtherNodes());
+}
+
+std::vector<RosterEntry>
+Registrar::OtherNodes() const
+{
+  std::vector<RosterEntry> others;
+  for (const auto& [id, node] : mRoster) {
+    if (id != mSelf.mId) {
+      others.push_back(node.mEntry);
+    }
+  }
+  return others;
 }
 
 void
@@ -104,7 +119,7 @@
   }
   const RosterEntry& entry = own->second.mEntry;
   if (entry.mAddress == mSelf.mAddress && entry.mZone == mSelf.mZone &&
-      entry.mCapacity == mSelf.mCapacity) {
+      entry.mCapacity == mSelf.mCapacity && entry.mCallers == mSelf.mCallers) {
     // Keep the entry from before a restart, as other nodes know its token.
     mTokens.Replace(entry.mToken);
     mOwnVersion = own->second.mVersion;
--- a/src/relay/roster.cc
+++ b/src/relay/roster.cc
@@ -32,6 +32,9 @@
   json["address"] = ToString(aEntry.mAddress);
   json["token"] = aEntry.mToken;
   json["capacity"] = aEntry.mCapacity;
+  if (!aEntry.mCallers.mHost.empty()) {
+    json["callers"] = ToString(aEntry.mCallers);
+  }
   return ToJson(json);
 }
 
@@ -47,6 +50,10 @@
   entry.mToken = TextAt(json, "token");
   entry.mCapacity =
     json["capacity"].isNumeric() ? json["capacity"].asDouble() : 0;
+  if (json.isMember("callers")) {
+    BOOST_OUTCOME_TRY(callers, ParseEndpoint(TextAt(json, "callers")));
+    entry.mCallers = callers;
+  }
   return entry;
 }
 
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -24,6 +24,9 @@
   Endpoint mAddress;    ///< where it accepts calls from other nodes
   std::string mToken;   ///< other nodes authenticate with it; new at each start
   double mCapacity = 0; ///< share of a CPU core
+  /// Where it accepts callers' requests, also those that other nodes pass on;
+  /// no host if it is of a version that takes none of these.
+  Endpoint mCallers{};
 };
 
 /// A roster entry as read from the store.
--- a/src/serve/refusal.cc
+++ b/src/serve/refusal.cc
@@ -14,7 +14,7 @@
   const char* mName;
 };
 
-constexpr std::array<KindText, 17> kKinds = { {
+constexpr std::array<KindText, 18> kKinds = { {
   { 400, "invalid_request" },
   { 401, "unauthorized" },
   { 404, "no_route" },
@@ -32,6 +32,7 @@
   { 503, "config_not_fresh" },
   { 503, "config_undecided" },
   { 503, "quarantined" },
+  { 503, "peer_refused" },
 } };
 
 } // namespace
--- a/src/serve/refusal.h
+++ b/src/serve/refusal.h
@@ -35,6 +35,7 @@
   ConfigNotFresh,      ///< the active rules may be out of date
   ConfigChangePending, ///< a pending change of the rules affects the request
   Quarantined,         ///< such requests have crashed targets
+  PeerRefused,         ///< what another node says of the request isn't believed
 };
 
 /// Error response to a caller.
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -175,6 +175,8 @@
   Quarantine mQuarantine;
   ByteBudget mBuffers{ 64000000 };
   TargetReach mReach{ mClock.Now() };
+  const TokenSet mPeerTokens{ "token-of-this-node" };
+  Peers mPeers{ mPeerTokens, 2, mClock.Now() };
   ServiceRetryBudget mRetryBudget{ { 0.2, milliseconds(10000), 100 } };
   const ProtocolNames mProtocol{ "Id",          "Wait", "Last",    "Proof",
                                  "Account",     "Vm",   "Not-Run", "Model",
@@ -205,6 +207,7 @@
              mQuarantine,
              mBuffers,
              mReach,
+             mPeers,
              mRetryBudget,
              mProtocol,
              mMetrics,
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -274,7 +274,13 @@
   RelayedPlatform mRelay{ { mStore, mFeeds, nullptr, mMetrics, mClock } };
   const RosterEntry mSelf{ "n1", "a", { "10.0.0.1", 7 }, "token", 1 };
   TokenSet mTokens{ mSelf.mToken };
-  Registrar mRegistrar{ mSelf, mTokens, mRelay };
+  std::vector<RosterEntry> mPeers;
+  Registrar mRegistrar{ mSelf,
+                        mTokens,
+                        mRelay,
+                        [this](std::vector<RosterEntry> aPeers) {
+                          mPeers = std::move(aPeers);
+                        } };
 
   std::string Stored()
   {
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -701,7 +701,7 @@
   RelayedPlatform relay({ platform, feeds, nullptr, mMetrics, mClock });
   const RosterEntry self{ "n1", "a", { "10.0.0.1", 7 }, "token", 1 };
   TokenSet tokens(self.mToken);
-  Registrar registrar(self, tokens, relay);
+  Registrar registrar(self, tokens, relay, [](const auto&) {});
   const FakePlatform::Copy copy = platform.Save();
   registrar.SyncRoster();
   platform.Restore(copy);
