--- a/src/fleet/reach.cc
+++ b/src/fleet/reach.cc
@@ -16,6 +16,8 @@
 /// How long probes count; several rounds in a row decide.
 constexpr auto kProbeMemory = milliseconds(1200);
 constexpr size_t kMinProbes = 8;
+/// How long the reach of another node counts.
+constexpr auto kReachOfOthersMemory = milliseconds(3000);
 /// Failed probes for each accepted one in a cut.
 constexpr size_t kFailedPerAccepted = 4;
 
@@ -76,7 +78,7 @@
     sum.mAccepted += it.mRound.mAccepted;
     sum.mFailed += it.mRound.mFailed;
   }
-  mIsCutOff = !EndsCut(aRound) && (mIsCutOff || ShowsCut(sum));
+  mFailsProbes = !EndsCut(aRound) && (mFailsProbes || ShowsCut(sum));
   if (EndsCut(aRound)) {
     // Most targets can be reached, so those that failed are to blame.
     mFailedAt.clear();
@@ -86,10 +88,16 @@
   }
 }
 
+void
+TargetReach::RecordReachOfOthers(TimePoint aNow)
+{
+  mOthersReachAt = aNow;
+}
+
 bool
 TargetReach::NeedsProbes(TimePoint aNow) const
 {
-  if (mIsCutOff) {
+  if (mFailsProbes) {
     return true;
   }
   const TimePoint waitingSince = mWaitingSince;
@@ -107,7 +115,8 @@
 Reach
 TargetReach::Assess(TimePoint aNow) const
 {
-  if (!mIsCutOff) {
+  // If no node reaches the targets, callers would gain nothing elsewhere.
+  if (!mFailsProbes || aNow - mOthersReachAt.load() >= kReachOfOthersMemory) {
     return Reach::Full;
   }
   return aNow - mAnsweredAt.load() < kMaxSilence ? Reach::Partial : Reach::None;
--- a/src/fleet/reach.h
+++ b/src/fleet/reach.h
@@ -28,7 +28,7 @@
 /// Targets that are dead or slow don't look like a cut, as most others accept
 /// connections meanwhile.
 /// @param aLately sum of the latest rounds, whose targets were chosen at random
-/// @return whether they show that the node is cut off from its targets
+/// @return whether they show that the node is cut off, or all targets gone
 bool
 ShowsCut(const ProbeRound& aLately);
 
@@ -38,7 +38,8 @@
 
 /// Collects the evidence of a node's reach. Failures and silence that requests
 /// meet raise a suspicion; probes of targets from all services confirm or
-/// refute it. Thread-safe.
+/// refute it, and the reach of other nodes tells a cut from the loss of all
+/// targets. Thread-safe.
 class TargetReach
 {
 public:
@@ -53,6 +54,12 @@
   /// Some targets were probed.
   void RecordProbes(const ProbeRound& aRound, TimePoint aNow);
 
+  /// Another node reaches the targets, so these have not gone.
+  void RecordReachOfOthers(TimePoint aNow);
+
+  /// @return whether the probes show a cut, or that the targets have gone
+  bool FailsProbes() const { return mFailsProbes; }
+
   /// @return whether targets are to be probed
   bool NeedsProbes(TimePoint aNow) const;
 
@@ -68,7 +75,8 @@
   std::atomic<TimePoint> mAnsweredAt;
   /// When a request was sent after which nothing has arrived.
   std::atomic<TimePoint> mWaitingSince{ TimePoint::max() };
-  std::atomic<bool> mIsCutOff{ false };
+  std::atomic<bool> mFailsProbes{ false };
+  std::atomic<TimePoint> mOthersReachAt{ TimePoint{} };
   mutable std::mutex mLock;                   ///< guards the members below
   std::map<std::string, TimePoint> mFailedAt; ///< by target
   std::deque<TimedRound> mRounds;
--- a/src/gateway/reachprober.cc
+++ b/src/gateway/reachprober.cc
@@ -22,6 +22,7 @@
 /// With fewer targets, a cut can't be told from their end.
 constexpr size_t kMinTargets = 4;
 constexpr auto kConnectTimeout = milliseconds(150);
+constexpr size_t kAskedNodes = 6;
 
 /// @return some of the targets of all services, chosen at random
 std::vector<const FleetTarget*>
@@ -94,7 +95,7 @@
 ReachProber::ReachProber(std::function<FleetTargetsPtr()> aTargets,
                          Dependencies aDependencies)
   : mTargets(std::move(aTargets))
-  , mDependencies(aDependencies)
+  , mDependencies(std::move(aDependencies))
 {
 }
 
@@ -110,10 +111,31 @@
     const ProbeRound round =
       some.empty() ? ProbeRound{ 1, 0 } : Probe(some, clock);
     reach.RecordProbes(round, clock.Now());
+    if (reach.FailsProbes() && DoOthersReach()) {
+      reach.RecordReachOfOthers(clock.Now());
+    }
   }
   LogChange(reach.Assess(clock.Now()));
 }
 
+bool
+ReachProber::DoOthersReach() const
+{
+  std::set<std::string> asked;
+  while (asked.size() < kAskedNodes) {
+    const std::optional<RosterEntry> peer = mDependencies.mPeers.Choose(
+      asked, mDependencies.mClock.Now(), NextFraction());
+    if (!peer) {
+      return false;
+    }
+    if (mDependencies.mAskPeer(*peer)) {
+      return true;
+    }
+    asked.insert(peer->mId);
+  }
+  return false;
+}
+
 void
 ReachProber::LogChange(Reach aReach)
 {
--- a/src/gateway/reachprober.h
+++ b/src/gateway/reachprober.h
@@ -2,6 +2,7 @@
 
 #include "fleet/reach.h"
 #include "fleet/targetchoice.h"
+#include "gateway/peers.h"
 #include "observe/metrics.h"
 
 #include <functional>
@@ -16,6 +17,8 @@
   struct Dependencies
   {
     TargetReach& mReach;
+    const Peers& mPeers;
+    PeerReachReader mAskPeer;
     Metrics& mMetrics;
     const Clock& mClock;
   };
@@ -23,10 +26,13 @@
   ReachProber(std::function<FleetTargetsPtr()> aTargets,
               Dependencies aDependencies);
 
-  /// Connects to some targets if the reach is in doubt, and logs its changes.
+  /// Connects to some targets if the reach is in doubt, asks other nodes if
+  /// these don't accept, and logs changes of the reach.
   void ProbeOnce();
 
 private:
+  /// @return whether another node reaches its targets
+  bool DoOthersReach() const;
   void LogChange(Reach aReach);
 
   const std::function<FleetTargetsPtr()> mTargets;
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -4,6 +4,7 @@
 #include "core/settings.h"
 #include "store/platform.h"
 
+#include <functional>
 #include <map>
 #include <span>
 #include <string>
@@ -29,6 +30,10 @@
   Endpoint mCallers{};
 };
 
+/// Asks another node whether it reaches its targets.
+/// @return whether it says so; false also without an answer
+using PeerReachReader = std::function<bool(const RosterEntry& aPeer)>;
+
 /// A roster entry as read from the store.
 struct RosterNode
 {
--- a/test/callers.h
+++ b/test/callers.h
@@ -33,6 +33,7 @@
   const TimePoint now = aNode.mClock.Now();
   aNode.mReach.RecordAnswer(now - milliseconds(1500));
   aNode.mReach.RecordProbes({ 0, 10 }, now);
+  aNode.mReach.RecordReachOfOthers(now);
 }
 
 /// @return the head of a target's event stream
--- a/test/reach-test.cc
+++ b/test/reach-test.cc
@@ -21,9 +21,11 @@
     }
   }
 
+  /// Records a round while other nodes reach the targets.
   void Probe(const ProbeRound& aRound, milliseconds aAt)
   {
     mReach.RecordProbes(aRound, kStart + aAt);
+    mReach.RecordReachOfOthers(kStart + aAt);
   }
 
   void CheckReach(Reach aExpected, milliseconds aAt) const
@@ -79,6 +81,20 @@
   }
 }
 
+// Guards against all nodes that leave the rotation because the targets of a
+// service have gone, which other services and later targets do without.
+TEST(Reach, IsFullIfNoNodeReachesTheTargets)
+{
+  mReach.RecordProbes({ 0, 6 }, kStart + milliseconds(100));
+  mReach.RecordProbes({ 0, 6 }, kStart + milliseconds(500));
+  CHECK(mReach.FailsProbes());
+  CheckReach(Reach::Full, milliseconds(500));
+  mReach.RecordReachOfOthers(kStart + milliseconds(500));
+  CheckReach(Reach::Partial, milliseconds(500));
+  CheckReach(Reach::None, milliseconds(3400));
+  CheckReach(Reach::Full, milliseconds(3500));
+}
+
 // Guards against a cut that is seen in rounds long apart.
 TEST(Reach, OldProbesDontCount)
 {
@@ -112,6 +128,7 @@
 {
   GatewayFixture mGateway;
   ScriptedServer mTarget{ { { Reply("one") }, { Reply("two") } } };
+  bool mDoOthersReach = true;
 
   void Start()
   {
@@ -130,7 +147,11 @@
     return { [this] {
               return std::make_shared<const FleetTargets>(mGateway.mTargets);
             },
-             { mGateway.mReach, mGateway.mMetrics, mGateway.mClock } };
+             { mGateway.mReach,
+               mGateway.mPeers,
+               [this](const RosterEntry&) { return mDoOthersReach; },
+               mGateway.mMetrics,
+               mGateway.mClock } };
   }
 };
 
@@ -196,7 +217,12 @@
   prober.ProbeOnce();
   CHECK(Reach::Full == mGateway.mReach.Assess(mGateway.mClock.Now()));
   mGateway.mReach.RecordSent(mGateway.mClock.Now() - milliseconds(700));
+  mGateway.mPeers.Set({ { "n2", "a", {}, "t", 1, { "127.0.0.1", 9 } } });
+  mDoOthersReach = false;
+  prober.ProbeOnce();
   prober.ProbeOnce();
+  CHECK(Reach::Full == mGateway.mReach.Assess(mGateway.mClock.Now()));
+  mDoOthersReach = true;
   prober.ProbeOnce();
   CHECK(Reach::Full != mGateway.mReach.Assess(mGateway.mClock.Now()));
 }
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -3,7 +3,9 @@
 #include "listing.h"
 #include "manualclock.h"
 #include "relay/feedmethods.h"
+#include "relay/reachmethod.h"
 #include "relay/registrar.h"
+#include "scriptedserver.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -332,3 +334,24 @@
   mRegistrar.SyncRoster();
   STRCMP_EQUAL(SerializeRosterEntry(mSelf).c_str(), Stored().c_str());
 }
+
+// Guards against a node that takes no answer for one that other nodes reach
+// the targets, and against callers of the method that are no nodes.
+TEST(Relay, AsksOtherNodesForTheirReach)
+{
+  RpcServer server;
+  bool reaches = true;
+  AddReachMethod(server, [&reaches] { return reaches; });
+  const std::string question =
+    R"({"jsonrpc":"2.0","id":1,"method":"reach","params":{}})";
+  STRCMP_CONTAINS("\"reaches_targets\":true",
+                  server.HandleMessage(question).c_str());
+  reaches = false;
+  STRCMP_CONTAINS("\"reaches_targets\":false",
+                  server.HandleMessage(question).c_str());
+  const SystemClock clock;
+  HttpClient client(clock);
+  const ScriptedServer silent({});
+  CHECK(!MakePeerReachReader(client, clock)(
+    { "n2", "a", silent.Address(), "token", 1 }));
+}
