--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -274,7 +274,8 @@
 bool
 PlanRunner::IsCutOff() const
 {
-  return mDependencies.mClock.Now() < mCutOffUntil.load();
+  return mDependencies.mClock.Now() < mCutOffUntil.load() ||
+         !mDependencies.mReachesTargets();
 }
 
 void
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -28,6 +28,8 @@
     Metrics& mMetrics;
     const Clock& mClock;
     std::function<bool()> mIsBeforeTraffic;
+    /// Whether this node's requests reach targets.
+    std::function<bool()> mReachesTargets;
     const std::atomic<bool>& mStopping;
   };
 
@@ -66,8 +68,8 @@
   /// Records whether the calls to a service's VMs suggest that this node is cut
   /// off from them.
   void RecordCut(const std::string& aService, const PlannerState& aState);
-  /// @return whether this node is, or was lately, cut off from its VMs, whose
-  ///         silence then says nothing about them
+  /// @return whether this node is, or was lately, cut off from its VMs, which it
+  ///         can't give orders to, and whose silence says nothing about them
   bool IsCutOff() const;
   /// @return a list of the VMs that is newer than the lease, or null
   FleetVmsPtr FreshVms();
--- a/test/planrunner-test.cc
+++ b/test/planrunner-test.cc
@@ -78,6 +78,7 @@
   FleetVms mVms;
   TargetLoads mLoads;
   Metrics mMetrics;
+  std::atomic<bool> mReachesTargets{ true };
   std::atomic<bool> mStopping{ false };
   ScriptedEngines mEngines;
   FleetWatcher mWatcher{ mStore,
@@ -131,6 +132,7 @@
                                 mMetrics,
                                 mClock,
                                 [] { return true; },
+                                [this] { return mReachesTargets.load(); },
                                 mStopping },
       PlannerLimits{});
     mLoads.Begin("v0", mClock.Now() - seconds(1));
@@ -242,6 +244,18 @@
   mRunner.reset();
 }
 
+// Guards against VMs that wait for orders of a planner which can't reach them,
+// and does not notice it as it has no requests of its own there.
+TEST(PlanRunner, ANodeThatReachesNoTargetLeavesTheLeaseToOthers)
+{
+  CHECK(mRunner->IsLeaseHolder());
+  mReachesTargets = false;
+  CHECK(RunUntilItHoldsTheLease(false));
+  mReachesTargets = true;
+  CHECK(RunUntilItHoldsTheLease(true));
+  mRunner.reset();
+}
+
 TEST_GROUP(CutSuggestion){};
 
 // Guards against a planner that takes the loss of a domain, a zone or half of
