--- a/emulator/caller.cc
+++ b/emulator/caller.cc
@@ -123,7 +123,7 @@
 }
 
 void
-Caller::SendCrash()
+Caller::SendCrash(bool aVariesQuery)
 {
   HTTPClientSession session(mOptions.mHost, mOptions.mPort);
   session.setTimeout(
@@ -132,9 +132,10 @@
   line.mId = mNextId++;
   line.mNode = mOptions.mNode;
   line.mProbe = Probe::Crash;
-  const std::string query = std::bernoulli_distribution(0.5)(mRandom)
-                              ? "?page=" + std::to_string(line.mId)
-                              : "";
+  const std::string query =
+    aVariesQuery && std::bernoulli_distribution(0.5)(mRandom)
+      ? "?page=" + std::to_string(line.mId)
+      : "";
   Send(session, line, query);
 }
 
--- a/emulator/caller.h
+++ b/emulator/caller.h
@@ -33,9 +33,9 @@
   /// Sends requests until aStopping is set.
   void Run(const std::atomic<bool>& aStopping);
 
-  /// Sends a request that ends its targets on a connection of its own. Repeats
-  /// have different queries, or none.
-  void SendCrash();
+  /// Sends a request that ends its targets on a connection of its own.
+  /// @param aVariesQuery whether repeats have different queries, or none
+  void SendCrash(bool aVariesQuery);
 
 private:
   RequestLine MakeRequest();
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -220,7 +220,7 @@
   }
   const int64_t end = aFault.mAt + aFault.mFor;
   for (size_t n = 0; mTimeline.Now() < end; ++n) {
-    callers[n % callers.size()]->SendCrash();
+    callers[n % callers.size()]->SendCrash(aFault.mVariesQuery);
     std::this_thread::sleep_for(kCrashInterval);
   }
 }
--- a/emulator/scenario.cc
+++ b/emulator/scenario.cc
@@ -126,6 +126,7 @@
     { "mode", ToName(&Fault::mMode, AwayModes()) },
     { "lost_ms", ToNumber(&Fault::mLost) },
     { "rewrite_ms", ToNumber(&Fault::mRewriteAfter) },
+    { "vary_query", ToName(&Fault::mVariesQuery, Flags()) },
   };
   return setters;
 }
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -46,6 +46,7 @@
   AwayMode mMode = AwayMode::Busy;
   int64_t mLost = 0;         ///< age of the copy that the store returns from
   int64_t mRewriteAfter = 0; ///< until the operator writes its part again
+  bool mVariesQuery = true;  ///< repeats of a request may differ in their query
 };
 
 /// What a run consists of.
