--- a/src/gateway/peerforwarder.cc
+++ b/src/gateway/peerforwarder.cc
@@ -12,7 +12,7 @@
 namespace {
 
 /// Nodes that a request is offered to before it is refused.
-constexpr size_t kMaxOffers = 4;
+constexpr size_t kMaxOffers = 8;
 constexpr auto kConnectTimeout = milliseconds(150);
 /// How long a node is not used that can't take requests, or can't be reached.
 constexpr auto kBusyAvoidance = milliseconds(500);
