--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -27,6 +27,8 @@
 
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr size_t kMaxLengthDigits = 18;
+/// Time in which some requests that wait with their bodies end.
+constexpr uint32_t kNoRoomRetryMillis = 250;
 /// Upper bound on the deadline that a caller can request.
 constexpr uint64_t kMaxRequestedWaitMillis = 3600000;
 
@@ -230,6 +232,7 @@
 ResultOrRefusal<void>
 ReadBody(HTTPServerRequest& aRequest,
          const Clock& aClock,
+         ByteBudget& aBodies,
          GatewayRequest& aInto)
 {
   const bool chunked = aRequest.getChunkedTransferEncoding();
@@ -250,6 +253,7 @@
     chunked ? BodyFraming::Chunked : BodyFraming::Length,
     chunked ? 0 : static_cast<uint64_t>(aRequest.getContentLength64()));
   const uint64_t maxBytes = aInto.mConfig->mLimits.mMaxBodyBytes;
+  aInto.mHeldBytes = BudgetedBytes(aBodies);
   try {
     std::array<char, 16384> buf;
     for (size_t n = body.Read(buf); n > 0; n = body.Read(buf)) {
@@ -258,6 +262,12 @@
         return Refusal{ RefusalKind::BodyTooLarge,
                         "the limit is " + std::to_string(maxBytes) + " bytes" };
       }
+      if (!aInto.mHeldBytes.TryGrowTo(aInto.mBody.capacity())) {
+        return Refusal{ RefusalKind::Overloaded,
+                        "the bodies of other requests take all room",
+                        Ran::No,
+                        kNoRoomRetryMillis };
+      }
     }
   } catch (const Poco::TimeoutException&) {
     return Refusal{ RefusalKind::DeadlinePassed,
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/bytebudget.h"
 #include "core/http.h"
 #include "fleet/config.h"
 #include "fleet/crashevidence.h"
@@ -21,6 +22,7 @@
   std::string mUri;
   std::vector<HttpField> mFields; ///< headers forwarded with every attempt
   std::string mBody;
+  BudgetedBytes mHeldBytes; ///< for the body
   std::string mModel;
   uint64_t mLastEvent = 0; ///< id of the last event the caller has received
   uint32_t mPromptTokens = 0;
@@ -56,12 +58,15 @@
 /// Reads the whole body into aInto.mBody and adds it to the hashes of content
 /// and resource.
 /// @param aRequest must belong to a CallerSession
-/// @return InvalidRequest if the body is cut off or its chunks are malformed,
+/// @param aBodies bounds the bodies of all requests
+/// @return Overloaded if the bodies of other requests leave no room,
+///         InvalidRequest if the body is cut off or its chunks are malformed,
 ///         BodyTooLarge if it exceeds the configured limit, DeadlinePassed if
 ///         it has not arrived by the deadline of aInto
 ResultOrRefusal<void>
 ReadBody(Poco::Net::HTTPServerRequest& aRequest,
          const Clock& aClock,
+         ByteBudget& aBodies,
          GatewayRequest& aInto);
 
 } // namespace hibiscushold
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -121,8 +121,8 @@
                          kElsewhereRetryMillis };
     }
     if (request) {
-      const ResultOrRefusal<void> body =
-        ReadBody(aRequest, mDependencies.mClock, request.value());
+      const ResultOrRefusal<void> body = ReadBody(
+        aRequest, mDependencies.mClock, mDependencies.mBodies, request.value());
       if (!body) {
         request = body.error();
       }
@@ -213,7 +213,7 @@
       return UnreachableTargets();
     }
     request.mIsFromPeer = isFromPeer;
-    return request;
+    return std::move(request);
   }
 
   static Refusal UnreachableTargets()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,7 +26,8 @@
   SessionPool& mSessions;
   TargetLoads& mLoads;
   Quarantine& mQuarantine;
-  ByteBudget& mBuffers;
+  ByteBudget& mBuffers; ///< for responses
+  ByteBudget& mBodies;  ///< of callers' requests
   TargetReach& mReach;
   Peers& mPeers;
   ServiceRetryBudget& mRetryBudget;
--- a/test/callerport-test.cc
+++ b/test/callerport-test.cc
@@ -336,3 +336,26 @@
   STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
   STRCMP_CONTAINS("\r\n\r\nb", target.Requests()[1].c_str());
 }
+
+// Guards against a node that runs out of memory as many callers send large
+// bodies, and against callers that are told that such a request may have run.
+TEST(CallerPort, BodiesBeyondTheRoomForAllAreRefused)
+{
+  ScriptedServer target({ { Reply("ok") } });
+  mGateway.AddTarget(target);
+  mGateway.Start();
+  const std::string body(1000000, 'x');
+  const std::string request =
+    Head("Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+  CHECK(mGateway.mBodies.TryTake(GatewayFixture::kMaxBodies - 500000));
+  const std::string refused = mGateway.Ask(request, "}}").mBytes;
+  STRCMP_CONTAINS("HTTP/1.1 503", refused.c_str());
+  STRCMP_CONTAINS("Retry-After: 0.250", refused.c_str());
+  STRCMP_CONTAINS("\"ran\":\"no\"", refused.c_str());
+  CHECK_EQUAL(0U, target.Requests().size());
+  // A small one has room in any case.
+  STRCMP_CONTAINS("HTTP/1.1 200",
+                  mGateway.Ask(Head("Content-Length: 1\r\n") + "x", "ok")
+                    .mBytes.c_str());
+  CHECK_EQUAL(GatewayFixture::kMaxBodies - 500000, mGateway.mBodies.Taken());
+}
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -161,6 +161,7 @@
   }
 
   static constexpr int kThreads = 8;
+  static constexpr size_t kMaxBodies = 64000000; ///< in bytes
 
   SystemClock mClock;
   FakePlatform mPlatform;
@@ -174,6 +175,7 @@
   TargetLoads mLoads;
   Quarantine mQuarantine;
   ByteBudget mBuffers{ 64000000 };
+  ByteBudget mBodies{ kMaxBodies };
   TargetReach mReach{ mClock.Now() };
   const TokenSet mPeerTokens{ "token-of-this-node" };
   Peers mPeers{ mPeerTokens, 2, mClock.Now() };
@@ -206,6 +208,7 @@
              mLoads,
              mQuarantine,
              mBuffers,
+             mBodies,
              mReach,
              mPeers,
              mRetryBudget,
