--- a/src/gateway/peerforwarder.cc
+++ b/src/gateway/peerforwarder.cc
@@ -65,6 +65,10 @@
       } else if (Take(report.mResponse.mFields, kElsewhereField)) {
         peers.AvoidUntil(peer->mId, now + kBusyAvoidance);
       } else {
+        if (report.mOutcome != ExchangeOutcome::Answered &&
+            report.mOutcome != ExchangeOutcome::CallerDisconnected) {
+          peers.AvoidUntil(peer->mId, now + kUnreachableAvoidance);
+        }
         return End(report);
       }
     }
--- a/test/peerforwarder-test.cc
+++ b/test/peerforwarder-test.cc
@@ -179,6 +179,23 @@
   }
 }
 
+// Guards against many requests that wait for a node which has fallen silent.
+TEST(PassedOnRequest, SilentNodeIsNotAskedAgainForAWhile)
+{
+  AddTarget(std::vector<ScriptedServer::Response>(20, { Reply("one") }));
+  Start();
+  ScriptedServer silent({});
+  RosterEntry entry = EntryOf(mHelper, "silent");
+  entry.mCallers.mPort = silent.Address().mPort;
+  mCutOff.mPeers.Set({ entry, EntryOf(mHelper, "helper") });
+  const std::string request =
+    "GET /lookup/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nWait: 150\r\n\r\n";
+  for (int n = 0; n < 20; ++n) {
+    (void)mCutOff.Ask(request, "one");
+  }
+  CHECK(silent.Requests().size() <= 1);
+}
+
 // Guards against nodes of others, and callers, that are believed to be nodes.
 TEST(PassedOnRequest, IsRefusedWithoutTheTokenOfTheNode)
 {
