--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -68,7 +68,8 @@
   /// Records whether the calls to a service's VMs suggest that this node is cut
   /// off from them.
   void RecordCut(const std::string& aService, const PlannerState& aState);
-  /// @return whether this node is, or was lately, cut off from its VMs, which it
+  /// @return whether this node is, or was lately, cut off from its VMs, which
+  /// it
   ///         can't give orders to, and whose silence says nothing about them
   bool IsCutOff() const;
   /// @return a list of the VMs that is newer than the lease, or null
--- a/test/callerport-test.cc
+++ b/test/callerport-test.cc
@@ -354,8 +354,8 @@
   STRCMP_CONTAINS("\"ran\":\"no\"", refused.c_str());
   CHECK_EQUAL(0U, target.Requests().size());
   // A small one has room in any case.
-  STRCMP_CONTAINS("HTTP/1.1 200",
-                  mGateway.Ask(Head("Content-Length: 1\r\n") + "x", "ok")
-                    .mBytes.c_str());
+  STRCMP_CONTAINS(
+    "HTTP/1.1 200",
+    mGateway.Ask(Head("Content-Length: 1\r\n") + "x", "ok").mBytes.c_str());
   CHECK_EQUAL(GatewayFixture::kMaxBodies - 500000, mGateway.mBodies.Taken());
 }
