--- a/src/fleet/reach.cc
+++ b/src/fleet/reach.cc
@@ -82,9 +82,7 @@
   if (EndsCut(aRound)) {
     // Most targets can be reached, so those that failed are to blame.
     mFailedAt.clear();
-    if (mWaitingSince.load() != TimePoint::max()) {
-      mWaitingSince = aNow;
-    }
+    mWaitingSince = TimePoint::max();
   }
 }
 
--- a/test/reach-test.cc
+++ b/test/reach-test.cc
@@ -122,6 +122,11 @@
   CHECK(mReach.NeedsProbes(kStart + milliseconds(5600)));
   mReach.RecordAnswer(kStart + milliseconds(5610));
   CHECK(!mReach.NeedsProbes(kStart + milliseconds(9000)));
+  // A request whose caller leaves gets no answer.
+  mReach.RecordSent(kStart + milliseconds(9000));
+  CHECK(mReach.NeedsProbes(kStart + milliseconds(9600)));
+  Probe({ 6, 0 }, milliseconds(9600));
+  CHECK(!mReach.NeedsProbes(kStart + milliseconds(20000)));
 }
 
 TEST_GROUP(CutOffNode)
