--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -262,7 +262,8 @@
   void CopyFields(const HTTPResponse& aHead)
   {
     for (const auto& [name, value] : aHead) {
-      if (!IsConnectionField(name)) {
+      const bool isForged = mRequest.mNamesTarget && IsPeerField(name);
+      if (!IsConnectionField(name) && !isForged) {
         mReport.mResponse.mFields.push_back({ name, value });
       }
     }
--- a/src/gateway/peerforwarder.cc
+++ b/src/gateway/peerforwarder.cc
@@ -34,6 +34,19 @@
   return value;
 }
 
+/// @return whether the other node has refused the request before it tried a
+///         target
+bool
+IsRefusedUntried(const ExchangeReport& aReport)
+{
+  const std::vector<HttpField>& fields = aReport.mResponse.mFields;
+  return aReport.mOutcome == ExchangeOutcome::Answered &&
+         aReport.mResponse.mStatus == 503 &&
+         std::any_of(fields.begin(), fields.end(), [](const HttpField& it) {
+           return it.mName == kElsewhereField;
+         });
+}
+
 /// One request that is passed on.
 class PeerForwarder final : public StreamSink
 {
@@ -62,7 +75,7 @@
       ExchangeReport report = Offer(*peer);
       if (!WasSent(report)) {
         peers.AvoidUntil(peer->mId, now + kUnreachableAvoidance);
-      } else if (Take(report.mResponse.mFields, kElsewhereField)) {
+      } else if (IsRefusedUntried(report)) {
         peers.AvoidUntil(peer->mId, now + kBusyAvoidance);
       } else {
         if (report.mOutcome != ExchangeOutcome::Answered &&
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -1,9 +1,19 @@
 #include "gateway/peers.h"
 
+#include <Poco/String.h>
+
 #include <algorithm>
 
 namespace hibiscushold {
 
+bool
+IsPeerField(std::string_view aName)
+{
+  const std::string name(aName);
+  return Poco::icompare(name, std::string(kElsewhereField)) == 0 ||
+         Poco::icompare(name, std::string(kTargetField)) == 0;
+}
+
 const Peer*
 ChoosePeer(std::span<const Peer> aPeers,
            const std::set<std::string>& aTried,
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -21,6 +21,10 @@
 /// Response: the target that it comes from, as id and start of its VM.
 inline constexpr const char* kTargetField = "X-Hibiscushold-Target";
 
+/// @return whether nodes send the header to each other in responses
+bool
+IsPeerField(std::string_view aName);
+
 /// Another node and until when it is not used.
 struct Peer
 {
--- a/test/peerforwarder-test.cc
+++ b/test/peerforwarder-test.cc
@@ -179,6 +179,21 @@
   }
 }
 
+// Guards against a second run of a request whose target answers with a header
+// that only nodes send, which says that it has not run.
+TEST(PassedOnRequest, TargetCantSendTheRequestToAnotherNode)
+{
+  std::string answer = Reply("one");
+  answer.insert(answer.find("Proof"), "X-Hibiscushold-Elsewhere: x\r\n");
+  const ScriptedServer& target = AddTarget({ { answer }, { answer } });
+  Start();
+  mCutOff.mPeers.Set({ EntryOf(mHelper, "helper"), EntryOf(mHelper, "again") });
+  const std::string got = mCutOff.Ask(kOrderRequest, "one").mBytes;
+  STRCMP_CONTAINS("HTTP/1.1 200", got.c_str());
+  CHECK(got.find("X-Hibiscushold") == std::string::npos);
+  CHECK_EQUAL(1U, target.Requests().size());
+}
+
 // Guards against many requests that wait for a node which has fallen silent.
 TEST(PassedOnRequest, SilentNodeIsNotAskedAgainForAWhile)
 {
