--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -326,6 +326,28 @@
   STRCMP_EQUAL(SerializeRosterEntry(mSelf).c_str(), Stored().c_str());
 }
 
+// Guards against nodes that can't pass requests on to each other, as their
+// entries lose the callers' address, and against an entry that is not updated.
+TEST(Registrar, PublishesTheAddressForCallersAndReportsThoseOfOthers)
+{
+  const Endpoint callers{ "10.0.0.2", 80 };
+  const RosterEntry other{ "n2", "b", { "10.0.0.2", 7 }, "t2", 1, callers };
+  mStore.Put("peers/n2", SerializeRosterEntry(other));
+  mStore.Put("peers/n3", R"({"address":"10.0.0.3:7","callers":"nowhere"})");
+  Store({ "n1", "a", { "10.0.0.1", 7 }, "old", 1 });
+  RosterEntry self = mSelf;
+  self.mCallers = { "10.0.0.1", 80 };
+  Registrar registrar(
+    self, mTokens, mRelay, [this](std::vector<RosterEntry> aPeers) {
+      mPeers = std::move(aPeers);
+    });
+  registrar.SyncRoster();
+  STRCMP_EQUAL(SerializeRosterEntry(self).c_str(), Stored().c_str());
+  CHECK_EQUAL(1U, mPeers.size());
+  STRCMP_EQUAL("n2", mPeers[0].mId.c_str());
+  CHECK(callers == mPeers[0].mCallers);
+}
+
 TEST(Registrar, RetriesFailedCreate)
 {
   mStore.mNextWriteFault = StoreFault::Unavailable;
