--- a/src/core/json.cc
+++ b/src/core/json.cc
@@ -3,17 +3,19 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include <limits>
 #include <memory>
 
 namespace hibiscushold {
 
 Result<Json::Value>
-ParseJsonObject(std::string_view aText)
+ParseJson(std::string_view aText)
 {
   static const Json::CharReaderBuilder builder = [] {
     Json::CharReaderBuilder settings;
     Json::CharReaderBuilder::strictMode(&settings.settings_);
     settings["stackLimit"] = 64;
+    settings["strictRoot"] = false;
     return settings;
   }();
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
@@ -26,9 +28,20 @@
   } catch (const Json::Exception& e) {
     message = e.what();
   }
-  if (!ok || !value.isObject()) {
+  if (!ok) {
+    return Failure{ Error::ReplyInvalid, message, "send valid JSON" };
+  }
+  return value;
+}
+
+Result<Json::Value>
+ParseJsonObject(std::string_view aText)
+{
+  Result<Json::Value> value = ParseJson(aText);
+  if (!value || !value.value().isObject()) {
+    const std::string reason = value ? "" : value.error().mDetail;
     return Failure{ Error::ReplyInvalid,
-                    message.empty() ? "not a JSON object" : message,
+                    reason.empty() ? "not a JSON object" : reason,
                     "send one JSON object" };
   }
   return value;
@@ -66,6 +79,15 @@
   return aObject[aName].asUInt64();
 }
 
+uint32_t
+CountAt(const Json::Value& aObject, const char* aName, uint32_t aFallback)
+{
+  const uint64_t number = NumberAt(aObject, aName, aFallback);
+  return number <= std::numeric_limits<uint32_t>::max()
+           ? static_cast<uint32_t>(number)
+           : aFallback;
+}
+
 bool
 FlagAt(const Json::Value& aObject, const char* aName, bool aFallback)
 {
--- a/src/core/json.h
+++ b/src/core/json.h
@@ -14,6 +14,11 @@
 Result<Json::Value>
 ParseJsonObject(std::string_view aText);
 
+/// Parses any JSON value likewise.
+/// @return the value, or ReplyInvalid
+Result<Json::Value>
+ParseJson(std::string_view aText);
+
 /// @return aValue as JSON without line breaks
 std::string
 ToJson(const Json::Value& aValue);
@@ -28,6 +33,10 @@
 uint64_t
 NumberAt(const Json::Value& aObject, const char* aName, uint64_t aFallback = 0);
 
+/// @return the member if it is a whole number of at most 32 bits
+uint32_t
+CountAt(const Json::Value& aObject, const char* aName, uint32_t aFallback = 0);
+
 bool
 FlagAt(const Json::Value& aObject, const char* aName, bool aFallback = false);
 
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -27,6 +27,7 @@
   StoreEraInvalid = 3005,
   StoreEraIncomplete = 3006,
   StoreEraRecorded = 3007,
+  StoreObjectUnreadable = 3008,
   MemberRegistered = 3101,
   UpstreamLost = 3102,
   RosterFailed = 3103,
--- a/src/relay/feedmethods.cc
+++ b/src/relay/feedmethods.cc
@@ -18,6 +18,8 @@
 constexpr auto kListGrace = milliseconds(1200);
 /// Upper bound on the wait that a follower can request.
 constexpr auto kMaxWait = milliseconds(5000);
+/// Taken for the age of a response that states none; too old to be used.
+constexpr uint32_t kUnknownAgeMillis = 3'600'000;
 
 Json::Value
 ToJsonValue(const FeedResponse& aResponse)
@@ -45,13 +47,15 @@
 {
   FeedResponse response;
   response.mListing.mRevision = NumberAt(aJson, "revision");
-  response.mAge = milliseconds(NumberAt(aJson, "age_ms"));
+  response.mAge = milliseconds(CountAt(aJson, "age_ms", kUnknownAgeMillis));
   for (const Json::Value& it : ArrayAt(aJson, "objects")) {
     response.mListing.mObjects.push_back(
       { TextAt(it, "key"), NumberAt(it, "version"), TextAt(it, "value") });
   }
   for (const Json::Value& it : ArrayAt(aJson, "deleted")) {
-    response.mListing.mDeleted.push_back(it.asString());
+    if (it.isString()) {
+      response.mListing.mDeleted.push_back(it.asString());
+    }
   }
   return response;
 }
