--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -44,13 +44,18 @@
                               "Requests answered, by status"))
   , mStoreCalls(AddCounterFamily(mRegistry,
                                  "hibiscushold_store_calls_total",
-                                 "Calls to the platform's store, by kind"))
+                                 "Calls to the platform's store, by kind and "
+                                 "objects"))
   , mRelays(AddCounterFamily(mRegistry,
                              "hibiscushold_relay_events_total",
                              "Events of following other nodes, by kind"))
   , mOrders(AddCounterFamily(mRegistry,
                              "hibiscushold_orders_total",
                              "Orders to engines, by outcome"))
+  , mReportBytes(AddCounterFamily(mRegistry,
+                                  "hibiscushold_report_bytes_total",
+                                  "Bytes of datagrams to other nodes, by kind "
+                                  "and receiver"))
   , mServedBytes(AddCounterFamily(mRegistry,
                                   "hibiscushold_control_bytes_served_total",
                                   "Bytes of calls that other nodes made")
@@ -103,9 +108,22 @@
 }
 
 void
-Metrics::CountStoreCall(std::string_view aKind)
+Metrics::CountStoreCall(std::string_view aKind, std::string_view aObjects)
 {
-  mStoreCalls.Add({ { "kind", std::string(aKind) } }).Increment();
+  mStoreCalls
+    .Add(
+      { { "kind", std::string(aKind) }, { "objects", std::string(aObjects) } })
+    .Increment();
+}
+
+void
+Metrics::CountReportBytes(std::string_view aKind,
+                          std::string_view aTo,
+                          size_t aBytes)
+{
+  mReportBytes
+    .Add({ { "kind", std::string(aKind) }, { "to", std::string(aTo) } })
+    .Increment(static_cast<double>(aBytes));
 }
 
 void
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -34,8 +34,14 @@
   /// Counts a request that was answered with an HTTP status.
   void CountAnswer(int aStatus);
   /// Counts a call to the platform.
-  /// @param aKind HTTP method, "throttled" or "failed"
-  void CountStoreCall(std::string_view aKind);
+  /// @param aKind the operation, or how it ended: "throttled" or "failed"
+  /// @param aObjects the kind of objects, if known
+  void CountStoreCall(std::string_view aKind, std::string_view aObjects = "");
+  /// Adds the bytes of a datagram to another node.
+  /// @param aTo "parent" or "child"
+  void CountReportBytes(std::string_view aKind,
+                        std::string_view aTo,
+                        size_t aBytes);
   /// Counts an event of reading from or reporting to other nodes instead of
   /// the store.
   void CountRelayEvent(std::string_view aKind);
@@ -63,6 +69,7 @@
   prometheus::Family<prometheus::Counter>& mStoreCalls;
   prometheus::Family<prometheus::Counter>& mRelays;
   prometheus::Family<prometheus::Counter>& mOrders;
+  prometheus::Family<prometheus::Counter>& mReportBytes;
   prometheus::Counter& mServedBytes;
   prometheus::Family<prometheus::Gauge>& mGauges;
   prometheus::Family<prometheus::Histogram>& mLatencies;
--- a/src/relay/demandexchange.cc
+++ b/src/relay/demandexchange.cc
@@ -141,7 +141,7 @@
   const TimePoint now = mDependencies.mClock.Now();
   DemandReport report{ aToken, {} };
   const auto flush = [&] {
-    Send(EncodeReport(report, now), aTo);
+    Send("demand", EncodeReport(report, now), aTo);
     report.mDemands.clear();
   };
   for (const auto& [vm, demand] : aDemands) {
@@ -176,13 +176,20 @@
     const auto first = notices.begin() + static_cast<ptrdiff_t>(n);
     const auto count = static_cast<ptrdiff_t>(
       std::min(kMaxNoticesPerReport, notices.size() - n));
-    Send(EncodeCrashReport({ aToken, { first, first + count } }, now), aTo);
+    Send("crash",
+         EncodeCrashReport({ aToken, { first, first + count } }, now),
+         aTo);
   }
 }
 
 void
-DemandExchange::Send(const std::string& aBytes, const SocketAddress& aTo)
+DemandExchange::Send(const char* aKind,
+                     const std::string& aBytes,
+                     const SocketAddress& aTo)
 {
+  const bool isToParent = mParent && aTo == AddressOf(mParent->mAddress);
+  mDependencies.mMetrics.CountReportBytes(
+    aKind, isToParent ? "parent" : "child", aBytes.size());
   try {
     mSocket.sendTo(aBytes.data(), static_cast<int>(aBytes.size()), aTo);
   } catch (const Poco::Exception&) {
--- a/src/relay/demandexchange.h
+++ b/src/relay/demandexchange.h
@@ -56,7 +56,9 @@
   /// Sends the crashes that the node may not know yet.
   void SendCrashes(const Poco::Net::SocketAddress& aTo,
                    const std::string& aToken);
-  void Send(const std::string& aBytes, const Poco::Net::SocketAddress& aTo);
+  void Send(const char* aKind,
+            const std::string& aBytes,
+            const Poco::Net::SocketAddress& aTo);
 
   /// When another node gets the next report of crashes.
   struct CrashSchedule
