--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -20,6 +20,7 @@
   virtual bool IsCallerDisconnected() const = 0;
   /// See StreamSink.
   virtual bool IsQuarantined() const = 0;
+  virtual bool IsNodeExiting() const = 0;
 
   /// Tries to have another target take over from a stalled one. The stalled
   /// target keeps the request until a response of the other one has begun, as
@@ -52,6 +53,7 @@
   bool OnStall(WaitingTransfer& aExchange) override;
   bool IsSuperseded() override { return HasOuterProgress(); }
   bool IsQuarantined() override { return mOwner.IsQuarantined(); }
+  bool IsNodeExiting() override { return mOwner.IsNodeExiting(); }
 
   const FleetTarget& mTarget;
   const uint32_t mInFlight; ///< requests at the target when it was chosen
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -75,6 +75,7 @@
     case ExchangeOutcome::Stalled: // recorded when the stall began
     case ExchangeOutcome::Superseded:
     case ExchangeOutcome::Quarantined:
+    case ExchangeOutcome::Stopping:
     case ExchangeOutcome::Deadline:
     case ExchangeOutcome::CallerDisconnected:
       return;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -154,6 +154,10 @@
       mAbandonedAs = ExchangeOutcome::Quarantined;
       return true;
     }
+    if (!mReport.mStreamed && mSink.IsNodeExiting()) {
+      mAbandonedAs = ExchangeOutcome::Stopping;
+      return true;
+    }
     return IsTargetStalled() && mSink.OnStall(*this);
   }
 
@@ -448,6 +452,8 @@
       return "superseded";
     case ExchangeOutcome::Quarantined:
       return "quarantined";
+    case ExchangeOutcome::Stopping:
+      return "stopping";
     case ExchangeOutcome::Deadline:
       return "deadline";
     case ExchangeOutcome::CallerDisconnected:
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -30,6 +30,7 @@
   Stalled,       ///< the target made no progress, and another one took over
   Superseded,    ///< the target it was to replace made progress first
   Quarantined,   ///< such requests have crashed targets since it was sent
+  Stopping,      ///< this node is about to exit
   Deadline,      ///< the deadline of the request passed
   CallerDisconnected,
 };
@@ -123,6 +124,11 @@
   /// @return whether the request is no longer to reach a target, which ends
   ///         this exchange
   virtual bool IsQuarantined() = 0;
+
+  /// Called at intervals until the first event.
+  /// @return whether this node is about to exit, which ends this exchange while
+  ///         the caller can still be told
+  virtual bool IsNodeExiting() = 0;
 };
 
 /// Dependencies of an exchange.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace hibiscushold {
@@ -182,12 +183,6 @@
 
   ResultOrRefusal<GatewayRequest> Admit(const HTTPServerRequest& aRequest)
   {
-    if (mDependencies.mRefusingRequests) {
-      return Refusal{ RefusalKind::Stopping,
-                      "the node is about to stop",
-                      Ran::No,
-                      kElsewhereRetryMillis };
-    }
     const FleetConfigPtr config = mDependencies.mWatcher.Config();
     if (config == nullptr) {
       return Refusal{ RefusalKind::ConfigNotFresh,
@@ -212,10 +207,30 @@
     if (isFromPeer && AssessReachOf(mDependencies) != Reach::Full) {
       return UnreachableTargets();
     }
+    BOOST_OUTCOME_TRY(LimitToStop(request));
     request.mIsFromPeer = isFromPeer;
     return std::move(request);
   }
 
+  /// Refuses a request that the stop of this node would cut, and moves the
+  /// deadline of any other to the end of the stop at the latest.
+  ResultOrRefusal<void> LimitToStop(GatewayRequest& aRequest) const
+  {
+    const StopWindow& window = mDependencies.mStopWindow;
+    if (!MayTake(window,
+                 aRequest.mDeadline,
+                 mDependencies.mUsualTimes.Get(aRequest.mRoute->mName),
+                 mDependencies.mClock.Now())) {
+      return Refusal{ RefusalKind::Stopping,
+                      "the node is about to stop",
+                      Ran::No,
+                      kElsewhereRetryMillis };
+    }
+    aRequest.mDeadline =
+      std::min(aRequest.mDeadline, window.mServeUntil.load());
+    return boost::outcome_v2::success();
+  }
+
   static Refusal UnreachableTargets()
   {
     return { RefusalKind::NoTarget,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,8 @@
 #include "gateway/peers.h"
 #include "gateway/protocolnames.h"
 #include "gateway/responsewriter.h"
+#include "gateway/stopwindow.h"
+#include "gateway/usualtimes.h"
 #include "observe/metrics.h"
 #include "serve/refusal.h"
 
@@ -38,9 +40,10 @@
   milliseconds mMaxConfigAge{ 5000 }; ///< how long keys stay accepted after the
                                       ///< configuration was last confirmed
   const std::atomic<bool>& mStopping;
-  const std::atomic<bool>& mRefusingRequests; ///< new requests are refused
-  const std::atomic<bool>& mExiting;          ///< no further request is read
-  std::atomic<uint32_t>& mRunning; ///< requests being read or handled
+  const StopWindow& mStopWindow;
+  UsualTimes& mUsualTimes;
+  const std::atomic<bool>& mExiting; ///< no further request is read
+  std::atomic<uint32_t>& mRunning;   ///< requests being read or handled
 };
 
 /// Creates the handlers for callers' requests.
--- a/src/gateway/peerforwarder.cc
+++ b/src/gateway/peerforwarder.cc
@@ -110,6 +110,10 @@
   bool OnStall(WaitingTransfer&) override { return false; }
   bool IsSuperseded() override { return false; }
   bool IsQuarantined() override { return false; }
+  bool IsNodeExiting() override
+  {
+    return HasEnded(mDependencies.mStopWindow, mDependencies.mClock.Now());
+  }
 
 private:
   ExchangeReport Offer(const RosterEntry& aPeer)
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -124,6 +124,11 @@
     return !mIsTrial && EndOfQuarantine().has_value();
   }
 
+  bool IsNodeExiting() const override
+  {
+    return HasEnded(mDependencies.mStopWindow, mDependencies.mClock.Now());
+  }
+
   bool TryTakeover(Attempt& aStalled) override
   {
     const TimePoint now = mDependencies.mClock.Now();
@@ -359,6 +364,7 @@
   bool MayRetry(const ExchangeReport& aReport) const
   {
     if (aReport.mOutcome == ExchangeOutcome::Deadline ||
+        aReport.mOutcome == ExchangeOutcome::Stopping ||
         mAttemptsSent >= mRequest.mRoute->mAttempts ||
         mDependencies.mClock.Now() >= mRequest.mDeadline) {
       return false;
@@ -396,9 +402,7 @@
     if (!mRequest.AllowsRetry() && ImpliesNotRun(aResponse.mStatus)) {
       return Fail(RefusalKind::TargetFailed, 0, "status_implies_not_run");
     }
-    mDependencies.mMetrics.CountAnswer(aResponse.mStatus);
-    mDependencies.mMetrics.ObserveLatency(
-      "last", mDependencies.mClock.Now() - mRequest.mArrivedAt);
+    RecordAnswer(aResponse.mStatus);
     mWriter.SendComplete(aResponse.mStatus, aResponse.mFields, aResponse.mBody);
     return boost::outcome_v2::success();
   }
@@ -406,12 +410,19 @@
   ResultOrRefusal<void> EndStream()
   {
     mWriter.EndStream();
-    mDependencies.mMetrics.CountAnswer(200);
-    mDependencies.mMetrics.ObserveLatency(
-      "last", mDependencies.mClock.Now() - mRequest.mArrivedAt);
+    RecordAnswer(200);
     return boost::outcome_v2::success();
   }
 
+  /// Records a complete response of a target.
+  void RecordAnswer(int aStatus) const
+  {
+    const Duration time = mDependencies.mClock.Now() - mRequest.mArrivedAt;
+    mDependencies.mMetrics.CountAnswer(aStatus);
+    mDependencies.mMetrics.ObserveLatency("last", time);
+    mDependencies.mUsualTimes.Record(mRequest.mRoute->mName, time);
+  }
+
   /// Ends the request with a refusal. If the request may have run, a kind that
   /// guarantees the opposite (status 503) is replaced by TargetFailed.
   /// @param aReason why no further attempt is made, for log and metrics
--- a/test/callerport-test.cc
+++ b/test/callerport-test.cc
@@ -88,8 +88,7 @@
 TEST(CallerPort, StoppingNodeRefusesACallerThatIsStillSending)
 {
   mGateway.Start();
-  mGateway.mStopping = true;
-  mGateway.mRefusingRequests = true;
+  mGateway.Stop(mGateway.mClock.Now());
   const ReceivedResponse got =
     AskSlowly("POST /lookup/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n");
   STRCMP_CONTAINS("HTTP/1.1 503", got.mBytes.c_str());
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -55,6 +55,7 @@
   bool OnStall(WaitingTransfer&) override { return false; }
   bool IsSuperseded() override { return false; }
   bool IsQuarantined() override { return false; }
+  bool IsNodeExiting() override { return false; }
 
   int mStatus = 0;
   bool mDisconnected = false;
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -109,6 +109,14 @@
     mServer->start();
   }
 
+  /// Begins a planned stop whose grace is over at aServeUntil.
+  void Stop(TimePoint aServeUntil)
+  {
+    mStopWindow.mServeUntil = aServeUntil;
+    mStopWindow.mTakeUntil = mClock.Now();
+    mStopping = true;
+  }
+
   /// Puts mConfig, with its new version, into force.
   void ChangeConfig()
   {
@@ -186,7 +194,8 @@
                                  "Retry-After", "Parts" };
   Metrics mMetrics;
   std::atomic<bool> mStopping{ false };
-  std::atomic<bool> mRefusingRequests{ false };
+  StopWindow mStopWindow;
+  UsualTimes mUsualTimes;
   std::atomic<bool> mExiting{ false };
   std::atomic<uint32_t> mRunning{ 0 };
   Poco::ThreadPool mThreads;
@@ -218,7 +227,8 @@
              "a",
              milliseconds(5000),
              mStopping,
-             mRefusingRequests,
+             mStopWindow,
+             mUsualTimes,
              mExiting,
              mRunning };
   }
--- a/test/peerforwarder-test.cc
+++ b/test/peerforwarder-test.cc
@@ -171,7 +171,7 @@
   Start();
   GatewayFixture second;
   second.Start();
-  second.mRefusingRequests = true;
+  second.Stop(second.mClock.Now());
   mCutOff.mPeers.Set({ EntryOf(second, "second"), EntryOf(mHelper, "helper") });
   for (int n = 0; n < 8 && target.Requests().empty(); ++n) {
     STRCMP_CONTAINS("HTTP/1.1 200",
