--- a/src/relay/registrar.cc
+++ b/src/relay/registrar.cc
@@ -37,9 +37,10 @@
   if (mRevision == 0) {
     // A stale listing does no harm: the first watch continues from its
     // revision. After a return of the store it may be from before it, with
-    // revisions that are used again.
-    return mRelay.List(
-      kRosterPrefix, mHistoryGone ? CallPriority::Lease : CallPriority::Status);
+    // revisions that are used again, so an upstream is asked instead.
+    return mRelay.List(kRosterPrefix,
+                       mHistoryGone ? CallPriority::Config
+                                    : CallPriority::Status);
   }
   return mRelay.Watch(kRosterPrefix, mRevision, kMaxRosterWait);
 }
@@ -51,11 +52,11 @@
   const Result<Listing> read = Read();
   mFirstReadDone = true;
   if (!read) {
-    // The entries are listed again next time. The relay has already logged a
-    // failed upstream.
-    mRevision = 0;
+    // The relay has already logged a failed upstream.
     mHistoryGone = read.error().mError == Error::StoreHistoryGone;
-    if (!mHistoryGone) {
+    if (mHistoryGone) {
+      mRevision = 0;
+    } else {
       LogFailure("read", read.error());
     }
     return;
@@ -64,7 +65,7 @@
   mRevision = read.value().mRevision;
   ApplyListing(read.value(), isSnapshot);
   SyncOwnEntry();
-  mRelay.SetUpstreams(UpstreamsOf(mRoster, mSelf));
+  mRelay.SetUpstreams(UpstreamsOf(mRoster, mSelf), RankInZone(mRoster, mSelf));
   mOnPeers(OtherNodes());
 }
 
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -1,5 +1,6 @@
 #include "relay/relayedplatform.h"
 
+#include "core/random.h"
 #include "observe/events.h"
 
 #include <algorithm>
@@ -16,10 +17,9 @@
 /// Shorter for an upstream that answers but has lost the store, as it recovers
 /// sooner.
 constexpr auto kNoStoreBackoff = milliseconds(1000);
-/// Minimum time between a failed read from the store and the next, for nodes
-/// with upstreams. While the store is unavailable all nodes fall back to it,
-/// and each attempt has a cost.
-constexpr auto kStoreRetryInterval = milliseconds(1000);
+/// Upstreams that a node without a place among its zone's readers asks in one
+/// call before it turns to the store.
+constexpr int kMaxPeersPerRead = 3;
 /// The store answers within milliseconds. If it takes longer than this after a
 /// failed read from an upstream, the followers of this node get an error.
 constexpr auto kStoreReadGrace = milliseconds(150);
@@ -44,10 +44,12 @@
 }
 
 void
-RelayedPlatform::SetUpstreams(std::vector<RosterEntry> aUpstreams)
+RelayedPlatform::SetUpstreams(std::vector<RosterEntry> aUpstreams,
+                              size_t aRankInZone)
 {
   const std::lock_guard guard(mLock);
   mUpstreams = std::move(aUpstreams);
+  mRankInZone = aRankInZone;
 }
 
 std::vector<RosterEntry>
@@ -78,12 +80,10 @@
 }
 
 bool
-RelayedPlatform::IsFirstInZone(std::string_view aZone) const
+RelayedPlatform::IsFirstInZone() const
 {
   const std::lock_guard guard(mLock);
-  return std::none_of(mUpstreams.begin(),
-                      mUpstreams.end(),
-                      [&](const RosterEntry& it) { return it.mZone == aZone; });
+  return mRankInZone == 0;
 }
 
 void
@@ -163,38 +163,81 @@
   return aRead;
 }
 
+std::string
+RelayedPlatform::StoreReadsKey(std::string_view aPrefix) const
+{
+  return IsZoneReader(mRankInZone) ? std::string(aPrefix) : "";
+}
+
 bool
 RelayedPlatform::MayReadStore(std::string_view aPrefix) const
 {
   const std::lock_guard guard(mLock);
-  const auto it = mStoreFailedAt.find(aPrefix);
-  return mUpstreams.empty() || it == mStoreFailedAt.end() ||
-         mDependencies.mClock.Now() >= it->second + kStoreRetryInterval;
+  const auto it = mStoreReads.find(StoreReadsKey(aPrefix));
+  return mUpstreams.empty() || it == mStoreReads.end() ||
+         hibiscushold::MayReadStore(it->second, mDependencies.mClock.Now());
 }
 
 void
 RelayedPlatform::RecordStoreResult(std::string_view aPrefix, bool aSucceeded)
 {
   const std::lock_guard guard(mLock);
-  if (aSucceeded) {
-    mStoreFailedAt.erase(std::string(aPrefix));
-  } else {
-    mStoreFailedAt[std::string(aPrefix)] = mDependencies.mClock.Now();
+  RecordStoreRead(mStoreReads[StoreReadsKey(aPrefix)],
+                  mRankInZone,
+                  aSucceeded,
+                  mDependencies.mClock.Now(),
+                  NextFraction());
+}
+
+bool
+RelayedPlatform::IsReader() const
+{
+  const std::lock_guard guard(mLock);
+  return IsZoneReader(mRankInZone);
+}
+
+std::optional<Result<Listing>>
+RelayedPlatform::ReadFromPeers(std::string_view aPrefix,
+                               uint64_t aSince,
+                               TimePoint aWaitUntil)
+{
+  const TimePoint startedAt = mDependencies.mClock.Now();
+  const int maxPeers = IsReader() ? 1 : kMaxPeersPerRead;
+  for (int n = 0; n < maxPeers; ++n) {
+    const std::optional<RosterEntry> peer = UsableUpstream();
+    if (!peer) {
+      return std::nullopt;
+    }
+    const TimePoint readAt = mDependencies.mClock.Now();
+    const auto wait =
+      std::chrono::duration_cast<milliseconds>(TimeLeft(aWaitUntil, readAt));
+    Result<Listing> listing = ReadFromPeer(*peer, aPrefix, aSince, wait);
+    if (listing) {
+      const TimePoint confirmedAt = readAt - listing.value().mMaxAge;
+      listing =
+        RecordRead(aPrefix, std::move(listing), aSince == 0, confirmedAt);
+      // Ages count from the start of this call, but the peer was read later.
+      if (listing) {
+        listing.value().mMaxAge -= readAt - startedAt;
+      }
+      return listing;
+    }
+    if (aSince != 0 && listing.error().mError == Error::StoreHistoryGone) {
+      return listing;
+    }
+    StartBackoff(*peer, aPrefix, listing.error());
   }
+  return std::nullopt;
 }
 
 Result<Listing>
 RelayedPlatform::List(std::string_view aPrefix, CallPriority aPriority)
 {
-  const std::optional<RosterEntry> peer = UsableUpstream();
-  const TimePoint startedAt = mDependencies.mClock.Now();
-  if (peer && aPriority == CallPriority::Config) {
-    Result<Listing> listing = ReadFromPeer(*peer, aPrefix, 0, milliseconds(0));
+  if (aPriority == CallPriority::Config) {
+    auto listing = ReadFromPeers(aPrefix, 0, mDependencies.mClock.Now());
     if (listing) {
-      const TimePoint confirmedAt = startedAt - listing.value().mMaxAge;
-      return RecordRead(aPrefix, std::move(listing), true, confirmedAt);
+      return std::move(*listing);
     }
-    StartBackoff(*peer, aPrefix, listing.error());
   }
   if (!MayReadStore(aPrefix)) {
     return StoreFailedRecently(aPrefix);
@@ -210,18 +253,10 @@
                        uint64_t aSince,
                        milliseconds aWait)
 {
-  const std::optional<RosterEntry> peer = UsableUpstream();
   const TimePoint startedAt = mDependencies.mClock.Now();
-  if (peer) {
-    Result<Listing> changes = ReadFromPeer(*peer, aPrefix, aSince, aWait);
-    if (changes) {
-      const TimePoint confirmedAt = startedAt - changes.value().mMaxAge;
-      return RecordRead(aPrefix, std::move(changes), false, confirmedAt);
-    }
-    if (changes.error().mError == Error::StoreHistoryGone) {
-      return changes;
-    }
-    StartBackoff(*peer, aPrefix, changes.error());
+  auto fromPeer = ReadFromPeers(aPrefix, aSince, startedAt + aWait);
+  if (fromPeer) {
+    return std::move(*fromPeer);
   }
   if (!MayReadStore(aPrefix)) {
     return StoreFailedRecently(aPrefix);
--- a/src/relay/relayedplatform.h
+++ b/src/relay/relayedplatform.h
@@ -3,10 +3,12 @@
 #include "cluster/peerclient.h"
 #include "observe/metrics.h"
 #include "relay/feedcache.h"
+#include "relay/readpolicy.h"
 #include "relay/roster.h"
 
 #include <functional>
 #include <mutex>
+#include <optional>
 
 namespace hibiscushold {
 
@@ -35,13 +37,18 @@
   explicit RelayedPlatform(Dependencies aDependencies);
 
   /// Sets the nodes that may be read from, best first.
-  void SetUpstreams(std::vector<RosterEntry> aUpstreams);
+  /// @param aRankInZone nodes of this one's zone that precede it
+  void SetUpstreams(std::vector<RosterEntry> aUpstreams,
+                    size_t aRankInZone = 0);
 
   /// @return whether this node reads the store itself, as no upstream is usable
   bool ReadsStoreDirectly() const;
 
-  /// @return whether none of the upstreams is in aZone
-  bool IsFirstInZone(std::string_view aZone) const;
+  bool IsFirstInZone() const;
+
+  /// @return whether this node is to read the store when its upstream has
+  ///         failed (relay/readpolicy.h)
+  bool IsReader() const;
 
   /// Only a list of CallPriority::Config may be read from an upstream.
   Result<Listing> List(std::string_view aPrefix,
@@ -84,6 +91,13 @@
   void StartBackoff(const RosterEntry& aPeer,
                     std::string_view aPrefix,
                     const Failure& aFailure);
+  /// Reads from the upstreams; a list if aSince is 0.
+  /// @return the first result that tells something, or nothing
+  std::optional<Result<Listing>> ReadFromPeers(std::string_view aPrefix,
+                                               uint64_t aSince,
+                                               TimePoint aWaitUntil);
+  /// @return the key in mStoreReads; the lock must be held
+  std::string StoreReadsKey(std::string_view aPrefix) const;
   bool MayReadStore(std::string_view aPrefix) const;
   void RecordStoreResult(std::string_view aPrefix, bool aSucceeded);
   /// @return the read, corrected by what a restored store has lost
@@ -93,11 +107,12 @@
                              TimePoint aConfirmedAt);
 
   const Dependencies mDependencies;
-  mutable std::mutex mLock; ///< guards the three below
+  mutable std::mutex mLock; ///< guards the four below
   std::vector<RosterEntry> mUpstreams;
   std::map<std::string, Backoff> mBackoffs; ///< by node id
-  /// When a read from the store last failed, by prefix.
-  std::map<std::string, TimePoint, std::less<>> mStoreFailedAt;
+  size_t mRankInZone = 0;
+  /// By prefix at a reader, under one key otherwise.
+  std::map<std::string, StoreReads> mStoreReads;
 };
 
 } // namespace hibiscushold
--- a/src/relay/roster.cc
+++ b/src/relay/roster.cc
@@ -11,7 +11,7 @@
 
 /// More than one upstream, so that another takes over when the first fails;
 /// more would only lengthen the search for one that answers.
-constexpr size_t kMaxUpstreamsInZone = 2;
+constexpr size_t kMaxUpstreamsInZone = 3;
 constexpr size_t kMaxUpstreamsInOtherZones = 2;
 
 /// @return whether aL is the preferred upstream of the two
@@ -85,4 +85,15 @@
   return upstreams;
 }
 
+size_t
+RankInZone(const Roster& aRoster, const RosterEntry& aSelf)
+{
+  return static_cast<size_t>(
+    std::count_if(aRoster.begin(), aRoster.end(), [&](const auto& it) {
+      const RosterEntry& entry = it.second.mEntry;
+      return entry.mZone == aSelf.mZone && entry.mId != aSelf.mId &&
+             Precedes(entry, aSelf);
+    }));
+}
+
 } // namespace hibiscushold
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -58,4 +58,8 @@
 std::vector<RosterEntry>
 UpstreamsOf(const Roster& aRoster, const RosterEntry& aSelf);
 
+/// @return the nodes of aSelf's zone that precede it in that order
+size_t
+RankInZone(const Roster& aRoster, const RosterEntry& aSelf);
+
 } // namespace hibiscushold
--- a/test/fakeplatform.h
+++ b/test/fakeplatform.h
@@ -36,6 +36,7 @@
 
   Result<Listing> List(std::string_view aPrefix, CallPriority) override
   {
+    ++mLists;
     const StoreFault fault = TakeFault(mNextReadFault);
     if (fault == StoreFault::HistoryGone) {
       return Failure{ Error::StoreHistoryGone, std::string(aPrefix), "" };
@@ -154,6 +155,7 @@
   /// Watches from earlier revisions fail from now on.
   void ForgetHistory() { mHistoryFrom = mRevision; }
 
+  size_t mLists = 0; ///< calls of List
   StoreFault mNextReadFault = StoreFault::None;
   milliseconds mLastWatchTimeout{ 0 };
   std::function<void()> mBeforeGet; ///< called before each read of an object
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -215,6 +215,61 @@
   CHECK(mRelay.Watch("a/", 7, milliseconds(100)).has_value());
 }
 
+// Guards against all nodes of a zone that turn to the store at the moment at
+// which the node that they follow loses it: most ask another upstream first.
+TEST(Relay, AFollowerAsksItsOtherUpstreamsBeforeTheStore)
+{
+  mRelay.SetUpstreams({ { "n1", "a", {}, "t", 1 },
+                        { "n2", "a", {}, "t", 1 },
+                        { "n3", "a", {}, "t", 1 } },
+                      7);
+  mPeers.emplace("n1", NoResponse());
+  mPeers.emplace("n2", Failure{ Error::StoreUnavailable, "", "" });
+  mPeers.emplace("n3", Answer(7, milliseconds(10)));
+  mStore.mNextReadFault = StoreFault::Unavailable;
+  CHECK(mRelay.Watch("a/", 5, milliseconds(100)).has_value());
+  STRCMP_EQUAL("n3", mReadFrom.back().c_str());
+  CHECK_EQUAL(3U, mReadFrom.size());
+}
+
+// Guards against a follower without upstreams that asks the store for each of
+// its feeds while the store is away.
+TEST(Relay, AFollowerTakesAFailedReadForAllItsFeeds)
+{
+  mRelay.SetUpstreams({ { "n1", "a", {}, "t", 1 } }, 7);
+  mPeers.emplace("n1", NoResponse());
+  mStore.mNextReadFault = StoreFault::Unavailable;
+  CHECK(!mRelay.Watch("a/", 7, milliseconds(100)).has_value());
+  CHECK(!mRelay.Watch("b/", 7, milliseconds(100)).has_value());
+  CHECK(!mRelay.List("c/", CallPriority::Status).has_value());
+  mClock.Advance(seconds(7));
+  CHECK(mRelay.Watch("b/", 7, milliseconds(100)).has_value());
+}
+
+// Guards against an age that lacks the time in which other upstreams failed,
+// so that a key stays valid for too long.
+TEST(Relay, AgeCountsFromTheStartOfTheCall)
+{
+  RelayedPlatform relay{
+    { mStore,
+      mFeeds,
+      [this](
+        const RosterEntry& aPeer, std::string_view, uint64_t, milliseconds) {
+        mClock.Advance(milliseconds(400));
+        return aPeer.mId == "n1" ? NoResponse() : Answer(7, milliseconds(500));
+      },
+      mMetrics,
+      mClock }
+  };
+  relay.SetUpstreams({ { "n1", "a", {}, "t", 1 }, { "n2", "a", {}, "t", 1 } },
+                     7);
+  const TimePoint startedAt = mClock.Now();
+  const Listing read = relay.Watch("a/", 5, milliseconds(600)).value();
+  // The second upstream was asked 400 ms after the start.
+  CHECK(startedAt - read.mMaxAge ==
+        startedAt + milliseconds(400) - milliseconds(500));
+}
+
 TEST(Relay, LeavesUpstreamWithStaleData)
 {
   Follow({ { "n1", "a", {}, "t", 1 } });
@@ -326,6 +381,19 @@
   STRCMP_EQUAL(SerializeRosterEntry(mSelf).c_str(), Stored().c_str());
 }
 
+// Guards against every node that lists the entries anew in the store after a
+// read has failed.
+TEST(Registrar, ContinuesFromItsRevisionAfterAFailedRead)
+{
+  mRegistrar.SyncRoster();
+  mRegistrar.SyncRoster();
+  const size_t lists = mStore.mLists;
+  mStore.mNextReadFault = StoreFault::Unavailable;
+  mRegistrar.SyncRoster();
+  mRegistrar.SyncRoster();
+  CHECK_EQUAL(lists, mStore.mLists);
+}
+
 // Guards against nodes that can't pass requests on to each other, as their
 // entries lose the callers' address, and against an entry that is not updated.
 TEST(Registrar, PublishesTheAddressForCallersAndReportsThoseOfOthers)
