--- a/src/fleet/formationcontext.cc
+++ b/src/fleet/formationcontext.cc
@@ -29,9 +29,7 @@
 {
   const FleetVm* vm = FindVm(aContext.mView.mVms, aGroup.mMembers[0]);
   return aGroup.mMembers.size() == 1 && aGroup.mStage == GroupStage::Forming &&
-         vm != nullptr &&
-         std::find(vm->mStaged.begin(), vm->mStaged.end(), aGroup.mModel) !=
-           vm->mStaged.end();
+         vm != nullptr && HasModel(*vm, aGroup.mModel);
 }
 
 Duration
@@ -95,9 +93,7 @@
            const std::string& aModel)
 {
   const auto planned = aContext.mState.mVms.find(aVm.mId);
-  const bool staged =
-    std::find(aVm.mStaged.begin(), aVm.mStaged.end(), aModel) !=
-    aVm.mStaged.end();
+  const bool staged = HasModel(aVm, aModel);
   if (staged && planned->second.mLastStartedModel == aModel) {
     return JoinCost::StartedLast;
   }
@@ -127,9 +123,11 @@
 size_t
 LoadsAllowed(FormationContext& aContext)
 {
-  const size_t running = static_cast<size_t>(std::count_if(
+  // The load of a VM that is gone has ended.
+  const FleetVms& vms = aContext.mView.mVms;
+  const auto running = static_cast<size_t>(std::count_if(
     aContext.mState.mVms.begin(), aContext.mState.mVms.end(), [&](auto& it) {
-      return it.second.mLoadingUntil > aContext.mNow;
+      return it.second.mLoadingUntil > aContext.mNow && vms.contains(it.first);
     }));
   const size_t maxLoads = aContext.mView.mEngine.mLoadsAtOnce;
   const size_t free = maxLoads > running ? maxLoads - running : 0;
@@ -178,8 +176,9 @@
   if (aVm.mCost != JoinCost::Load) {
     return;
   }
-  aContext.mState.mVms[aVm.mId].mLoadingUntil =
-    aContext.mNow + LoadTime(aContext, aModel);
+  PlannedVm& planned = aContext.mState.mVms[aVm.mId];
+  planned.mLoadingModel = aModel.mName;
+  planned.mLoadingUntil = aContext.mNow + LoadTime(aContext, aModel);
   if (!aContext.mView.mBeforeTraffic) {
     aContext.mState.mLoads.push_back(aContext.mNow);
   }
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -31,12 +31,13 @@
 {
   uint64_t mStartedMillis = 0;
   Endpoint mAddress;
-  TimePoint mLockedUntil;   ///< its previous group may still serve before then
-  std::string mLockedHead;  ///< head of that group, empty if unknown
-  GroupKey mLockedGroup;    ///< that group
-  bool mHasLeft = false;    ///< it confirmed an order to leave mLockedGroup
-  TimePoint mRepeatLeaveAt; ///< no order to leave is repeated before then
-  TimePoint mLoadingUntil;  ///< estimated end of its load from the weight store
+  TimePoint mLockedUntil;    ///< its previous group may still serve before then
+  std::string mLockedHead;   ///< head of that group, empty if unknown
+  GroupKey mLockedGroup;     ///< that group
+  bool mHasLeft = false;     ///< it confirmed an order to leave mLockedGroup
+  TimePoint mRepeatLeaveAt;  ///< no order to leave is repeated before then
+  std::string mLoadingModel; ///< loaded from the weight store, or empty
+  TimePoint mLoadingUntil;   ///< estimated end of that load
   VmSilence mSilence;
   std::string mLastStartedModel; ///< in its last group since its start
 };
--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -58,6 +58,10 @@
         mState.mLastNewVmAt = mNow;
       }
       planned.mAddress = vm.mAddress;
+      if (HasModel(vm, planned.mLoadingModel)) {
+        planned.mLoadingModel.clear();
+        planned.mLoadingUntil = {};
+      }
       if (vm.mMembership &&
           vm.mMembership->mPhase != MembershipPhase::Joining) {
         planned.mLastStartedModel = vm.mMembership->mModel;
--- a/src/fleet/vm.cc
+++ b/src/fleet/vm.cc
@@ -29,6 +29,13 @@
   return it == aVms.end() ? nullptr : &it->second;
 }
 
+bool
+HasModel(const FleetVm& aVm, std::string_view aModel)
+{
+  return std::find(aVm.mStaged.begin(), aVm.mStaged.end(), aModel) !=
+         aVm.mStaged.end();
+}
+
 bool
 IsMemberOf(const FleetVm* aVm, const GroupKey& aKey)
 {
--- a/src/fleet/vm.h
+++ b/src/fleet/vm.h
@@ -73,6 +73,10 @@
 const FleetVm*
 FindVm(const FleetVms& aVms, const std::string& aId);
 
+/// @return whether the model is on the VM's host
+bool
+HasModel(const FleetVm& aVm, std::string_view aModel);
+
 /// @param aVm may be null
 /// @return whether the VM is a member of this formation of the group
 bool
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -242,6 +242,20 @@
 
 TEST(FleetFormation, LoadsStayWithinTheSharedRate)
 {
+  for (size_t n = 0; n < 6; ++n) {
+    mWorld.Add("d" + std::to_string(n), 9);
+  }
+  for (int n = 0; n < 100; ++n) {
+    mWorld.Step(milliseconds(50));
+  }
+  const size_t loads = mWorld.mState.mLoads.size();
+  CHECK(loads > 0);
+  CHECK(loads <= static_cast<size_t>(mWorld.mEngine.mLoadsPerSecond * 5));
+}
+
+TEST(FleetFormation, LoadsThatRunStayWithinTheirNumber)
+{
+  mWorld.mLoadsNeverEnd = true;
   for (size_t n = 0; n < 6; ++n) {
     mWorld.Add("d" + std::to_string(n), 9);
   }
@@ -267,3 +281,40 @@
   CHECK(mWorld.FindOrder(orders, OrderKind::Join, "d1-3") != nullptr);
   CHECK(mWorld.FindOrder(orders, OrderKind::Join, "d0-4") == nullptr);
 }
+
+/// Domains of nineteen VMs, and a wide model that needs sixteen.
+TEST_GROUP(WideModel)
+{
+  PlannerWorld mWorld;
+
+  void setup() override
+  {
+    mWorld.mEngine.mModels[0].mSize = 16;
+    mWorld.mEngine.mModels[1].mSize = 4;
+  }
+};
+      }));
+  }
+};
+
+// Loads at once: guards against VMs that wait to load although others have
+// finished sooner than expected, or have ended while they loaded.
+TEST(WideModel, ALoadThatHasEndedMakesRoomForTheNext)
+{
+  mWorld.mEngine.mLoadsAtOnce = 2;
+  mWorld.Add("d0", 4);
+  mWorld.Settle();
+  CHECK_EQUAL(1U, mWorld.OpenHeads("small").size());
+}
+
+TEST(WideModel, AVmThatIsGoneMakesRoomForTheNextLoad)
+{
+  mWorld.mEngine.mLoadsAtOnce = 1;
+  mWorld.mLoadsNeverEnd = true;
+  mWorld.Add("d0", 2);
+  const std::vector<FleetOrder> first = mWorld.Step();
+  CHECK_EQUAL(1U, first.size());
+  CHECK(mWorld.Step().empty());
+  mWorld.mVms.erase(first[0].mVmId);
+  CHECK_EQUAL(1U, mWorld.Step().size());
+}
