--- a/src/fleet/spares.cc
+++ b/src/fleet/spares.cc
@@ -1,16 +1,16 @@
 #include "fleet/spares.h"
 
 #include <algorithm>
+#include <set>
 
 namespace hibiscushold {
 
 namespace {
 
-/// Cost of each load that a group still needs, on the scale of FillRatio().
-constexpr double kLoadCost = 0.2;
-/// Difference between the priorities of loads; larger than the cost of all
-/// loads of a group.
+/// Difference between the priorities of loads; larger than any other cost.
 constexpr double kPriorityStep = 100;
+/// A group that lacks at most this fraction of its VMs is completed first.
+constexpr double kAlmostComplete = 1.0 / 3;
 
 /// A VM that could become a spare, and the model for it.
 struct Candidate
@@ -20,27 +20,58 @@
   const FleetVm* mVm = nullptr;
 };
 
-/// VMs of a domain outside its groups that have a model.
-struct SpareCounts
+/// The VMs of one domain outside its groups.
+struct DomainSpares
 {
-  size_t mFree = 0;    ///< free VMs with the model on their host
-  size_t mCovered = 0; ///< mFree and the spares that are loading it
+  const std::string& mDomain;
+  const std::vector<const FleetVm*>& mVms; ///< free
+  size_t mLoading = 0;                     ///< not free yet
+  std::map<std::string, size_t> mChosen;   ///< loads of this step, by model
 };
 
-SpareCounts
-CountSpares(FormationContext& aContext,
-            const std::string& aDomain,
-            const std::vector<const FleetVm*>& aVms,
+/// The next group of a model that a domain's spares could form.
+struct NextGroup
+{
+  size_t mCovered = 0;  ///< spares that have the model or load it
+  size_t mComplete = 0; ///< of these, VMs of complete groups about to be formed
+  size_t mLacking = 0;  ///< loads that complete the next group
+  /// Spares of the domain that are left beside the group and those that its
+  /// groups of other models need; negative if there are too few.
+  ptrdiff_t mLeft = 0;
+};
+
+size_t
+CountStaged(const FormationContext& aContext,
+            const DomainSpares& aSpares,
             const FleetModel& aModel)
 {
-  SpareCounts counts;
-  for (const FleetVm* it : aVms) {
-    counts.mFree +=
-      JoinCostOf(aContext, *it, aModel.mName) != JoinCost::Load ? 1 : 0;
+  return static_cast<size_t>(std::count_if(
+    aSpares.mVms.begin(), aSpares.mVms.end(), [&](const FleetVm* it) {
+      return JoinCostOf(aContext, *it, aModel.mName) != JoinCost::Load;
+    }));
+}
+
+NextGroup
+FindNextGroup(FormationContext& aContext,
+              DomainSpares& aSpares,
+              const FleetModel& aModel)
+{
+  NextGroup group;
+  group.mCovered = CountStaged(aContext, aSpares, aModel) +
+                   aContext.mLoadingSpares[{ aSpares.mDomain, aModel.mName }] +
+                   aSpares.mChosen[aModel.mName];
+  const size_t begun = group.mCovered % aModel.mSize;
+  group.mComplete = group.mCovered - begun;
+  group.mLacking = aModel.mSize - begun;
+  size_t needed = group.mComplete + aModel.mSize;
+  for (const FleetModel& it : aContext.mView.mEngine.mModels) {
+    if (&it != &aModel) {
+      needed += WantedSpares(aContext, aSpares.mDomain, it);
+    }
   }
-  counts.mCovered =
-    counts.mFree + aContext.mLoadingSpares[{ aDomain, aModel.mName }];
-  return counts;
+  group.mLeft = static_cast<ptrdiff_t>(aSpares.mVms.size() + aSpares.mLoading) -
+                static_cast<ptrdiff_t>(needed);
+  return group;
 }
 
 /// @return a model on the VM's host that the VM did not start last, or null
@@ -55,35 +86,69 @@
   return nullptr;
 }
 
-/// Chooses the model that a VM of the domain should load: one that lacks a
-/// single VM for a group, then one that lacks spares in the domain, then any
-/// other. Among these, models that lack few VMs or have a low fill ratio go
-/// first.
-/// @param aChosen loads chosen before in this step, by model
+bool
+IsAlmostComplete(const NextGroup& aGroup, const FleetModel& aModel)
+{
+  return aGroup.mLeft >= 0 && aGroup.mLacking < aModel.mSize &&
+         static_cast<double>(aGroup.mLacking) <=
+           std::max(1.0, static_cast<double>(aModel.mSize) * kAlmostComplete);
+}
+
+/// @return whether the domain can form the group beside those of other models
+///         that are almost complete
+bool
+IsPossible(FormationContext& aContext,
+           DomainSpares& aSpares,
+           const FleetModel& aModel,
+           const NextGroup& aGroup)
+{
+  ptrdiff_t left = aGroup.mLeft;
+  for (const FleetModel& other : aContext.mView.mEngine.mModels) {
+    const NextGroup group = FindNextGroup(aContext, aSpares, other);
+    if (&other != &aModel) {
+      left -= static_cast<ptrdiff_t>(group.mComplete);
+      left -= IsAlmostComplete(group, other)
+                ? static_cast<ptrdiff_t>(other.mSize)
+                : 0;
+    }
+  }
+  return left >= 0;
+}
+
+/// The cost of the next load of a model in a domain. Completing a group of VMs
+/// that are idle goes first, then replacing the next lost VM, then beginning a
+/// group, and last what completes none. Among these, the load that puts most
+/// VMs to use goes first, for models with a low fill ratio.
+double
+LoadCost(FormationContext& aContext,
+         DomainSpares& aSpares,
+         const FleetModel& aModel)
+{
+  const NextGroup group = FindNextGroup(aContext, aSpares, aModel);
+  const size_t spares = WantedSpares(aContext, aSpares.mDomain, aModel);
+  const double priority = IsAlmostComplete(group, aModel) ? 0
+                          : group.mCovered < spares       ? kPriorityStep
+                          : IsPossible(aContext, aSpares, aModel, group)
+                            ? 2 * kPriorityStep
+                          : spares > 0 ? 3 * kPriorityStep
+                                       : 4 * kPriorityStep;
+  return priority +
+         static_cast<double>(group.mLacking) /
+           static_cast<double>(aModel.mSize) +
+         FillRatio(aContext, aModel);
+}
+
+/// Chooses the model that a VM of the domain should load.
 /// @return the model and its cost, without a VM; the model may be null
 Candidate
-BestLoad(FormationContext& aContext,
-         const std::string& aDomain,
-         const std::vector<const FleetVm*>& aVms,
-         std::map<std::string, size_t>& aChosen)
+BestLoad(FormationContext& aContext, DomainSpares& aSpares)
 {
   Candidate best;
   for (const FleetModel& model : aContext.mView.mEngine.mModels) {
     if (model.mSize < 2) {
       continue;
     }
-    const size_t covered =
-      CountSpares(aContext, aDomain, aVms, model).mCovered +
-      aChosen[model.mName];
-    const size_t spares = WantedSpares(aContext, aDomain, model);
-    const size_t lacking = model.mSize - covered % model.mSize;
-    // Completing a group of idle VMs goes before replacing the next lost VM.
-    const bool completes = lacking == 1 && covered > 0;
-    const double priority = completes          ? 0
-                            : covered < spares ? kPriorityStep
-                                               : 2 * kPriorityStep;
-    const double cost = priority + static_cast<double>(lacking) * kLoadCost +
-                        FillRatio(aContext, model);
+    const double cost = LoadCost(aContext, aSpares, model);
     if (best.mModel == nullptr || cost < best.mCost) {
       best = { cost, &model, nullptr };
     }
@@ -91,37 +156,65 @@
   return best;
 }
 
-/// Adds spares that should load another model. This is worth the loads where a
-/// group lacks at most a third of its VMs and spares of other models can
-/// complete it, as the VMs that are there stay idle otherwise.
-void
+/// @return the VMs that have another model than aModel and may load it. Neither
+///         the spares of the domain's groups nor a complete group lose one, nor
+///         a larger one that is almost complete.
+std::vector<const FleetVm*>
+FindConvertible(FormationContext& aContext,
+                DomainSpares& aSpares,
+                const FleetModel& aModel)
+{
+  std::vector<const FleetVm*> convertible;
+  for (const FleetModel& other : aContext.mView.mEngine.mModels) {
+    const NextGroup group = FindNextGroup(aContext, aSpares, other);
+    const bool isPreferred =
+      IsAlmostComplete(group, other) && other.mSize >= aModel.mSize;
+    if (&other == &aModel || isPreferred) {
+      continue;
+    }
+    size_t kept =
+      group.mComplete + WantedSpares(aContext, aSpares.mDomain, other);
+    for (const FleetVm* it : aSpares.mVms) {
+      if (it->mStaged.empty() ||
+          JoinCostOf(aContext, *it, other.mName) == JoinCost::Load) {
+        continue;
+      }
+      if (kept > 0) {
+        --kept;
+      } else {
+        convertible.push_back(it);
+      }
+    }
+  }
+  return convertible;
+}
+
+/// Adds spares that should load another model: those that complete a group
+/// which is almost complete, where the VMs without a model are too few.
+/// @return the spares
+std::set<const FleetVm*>
 AddConversions(FormationContext& aContext,
-               const std::string& aDomain,
-               const std::vector<const FleetVm*>& aVms,
-               const std::vector<const FleetVm*>& aStaged,
+               DomainSpares& aSpares,
                std::vector<Candidate>& aCandidates)
 {
   for (const FleetModel& model : aContext.mView.mEngine.mModels) {
-    const SpareCounts counts = CountSpares(aContext, aDomain, aVms, model);
-    const size_t covered = counts.mCovered % model.mSize;
-    const size_t lacking = model.mSize - covered;
-    if (covered == 0 || lacking * 3 > model.mSize ||
-        aStaged.size() - counts.mFree < lacking) {
+    const NextGroup group = FindNextGroup(aContext, aSpares, model);
+    if (model.mSize < 2 || !IsAlmostComplete(group, model)) {
       continue;
     }
-    size_t n = 0;
-    for (const FleetVm* it : aStaged) {
-      if (n < lacking &&
-          JoinCostOf(aContext, *it, model.mName) == JoinCost::Load) {
-        ++n;
-        aCandidates.push_back({ kLoadCost * static_cast<double>(lacking) +
-                                  FillRatio(aContext, model),
-                                &model,
-                                it });
-      }
+    const std::vector<const FleetVm*> convertible =
+      FindConvertible(aContext, aSpares, model);
+    if (convertible.size() < group.mLacking) {
+      continue;
     }
-    return;
+    for (size_t n = 0; n < group.mLacking; ++n) {
+      aCandidates.push_back(
+        { LoadCost(aContext, aSpares, model), &model, convertible[n] });
+    }
+    return { convertible.begin(),
+             convertible.begin() + static_cast<ptrdiff_t>(group.mLacking) };
   }
+  return {};
 }
 
 void
@@ -130,25 +223,26 @@
               const std::vector<const FleetVm*>& aVms,
               std::vector<Candidate>& aCandidates)
 {
-  std::vector<const FleetVm*> empty;
-  std::vector<const FleetVm*> staged;
-  for (const FleetVm* it : aVms) {
-    const FleetModel* model = StagedModelToStart(aContext, *it);
-    if (model != nullptr && !aContext.mJoiningSpares.contains(it->mId)) {
-      aCandidates.push_back({ 0, model, it });
-    }
-    (it->mStaged.empty() ? empty : staged).push_back(it);
+  DomainSpares spares{ aDomain, aVms, 0, {} };
+  for (const auto& [where, n] : aContext.mLoadingSpares) {
+    spares.mLoading += where.first == aDomain ? n : 0;
   }
-  std::map<std::string, size_t> chosen;
-  for (const FleetVm* it : empty) {
-    const Candidate best = BestLoad(aContext, aDomain, aVms, chosen);
+  for (const FleetVm* it : aVms) {
+    const Candidate best =
+      it->mStaged.empty() ? BestLoad(aContext, spares) : Candidate{};
     if (best.mModel != nullptr) {
-      ++chosen[best.mModel->mName];
+      ++spares.mChosen[best.mModel->mName];
       aCandidates.push_back({ best.mCost, best.mModel, it });
     }
   }
-  if (empty.empty()) {
-    AddConversions(aContext, aDomain, aVms, staged, aCandidates);
+  const std::set<const FleetVm*> converted =
+    AddConversions(aContext, spares, aCandidates);
+  for (const FleetVm* it : aVms) {
+    const FleetModel* model = StagedModelToStart(aContext, *it);
+    if (model != nullptr && !aContext.mJoiningSpares.contains(it->mId) &&
+        !converted.contains(it)) {
+      aCandidates.push_back({ 0, model, it });
+    }
   }
 }
 
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -292,11 +292,69 @@
     mWorld.mEngine.mModels[0].mSize = 16;
     mWorld.mEngine.mModels[1].mSize = 4;
   }
-};
+
+  size_t CountStaged(const std::string& aModel) const
+  {
+    return static_cast<size_t>(
+      std::count_if(mWorld.mVms.begin(), mWorld.mVms.end(), [&](auto& it) {
+        return it.second.mStaged == std::vector<std::string>{ aModel };
       }));
   }
 };
 
+// Wide model short of VMs: guards against loads that begin a small group while
+// a few would complete a group of many idle VMs.
+TEST(WideModel, LoadsGoWhereTheyPutMostVmsToUse)
+{
+  mWorld.mEngine.mLoadsAtOnce = 3;
+  mWorld.Add("d0", 13, "big");
+  mWorld.Add("d0", 4);
+  mWorld.Add("d1", 1, "small");
+  mWorld.Add("d1", 3);
+  mWorld.Settle();
+  CHECK_EQUAL(1U, mWorld.OpenHeads("big").size());
+}
+
+// Wide model short of VMs: guards against a spare of another model that keeps a
+// group from being complete.
+TEST(WideModel, ASpareOfAnotherModelCompletesAGroup)
+{
+  mWorld.Add("d0", 14, "big");
+  mWorld.Add("d0", 1, "small");
+  mWorld.Add("d0", 1);
+  mWorld.Settle();
+  CHECK_EQUAL(1U, mWorld.OpenHeads("big").size());
+}
+
+// Guards against a spare that can serve neither a group of its domain nor a new
+// one.
+TEST(WideModel, TheRemainderOfADomainIsInReserveForItsGroups)
+{
+  mWorld.mBeforeTraffic = true;
+  mWorld.Add("d0", 19);
+  mWorld.Step();
+  mWorld.Settle();
+  CHECK_EQUAL(1U, mWorld.OpenHeads("big").size());
+  CHECK_EQUAL(19U, CountStaged("big"));
+}
+
+// Guards against a complete group that is taken apart again before it is
+// formed, as one of its VMs loads the model of another group that lacks one.
+TEST(WideModel, ACompleteGroupLosesNoVmToAnotherModel)
+{
+  mWorld.mLoadsNeverEnd = true;
+  mWorld.Add("d0", 15, "big");
+  mWorld.Add("d0", 3, "small");
+  mWorld.Step();
+  mWorld.Step();
+  size_t loading = 0;
+  for (const auto& [id, vm] : mWorld.mState.mVms) {
+    loading += vm.mLoadingModel == "big" ? 1 : 0;
+    CHECK(vm.mLoadingModel != "small");
+  }
+  CHECK_EQUAL(1U, loading);
+}
+
 // Loads at once: guards against VMs that wait to load although others have
 // finished sooner than expected, or have ended while they loaded.
 TEST(WideModel, ALoadThatHasEndedMakesRoomForTheNext)
