--- a/src/cluster/peerclient.cc
+++ b/src/cluster/peerclient.cc
@@ -2,10 +2,32 @@
 
 #include "cluster/rpcclient.h"
 #include "cluster/rpccode.h"
+#include "core/compress.h"
 #include "core/json.h"
+#include "core/number.h"
 
 namespace hibiscushold {
 
+namespace {
+
+/// @return the body as it was before it was compressed, if it was
+Result<std::string>
+OriginalBody(HttpReply aReply)
+{
+  if (FindField(aReply, "Content-Encoding") != kDeflateEncoding) {
+    return std::move(aReply.mBody);
+  }
+  size_t length = 0;
+  const std::optional<std::string> text =
+    FindField(aReply, kOriginalLengthField);
+  if (!text || !ParseNumber(*text, length) || length > kMaxReplyBytes) {
+    return Failure{ Error::ReplyInvalid, kOriginalLengthField, "" };
+  }
+  return Inflate(aReply.mBody, length);
+}
+
+} // namespace
+
 PeerClient::PeerClient(HttpClient& aClient,
                        const TokenSet& aTokens,
                        std::string aPath)
@@ -29,7 +51,8 @@
     HttpRequest request{ "POST",
                          mPath,
                          { { "Authorization", mTokens.AuthorizationValue() },
-                           { "Content-Type", "application/json" } },
+                           { "Content-Type", "application/json" },
+                           { "Accept-Encoding", kDeflateEncoding } },
                          aMessage };
     Result<HttpReply> reply = mClient.Call(aPeer, request, aDeadline);
     if (!reply) {
@@ -44,8 +67,13 @@
       unauthorized = reply.value().mStatus == 401;
       return false;
     }
-    aAnswer = reply.value().mBody;
     answered = true;
+    Result<std::string> body = OriginalBody(std::move(reply.value()));
+    if (!body) {
+      noResult.mDetail += ": " + Describe(body.error());
+      return false;
+    }
+    aAnswer = std::move(body.value());
     return true;
   };
   RpcOutcome outcome = CallRpc(transport, aMethod, aParams);
--- a/src/serve/peerport.cc
+++ b/src/serve/peerport.cc
@@ -1,6 +1,7 @@
 #include "serve/peerport.h"
 
 #include "cluster/peerclient.h"
+#include "core/compress.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -17,6 +18,8 @@
 constexpr int64_t kMaxMessageBytes = 8000000;
 /// Estimated size of the headers of a call, which are not counted exactly.
 constexpr size_t kHeaderBytesEstimate = 200;
+/// Shorter replies fit into a packet or two anyway.
+constexpr size_t kMinDeflatedBytes = 2048;
 
 void
 Send(HTTPServerResponse& aResponse,
@@ -64,7 +67,13 @@
            "the message has no length, is too long or was cut off\n");
       return;
     }
-    const std::string reply = mMethods.HandleMessage(message);
+    std::string reply = mMethods.HandleMessage(message);
+    if (reply.size() >= kMinDeflatedBytes &&
+        aRequest.get("Accept-Encoding", "") == kDeflateEncoding) {
+      aResponse.set("Content-Encoding", kDeflateEncoding);
+      aResponse.set(kOriginalLengthField, std::to_string(reply.size()));
+      reply = Deflate(reply);
+    }
     if (mMetrics != nullptr) {
       mMetrics->CountServedBytes(message.size() + reply.size() +
                                  kHeaderBytesEstimate);
