--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -26,7 +26,8 @@
 constexpr auto kResumePollInterval = milliseconds(50);
 /// How often a request with a stalled target looks for another one.
 constexpr auto kTakeoverInterval = milliseconds(50);
-/// Bounds the stack, as each attempt beside a stalled one runs within it.
+/// Bounds the attempts of a request, and with them the stack, as each attempt
+/// beside a stalled one runs within it.
 constexpr uint32_t kMaxNestedAttempts = 8;
 /// A group that lost a VM is formed again in about a second.
 constexpr uint32_t kNoGroupRetryMillis = 900;
@@ -138,14 +139,16 @@
     }
     mNextTakeoverAt = now + kTakeoverInterval;
     CountAttempt(aStalled);
-    if (mAttemptsSent >= mRequest.mRoute->mAttempts ||
-        mAttemptsSent >= kMaxNestedAttempts ||
+    if (mAttempts >= kMaxNestedAttempts ||
         mConnectFailures >= kMaxConnectFailures || now >= mRequest.mDeadline) {
       return false;
     }
     mExcluded.insert(aStalled.mTarget.mVmId);
     const FleetTargetsPtr targets = mDependencies.mTargets();
-    const FleetTarget* target = Choose(*targets);
+    const bool mayUseAnother = mAttemptsSent < mRequest.mRoute->mAttempts;
+    const FleetTarget* target =
+      mayUseAnother ? Choose(*targets)
+                    : ChooseSuperseded(*targets, aStalled.mTarget.mVmId);
     if (target == nullptr || !TakeRetry()) {
       return false;
     }
@@ -185,6 +188,24 @@
       targets, mDependencies.mLoads, MakeChoiceInput(targets), mExcluded);
   }
 
+  /// Chooses among the targets that have the request already, but were given up
+  /// as a stalled one went on for a moment. They don't count against the
+  /// route's attempts again.
+  /// @param aStalled is not chosen
+  const FleetTarget* ChooseSuperseded(const FleetTargets& aTargets,
+                                      const std::string& aStalled) const
+  {
+    const std::span<const FleetTarget> targets = TargetsOf(aTargets);
+    std::set<std::string> others{ aStalled };
+    for (const FleetTarget& it : targets) {
+      if (!mSuperseded.contains(it.mVmId)) {
+        others.insert(it.mVmId);
+      }
+    }
+    return ChooseTarget(
+      targets, mDependencies.mLoads, MakeChoiceInput(targets), others);
+  }
+
   /// @return the targets of the request's service
   std::span<const FleetTarget> TargetsOf(const FleetTargets& aTargets) const
   {
@@ -303,6 +324,7 @@
                     aTarget,
                     mDependencies.mLoads.Get(aTarget.mVmId).mInFlight,
                     aOuter);
+    attempt.mCounted = mSuperseded.contains(aTarget.mVmId);
     ++mAttempts;
     const TimePoint sentAt = mDependencies.mClock.Now();
     ExchangeReport report = RunExchange({ mDependencies.mSessions,
@@ -322,6 +344,9 @@
                           report.mOutcome == ExchangeOutcome::WrongVm;
       mMayHaveRun = mMayHaveRun || !notRun;
       mExcluded.insert(aTarget.mVmId);
+      if (report.mOutcome == ExchangeOutcome::Superseded) {
+        mSuperseded.insert(aTarget.mVmId);
+      }
       return report;
     }
     ++mConnectFailures;
@@ -494,6 +519,7 @@
   const GatewayRequest& mRequest;
   ResponseWriter& mWriter;
   std::set<std::string> mExcluded;
+  std::set<std::string> mSuperseded;        ///< see ChooseSuperseded
   std::optional<TimePoint> mResumeDeadline; ///< of the wait after a break
   uint64_t mLastEvent;        ///< id of the last event sent to the caller
   uint32_t mAttemptsSent = 0; ///< those that sent part of the request
--- a/test/silence-test.cc
+++ b/test/silence-test.cc
@@ -104,6 +104,24 @@
   CHECK(got.mBytes.ends_with("late"));
 }
 
+// Guards against a stream that stays with a dead target, as a last event of it
+// has ended the attempt at the second one.
+TEST(SilentTarget, LastEventOfADeadTargetDoesNotKeepItsStream)
+{
+  ScriptedServer dying({ { StreamHead() + Event(1),
+                           false,
+                           false,
+                           Event(2),
+                           milliseconds(1000) } });
+  ScriptedServer second(
+    { { "", false, false, "", kDead }, { StreamHead() + Event(3) + kEnd } });
+  mGateway.AddTarget(dying);
+  mGateway.AddTarget(second);
+  mGateway.Start();
+  CheckEvents(mGateway, 3);
+  CHECK_EQUAL(2U, second.Requests().size());
+}
+
 // Guards against streams that stay with a dead target.
 TEST(SilentTarget, StreamOfADeadTargetIsResumedAtAnother)
 {
