--- a/src/gateway/peerforwarder.cc
+++ b/src/gateway/peerforwarder.cc
@@ -4,6 +4,8 @@
 #include "core/random.h"
 #include "gateway/attemptrecord.h"
 
+#include <Poco/String.h>
+
 #include <algorithm>
 #include <sstream>
 
@@ -170,7 +172,7 @@
     const std::string& leaving = mDependencies.mProtocol.mLeaving;
     const bool leaves =
       std::any_of(aFields.begin(), aFields.end(), [&](const HttpField& it) {
-        return it.mName == leaving && it.mValue == "1";
+        return Poco::icompare(it.mName, leaving) == 0 && it.mValue == "1";
       });
     std::istringstream text(target.value_or(""));
     std::string vm;
--- a/test/peerforwarder-test.cc
+++ b/test/peerforwarder-test.cc
@@ -316,6 +316,17 @@
 
 // Guards against a target that gets requests after this node has passed on its
 // announcement that it leaves.
+TEST(PassedOnRequest, AnnouncedLeavingIsRememberedInAnyCase)
+{
+  std::string reply = LeavingReply();
+  reply.replace(reply.find("Leaving"), 7, "leaving");
+  AddTarget({ { reply } });
+  mHelper.SetTargetStart(0, 7);
+  Start();
+  (void)mCutOff.Ask(kLookupRequest, "one");
+  CHECK(mCutOff.mLoads.Get("vm-1").mLeavingStart == std::optional<uint64_t>(7));
+}
+
 TEST(PassedOnRequest, AnnouncedLeavingIsRemembered)
 {
   AddTarget({ { LeavingReply() } });
