--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -1,5 +1,7 @@
 #include "fleet/planner.h"
 
+#include <algorithm>
+
 namespace hibiscushold {
 
 namespace {
@@ -59,6 +61,25 @@
   return state;
 }
 
+std::set<std::string>
+FindUnformableModels(const PlannerView& aView)
+{
+  std::map<std::string, size_t> domains;
+  size_t largest = 0;
+  for (const auto& [id, vm] : aView.mVms) {
+    if (vm.mService == aView.mService) {
+      largest = std::max(largest, ++domains[vm.mDomain]);
+    }
+  }
+  std::set<std::string> models;
+  for (const FleetModel& it : aView.mEngine.mModels) {
+    if (it.mSize > largest || !(it.mShare > 0)) {
+      models.insert(it.mName);
+    }
+  }
+  return models;
+}
+
 PlannerCounts
 CountVms(const PlannerState& aState, const PlannerView& aView, TimePoint aNow)
 {
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -120,6 +120,11 @@
 CountVms(const PlannerState& aState, const PlannerView& aView, TimePoint aNow);
 
 /// @param aFence fencing number of the planner's lease
+/// @return the names of the models that can't get a group, as no domain lists
+///         enough VMs, or as they have no share of the VMs
+std::set<std::string>
+FindUnformableModels(const PlannerView& aView);
+
 /// @return the initial state for the lease; its groups get higher epochs than
 ///         those of earlier leases
 PlannerState
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -180,6 +180,24 @@
     SendOrder(aService.mName, std::move(order));
   }
   LogCounts(aService.mName, service, view);
+  LogUnformable(service, view);
+}
+
+void
+PlanRunner::LogUnformable(Service& aService, const PlannerView& aView)
+{
+  // Before the first request VMs are still appearing.
+  if (aView.mBeforeTraffic) {
+    return;
+  }
+  std::set<std::string> models = FindUnformableModels(aView);
+  for (const std::string& it : models) {
+    if (!aService.mUnformable.contains(it)) {
+      LogEvent(EventId::ModelNotFormable,
+               { { "service", aView.mService }, { "model", it } });
+    }
+  }
+  aService.mUnformable = std::move(models);
 }
 
 void
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -58,6 +58,7 @@
     std::set<std::string> mProbing;             ///< VMs with an open probe
     PlannerCounts mCounts;                      ///< last logged
     TimePoint mNextLogAt;
+    std::set<std::string> mUnformable; ///< models in the log
   };
 
   /// Adds some VMs from all over the service if many suspects don't respond.
@@ -75,6 +76,7 @@
   /// @return a list of the VMs that is newer than the lease, or null
   FleetVmsPtr FreshVms();
   void PlanService(const FleetService& aService, const FleetVmsPtr& aVms);
+  static void LogUnformable(Service& aService, const PlannerView& aView);
   void LogCounts(const std::string& aName,
                  Service& aService,
                  const PlannerView& aView);
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -43,6 +43,7 @@
   FleetGroupChanged = 4007,
   FleetCounts = 4008,
   PlannerCutOff = 4009,
+  ModelNotFormable = 4010,
   TargetEjected = 4101,
   RequestRefused = 5001,
   RequestRetried = 5002,
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -376,3 +376,21 @@
   mWorld.mVms.erase(first[0].mVmId);
   CHECK_EQUAL(1U, mWorld.Step().size());
 }
+
+// Guards against a model larger than every domain, or without a share, that is
+// missed by nobody, or that keeps the other one from being served.
+TEST(WideModel, AModelThatFitsNoDomainIsNamedAndTheOtherServed)
+{
+  mWorld.Add("d0", 9);
+  mWorld.Add("d1", 15);
+  for (int n = 0; n < 60; ++n) {
+    mWorld.Step(milliseconds(500));
+  }
+  const PlannerView view{ mWorld.mVms, "drafting", mWorld.mEngine };
+  CHECK((std::set<std::string>{ "big" }) == FindUnformableModels(view));
+  CHECK(mWorld.OpenHeads("small").size() >= 2);
+  mWorld.Add("d1", 1);
+  CHECK(FindUnformableModels(view).empty());
+  mWorld.mEngine.mModels[1].mShare = 0;
+  CHECK((std::set<std::string>{ "small" }) == FindUnformableModels(view));
+}
