--- a/test/readpolicy-test.cc
+++ b/test/readpolicy-test.cc
@@ -55,9 +55,9 @@
 TEST(ReadPolicy, StoreAwayCostsFewCallsOfAZone)
 {
   const size_t readers = CountReads(3, seconds(8));
-  CHECK(readers <= 3 * 8);
+  CHECK(readers <= size_t{ 3 } * 8);
   // Every other node looks once at the start and at most twice afterwards.
-  CHECK(CountReads(41, seconds(8)) <= readers + 38 * 3);
+  CHECK(CountReads(41, seconds(8)) <= readers + size_t{ 38 } * 3);
 }
 
 // Store away: guards against a zone in which no node notices its return.
