--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -180,6 +180,15 @@
 void
 FleetWatcher::ApplyVms(const Listing& aListing, bool aIsFull, TimePoint aAsOf)
 {
+  // Most watches end without a change. A new list of a thousand VMs, and what
+  // is derived from it, would take most of a small node's processor.
+  const bool isChanged = aIsFull || !aListing.mObjects.empty() ||
+                         !aListing.mDeleted.empty() || !mExpiring.empty();
+  if (!isChanged) {
+    const std::lock_guard guard(mLock);
+    mVmsAsOf = std::max(mVmsAsOf, aAsOf);
+    return;
+  }
   FleetVms vms = *Vms();
   std::vector<std::string> deleted;
   for (const std::string& it : aListing.mDeleted) {
--- a/test/watcher-test.cc
+++ b/test/watcher-test.cc
@@ -70,6 +70,9 @@
     }
     Listing listing = Read(aPrefix);
     listing.mDeleted = std::exchange(mDeleted, {});
+    if (mUnchanged) {
+      listing.mObjects.clear();
+    }
     return listing;
   }
   Result<VmListing> ListVms(uint64_t) override { return Down(); }
@@ -78,6 +81,7 @@
   std::vector<std::string> mDeleted;
   Duration mAge{}; ///< age of the listed objects
   bool mDown = false;
+  bool mUnchanged = false; ///< watches end without a change
   bool mHistoryGone = false;
   int mLists = 0;
 
@@ -245,3 +249,22 @@
   PollVms();
   CHECK(mClock.Now() - milliseconds(900) == mWatcher.VmsAsOf());
 }
+
+// Large fleet: guards against a copy of the whole list, and of all that is
+// derived from it, for each watch that ends without a change.
+TEST(Watcher, KeepsTheListIfNothingHasChanged)
+{
+  mStore.mValues["vms/i-1"] = "live";
+  PollVms();
+  const FleetVmsPtr before = mWatcher.Vms();
+  const TimePoint asOf = mWatcher.VmsAsOf();
+  mStore.mUnchanged = true;
+  mClock.Advance(seconds(1));
+  PollVms();
+  CHECK(before == mWatcher.Vms());
+  CHECK(mWatcher.VmsAsOf() > asOf);
+  mStore.mUnchanged = false;
+  mStore.mValues["vms/i-1"] = "leaving";
+  PollVms();
+  CHECK(before != mWatcher.Vms());
+}
