--- a/test/decodefuzz-test.cc
+++ b/test/decodefuzz-test.cc
@@ -115,7 +115,8 @@
         text.find_first_of("\"\\") == std::string_view::npos ? text : "\\\"";
     }
     odd += "\"";
-    const std::string list = "[{\"a\":1}," + odd + ",{\"b\":[" + odd + "]}]";
+    std::string list = "[{\"a\":1},";
+    list.append(odd).append(",{\"b\":[").append(odd).append("]}]");
     const auto items = SplitJsonArray(list).value();
     CHECK_EQUAL(3U, items.size());
     CHECK(items[1] == odd);
