--- a/src/relay/readpolicy.cc
+++ b/src/relay/readpolicy.cc
@@ -49,7 +49,7 @@
 }
 
 bool
-MayReadStore(const StoreReads& aReads, TimePoint aNow)
+IsStoreReadDue(const StoreReads& aReads, TimePoint aNow)
 {
   return !aReads.mNextAt || aNow >= *aReads.mNextAt;
 }
--- a/src/relay/readpolicy.h
+++ b/src/relay/readpolicy.h
@@ -34,6 +34,6 @@
 
 /// @return whether the node may read the store now
 bool
-MayReadStore(const StoreReads& aReads, TimePoint aNow);
+IsStoreReadDue(const StoreReads& aReads, TimePoint aNow);
 
 } // namespace hibiscushold
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -175,7 +175,7 @@
   const std::lock_guard guard(mLock);
   const auto it = mStoreReads.find(StoreReadsKey(aPrefix));
   return mUpstreams.empty() || it == mStoreReads.end() ||
-         hibiscushold::MayReadStore(it->second, mDependencies.mClock.Now());
+         IsStoreReadDue(it->second, mDependencies.mClock.Now());
 }
 
 void
--- a/test/readpolicy-test.cc
+++ b/test/readpolicy-test.cc
@@ -24,7 +24,7 @@
 {
   for (size_t n = 0; n < aZone.mNodes.size(); ++n) {
     StoreReads& reads = aZone.mNodes[n];
-    if (MayReadStore(reads, aNow)) {
+    if (IsStoreReadDue(reads, aNow)) {
       ++aZone.mReads;
       const double fraction = static_cast<double>(n % 10) / 10;
       RecordStoreRead(reads, n, aSucceeds, aNow, fraction);
@@ -65,8 +65,8 @@
 {
   StoreReads reads;
   RecordStoreRead(reads, 2, false, mClock.Now(), 0.9);
-  CHECK(!MayReadStore(reads, mClock.Now() + milliseconds(900)));
-  CHECK(MayReadStore(reads, mClock.Now() + milliseconds(1000)));
+  CHECK(!IsStoreReadDue(reads, mClock.Now() + milliseconds(900)));
+  CHECK(IsStoreReadDue(reads, mClock.Now() + milliseconds(1000)));
   CHECK(IsZoneReader(2));
   CHECK(!IsZoneReader(3));
 }
@@ -77,6 +77,6 @@
 {
   StoreReads reads;
   RecordStoreRead(reads, 30, true, mClock.Now(), 0.99);
-  CHECK(!MayReadStore(reads, mClock.Now() + milliseconds(100)));
-  CHECK(MayReadStore(reads, mClock.Now() + milliseconds(1300)));
+  CHECK(!IsStoreReadDue(reads, mClock.Now() + milliseconds(100)));
+  CHECK(IsStoreReadDue(reads, mClock.Now() + milliseconds(1300)));
 }
