--- a/src/relay/readpolicy.h
+++ b/src/relay/readpolicy.h
@@ -7,8 +7,8 @@
 
 namespace hibiscushold {
 
-/// What a node that has upstreams knows of its own reads from the store, for
-/// all prefixes together: a store that fails one read fails the others too.
+/// What a node that has upstreams knows of its own reads from the store: of one
+/// prefix at a reader, of all prefixes together at any other node.
 struct StoreReads
 {
   std::optional<TimePoint> mNextAt; ///< no read before then
