Show that a removed worker comes back into a node's list (review, case 2)

Cause: the events of one response of a watch are sorted into changes and deletions, and the deletions are applied first; an object that was changed and then deleted between two reads stays in the list for good.

Nothing is fixed.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,6 +1,6 @@
-/// Workers leave, one after the other (planned work), while five of the
-/// planner's orders get no answer and are carried out five seconds later. One
-/// node, five workers of the engine service.
+/// One machine is partitioned from the store for some seconds. Meanwhile a
+/// worker that has just been started changes its entry, as it warms, and then
+/// its entry is removed. Three nodes, three plain workers.
 
 #include "../standin/client.h"
 
@@ -8,14 +8,17 @@
 
 namespace {
 
-constexpr int64_t kFirstLeavesAt = 12000;
-constexpr int64_t kEndAt = 30000;
-/// The second worker reports draining this long after the head of the new group
-/// has begun to open.
-constexpr int kSecondLeavesAfterMs = 100;
-/// How long a worker serves on after it has reported draining.
-constexpr int kDrainMs = 2500;
-constexpr int kLateMs = 5000;
+constexpr int64_t kWorkerStartsAt = 10000;
+constexpr int kColdMs = 9600;
+constexpr int kBeatMs = 1200;
+constexpr int64_t kCutAt = 14000;
+constexpr int64_t kCutMs = 5500;
+constexpr int64_t kRemovedAt = kCutAt + 3000;
+constexpr int64_t kEndAt = 40000;
+constexpr int64_t kDrainMs = 2000;
+constexpr int64_t kTouchMs = 3000;
+constexpr int kDeadlineMs = 4000;
+constexpr size_t kClientsPerNode = 4;
 
 } // namespace
 
@@ -29,119 +32,100 @@
   Seen seen;
   Store store;
   store.Put("config", "main", ConfigText());
-  EngineFleet engines(store, record, runs);
-  for (const char* it : { "i-a1", "i-b2", "i-c3", "i-d4", "i-e5" }) {
-    engines.Add(it);
+  Link link(store.Port());
+  PlainWorker first("i-p1", "ledger", 60, store, record, runs);
+  PlainWorker second("i-p2", "ledger", 60, store, record, runs);
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (const char* it : { "front-1", "front-2", "front-3" }) {
+    nodes.push_back(std::make_unique<Node>(
+      it, folder, nodes.empty() ? link.Address() : store.Address(), record));
+    nodes.back()->Start(true);
   }
-  Node node("front-1", folder, store.Address(), record);
-  node.Start(true);
-  while (NowMs() < 10000 && (!node.IsReady() || engines.OpenGroup().empty())) {
+  const auto isReady = [&] {
+    return std::all_of(nodes.begin(), nodes.end(), [](const auto& it) {
+      return it->IsReady();
+    });
+  };
+  while (NowMs() < 8000 && !isReady()) {
     SleepMs(200);
   }
-  const std::vector<std::string> members = engines.OpenGroup();
-  if (!node.IsReady() || members.size() != 3) {
+  if (!isReady()) {
     record.Line("the system didn't get ready");
     return 2;
   }
   std::atomic<bool> stop{ false };
   std::vector<std::thread> clients;
-  for (int i = 0; i < 4; ++i) {
-    clients.emplace_back([&] {
-      Client client(node.CallersPort(), runs, record, seen);
-      while (!stop) {
-        client.Send("POST",
-                    "/draft/1",
-                    "Model: model-a\r\nToken-Counts: 700,35\r\nPrompt-Prefix: "
-                    "5c1e07a2:40,91bd3f06:660\r\n",
-                    "text",
-                    8000);
-        SleepMs(200);
-      }
-    });
-  }
-  SleepUntil(kFirstLeavesAt);
-
-  // Guarded by the fleet's lock, under which the rules are called.
-  std::string head;                     // of the group that is formed anew
-  std::string group;                    // its name
-  std::string third;                    // its member that stays
-  std::map<std::string, size_t> orders; // to the workers, once it opens
-  std::atomic<bool> secondLeaves{ false };
-  std::atomic<bool> hasThird{ false };
-  engines.SetDoneRule([&](const std::string& aWorker,
-                          const std::string& aOperation,
-                          const std::string& aGroup) {
-    if (aOperation == "open" && head.empty()) {
-      head = aWorker;
-      group = aGroup;
-      secondLeaves = true;
+  for (const auto& node : nodes) {
+    for (size_t i = 0; i < kClientsPerNode; ++i) {
+      clients.emplace_back([&, port = node->CallersPort()] {
+        Client client(port, runs, record, seen);
+        while (!stop) {
+          client.Send("POST", "/order/1", "", "badge", kDeadlineMs);
+          SleepMs(100);
+        }
+      });
     }
-  });
-  engines.SetLateRule([&](const std::string& aWorker,
-                          const std::string& aOperation,
-                          const std::string& aGroup) -> std::optional<int> {
-    if (!trouble || head.empty() || !secondLeaves) {
-      return std::nullopt;
+  }
+  SleepUntil(kWorkerStartsAt);
+  PlainWorker third("i-p3", "ledger", 60, store, record, runs, kColdMs);
+  const auto warm = [&](int64_t aUntil) {
+    while (NowMs() + kBeatMs < aUntil) {
+      SleepMs(kBeatMs);
+      third.Report(static_cast<int>(
+        std::max<int64_t>(0, kColdMs - (NowMs() - kWorkerStartsAt))));
     }
-    // Five orders: the first to leave, the first to close and the first two
-    // joins of the head, and the first join of the member that stays.
-    const size_t n = ++orders[aWorker + " " + aOperation];
-    const bool headLeaves = aWorker == head && n == 1 &&
-                            (aOperation == "leave" || aOperation == "close");
-    const bool headJoins = aWorker == head && aOperation == "join" && n <= 2;
-    const bool thirdJoins = aWorker == third && aOperation == "join" && n == 1;
-    (void)aGroup;
-    return headLeaves || headJoins || thirdJoins ? std::optional(kLateMs)
-                                                 : std::nullopt;
-  });
-
-  engines.Drain(members[1]);
-  std::thread([&] {
-    SleepMs(kDrainMs);
-    engines.End(members[1]);
-  }).detach();
-  std::string second;
+    SleepUntil(aUntil);
+  };
+  warm(kCutAt);
+  if (trouble) {
+    record.Line("front-1 is cut off from the store");
+    link.SetCut(true);
+  }
+  warm(kRemovedAt);
+  third.Withdraw();
+  SleepUntil(kCutAt + kCutMs);
+  if (trouble) {
+    record.Line("front-1 reaches the store again");
+    link.SetCut(false);
+  }
   while (NowMs() < kEndAt) {
-    if (secondLeaves && second.empty()) {
-      // The new group has the members that stayed and a spare.
-      second = members[2];
-      third = "i-d4";
-      hasThird = true;
-      SleepMs(kSecondLeavesAfterMs);
-      engines.Drain(second);
-      std::thread([&] {
-        SleepMs(kDrainMs);
-        engines.End(second);
-      }).detach();
-    }
-    if (node.TakeEnd()) {
-      return 2;
+    for (const auto& it : nodes) {
+      if (it->TakeEnd()) {
+        return 2;
+      }
     }
-    SleepMs(5);
+    SleepMs(50);
   }
   stop = true;
   for (std::thread& it : clients) {
     it.join();
   }
-  const bool broken = engines.Broken() > 0;
-  record.Line("%zu orders, %zu of them late; %zu requests sent, %zu served",
-              engines.Orders(),
-              engines.LateOrders(),
+  // Requests that were sent when all machines had been in touch again, and
+  // drain_ms had passed since the removal for long.
+  const int64_t judgedFrom = std::max(
+    kRemovedAt + kDrainMs, kCutAt + kCutMs + kTouchMs + kDeadlineMs);
+  const size_t late = third.ArrivedAfter(judgedFrom);
+  record.Line("%zu requests sent, %zu served; %zu reached i-p3 later than %.1f s "
+              "after its removal",
               seen.mSent.load(),
-              seen.mServed.load());
-  record.Line(broken ? "TWO is broken" : "TWO held");
-  std::printf("%zu orders, %zu of them late; %zu requests sent, %zu served; TWO "
-              "%s\n",
-              engines.Orders(),
-              engines.LateOrders(),
+              seen.mServed.load(),
+              late,
+              static_cast<double>(judgedFrom - kRemovedAt) / 1000);
+  record.Line(late > 0 ? "DRAIN is broken" : "DRAIN held");
+  std::printf("%zu requests sent, %zu served; %zu reached the removed worker "
+              "later than %.1f s after its removal; DRAIN %s\n",
               seen.mSent.load(),
               seen.mServed.load(),
-              broken ? "is broken" : "held");
+              late,
+              static_cast<double>(judgedFrom - kRemovedAt) / 1000,
+              late > 0 ? "is broken" : "held");
   std::fflush(stdout);
-  node.End();
+  for (const auto& it : nodes) {
+    it->End();
+  }
   const std::string remove = "rm -rf '" + folder + "'";
   if (std::getenv("KEEP") == nullptr && std::system(remove.c_str()) != 0) {
     std::perror("rm");
   }
-  std::_Exit(secondLeaves ? (broken ? 1 : 0) : 2);
+  std::_Exit(late > 0 ? 1 : 0);
 }
--- a/review/standin/kit.h
+++ b/review/standin/kit.h
@@ -373,6 +373,80 @@
   int mPort = 0;
 };
 
+/// A link: passes connections on to a port. While it is cut, it passes nothing
+/// on; the connections of that time are reset when the cut ends.
+class Link
+{
+public:
+  explicit Link(int aTo)
+    : mTo(aTo)
+    , mFd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address = Loopback(0);
+    socklen_t size = sizeof(address);
+    if (::bind(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+        ::listen(mFd, 512) != 0 ||
+        ::getsockname(mFd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+      std::perror("listen");
+      std::_Exit(2);
+    }
+    mPort = ntohs(address.sin_port);
+    std::thread([this] {
+      for (;;) {
+        const int fd = ::accept4(mFd, nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd >= 0) {
+          std::thread([this, fd] { Pass(fd); }).detach();
+        }
+      }
+    }).detach();
+  }
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(mPort); }
+  void SetCut(bool aIsCut) { mIsCut = aIsCut; }
+
+private:
+  void Pass(int aFd)
+  {
+    Connection from(aFd);
+    std::unique_ptr<Connection> to;
+    bool wasCut = false;
+    for (;;) {
+      if (mIsCut) {
+        wasCut = true;
+        SleepMs(10);
+        continue;
+      }
+      if (wasCut) {
+        const linger reset{ 1, 0 };
+        ::setsockopt(aFd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        return;
+      }
+      if (!to && !(to = ConnectTo(mTo))) {
+        return;
+      }
+      pollfd entries[2]{ { aFd, POLLIN, 0 }, { to->Fd(), POLLIN, 0 } };
+      if (::poll(entries, 2, 10) <= 0) {
+        continue;
+      }
+      for (int i = 0; i < 2; ++i) {
+        char buf[65536];
+        if ((entries[i].revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
+          const ssize_t n = ::recv(entries[i].fd, buf, sizeof(buf), 0);
+          if (n <= 0 || !(i == 0 ? *to : from)
+                           .Send(std::string(buf, static_cast<size_t>(n)))) {
+            return;
+          }
+        }
+      }
+    }
+  }
+
+  const int mTo;
+  int mFd;
+  int mPort = 0;
+  std::atomic<bool> mIsCut{ false };
+};
+
 inline std::string
 Reply(int aStatus, const std::string& aBody, const std::string& aFields = "")
 {
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -39,6 +39,7 @@
   }
 
   std::string Address() const { return mServer.Address(); }
+  int Port() const { return mServer.Port(); }
 
   /// Creates or replaces an object, as the operator and the workers do. A
   /// change of seq alone changes nothing.
@@ -58,6 +59,17 @@
     }
   }
 
+  /// Cuts off all watches that wait, as the store may at any time. Other calls,
+  /// and watches that come later, are served.
+  void CutWatches()
+  {
+    {
+      const std::lock_guard guard(mLock);
+      ++mWatchCuts;
+    }
+    mChanged.notify_all();
+  }
+
 private:
   struct Object
   {
@@ -133,9 +145,10 @@
     const auto query = QueryOf(target);
     const std::string method = aCall.Word(0);
     if (method == "GET" && query.contains("watch")) {
-      return aTo.Send(Watch(kind,
-                            std::stoull(query.at("watch")),
-                            std::stoll(query.at("wait_ms"))));
+      const std::string events = Watch(kind,
+                                       std::stoull(query.at("watch")),
+                                       std::stoll(query.at("wait_ms")));
+      return !events.empty() && aTo.Send(events);
     }
     const std::lock_guard guard(mLock);
     return aTo.Send(method == "GET" ? Read(kind, name)
@@ -158,11 +171,16 @@
                    std::to_string(mRevision) + "}");
   }
 
+  /// @return the response, or nothing if the watch was cut off
   std::string Watch(const std::string& aKind, uint64_t aSince, int64_t aWait)
   {
     const int64_t until = NowMs() + aWait;
     std::unique_lock guard(mLock);
+    const uint64_t cuts = mWatchCuts;
     for (;;) {
+      if (mWatchCuts != cuts) {
+        return "";
+      }
       std::string events;
       for (const Change& it : mChanges) {
         if (it.mKind == aKind && it.mObject.mRevision > aSince) {
@@ -219,6 +237,7 @@
   std::mutex mLock;
   std::condition_variable mChanged;
   uint64_t mRevision = 1000;
+  uint64_t mWatchCuts = 0;
   std::map<std::string, std::map<std::string, Object>> mObjects;
   std::vector<Change> mChanges;
   Server mServer;
--- a/review/standin/workers.h
+++ b/review/standin/workers.h
@@ -43,28 +43,62 @@
 class PlainWorker
 {
 public:
+  /// @param aColdLeftMs how much longer the worker stays slow, as it says
   PlainWorker(std::string aId,
               std::string aService,
               int aWorkMs,
               Store& aStore,
               Record& aRecord,
-              Runs& aRuns)
+              Runs& aRuns,
+              int aColdLeftMs = 0)
     : mId(std::move(aId))
     , mService(std::move(aService))
     , mWorkMs(aWorkMs)
+    , mStore(aStore)
     , mRecord(aRecord)
     , mRuns(aRuns)
+    , mBorn(UnixMs())
     , mServer([this](Connection& aTo, const Message& aCall) {
       return Handle(aTo, aCall);
     })
   {
-    aStore.Put("servers",
+    Report(aColdLeftMs);
+  }
+
+  /// Writes the entry.
+  void Report(int aColdLeftMs)
+  {
+    ++mSeq;
+    if (aColdLeftMs > 0) {
+      mRecord.Line(
+        "worker %s reports cold_left_ms %d", mId.c_str(), aColdLeftMs);
+    }
+    mStore.Put("servers",
                mId,
                "{\"service\":\"" + mService + "\",\"addr\":\"" +
                  mServer.Address() +
                  "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":64,"
-                 "\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":" +
-                 std::to_string(UnixMs()) + "}");
+                 "\"state\":\"ready\",\"cold_left_ms\":" +
+                 std::to_string(aColdLeftMs) +
+                 ",\"seq\":" + std::to_string(mSeq) +
+                 ",\"born\":" + std::to_string(mBorn) + "}");
+  }
+
+  /// Removes the entry; the worker goes on serving.
+  void Withdraw()
+  {
+    mRecord.Line("the entry of worker %s is removed", mId.c_str());
+    mStore.Remove("servers", mId);
+  }
+
+  /// @return the requests that arrived later than a time
+  size_t ArrivedAfter(int64_t aTime) const
+  {
+    const std::lock_guard guard(mLock);
+    return static_cast<size_t>(
+      std::count_if(mArrivals.begin(), mArrivals.end(), [aTime](int64_t it) {
+        return it > aTime;
+      }));
   }
 
 private:
@@ -80,12 +114,17 @@
     if (request.empty()) {
       return aTo.Send(Reply(400, "", "Not-Run: 1\r\n"));
     }
-    mRecord.Line("%s runs %s (%s %s)",
+    mRecord.Line("%s runs %s (%s %s, a body of %zu bytes)",
                  mId.c_str(),
                  request.c_str(),
                  aCall.Word(0).c_str(),
-                 aCall.Word(1).c_str());
+                 aCall.Word(1).c_str(),
+                 aCall.mBody.size());
     mRuns.Add(request, mId);
+    {
+      const std::lock_guard guard(mLock);
+      mArrivals.push_back(NowMs());
+    }
     SleepMs(mWorkMs);
     return aTo.Send(Reply(200,
                           "done " + request,
@@ -96,8 +135,13 @@
   const std::string mId;
   const std::string mService;
   const int mWorkMs;
+  Store& mStore;
   Record& mRecord;
   Runs& mRuns;
+  const int64_t mBorn;
+  uint64_t mSeq = 0;
+  mutable std::mutex mLock;
+  std::vector<int64_t> mArrivals;
   Server mServer;
 };
 
@@ -114,6 +158,7 @@
 struct EngineWorker
 {
   std::string mId;
+  std::string mDomain;
   std::string mState = "ready";
   uint64_t mBorn = 0;
   uint64_t mSeq = 0;
@@ -127,6 +172,7 @@
   std::string mPhase;
   uint64_t mChange = 0;      ///< counts changes of the membership
   int64_t mIncompleteAt = 0; ///< of a head: a member was lost then
+  int64_t mCutUntil = 0;
   std::unique_ptr<Server> mServer;
 
   size_t Rank() const
@@ -160,11 +206,13 @@
   {
   }
 
-  void Add(const std::string& aId)
+  /// @param aDomain in the fabric
+  void Add(const std::string& aId, const std::string& aDomain = "domain-1")
   {
     const std::lock_guard guard(mLock);
     EngineWorker& worker = mWorkers[aId];
     worker.mId = aId;
+    worker.mDomain = aDomain;
     worker.mBorn = static_cast<uint64_t>(UnixMs());
     worker.mServer =
       std::make_unique<Server>([this, aId](Connection& aTo, const Message& aCall) {
@@ -193,6 +241,30 @@
     mEnded.insert(aId);
   }
 
+  /// Partitions workers from all machines of the system until a time. They
+  /// reach each other and the store. What is sent to them meanwhile is lost.
+  void CutOff(const std::vector<std::string>& aIds, int64_t aUntil)
+  {
+    const std::lock_guard guard(mLock);
+    for (const std::string& it : aIds) {
+      mRecord.Line("worker %s is cut off from all machines", it.c_str());
+      mWorkers.at(it).mCutUntil = aUntil;
+    }
+  }
+
+  /// @return the members of all groups whose head is open
+  std::vector<std::vector<std::string>> OpenGroups() const
+  {
+    const std::lock_guard guard(mLock);
+    std::vector<std::vector<std::string>> groups;
+    for (const auto& [id, it] : mWorkers) {
+      if (it.mPhase == "open" && it.Rank() == 0) {
+        groups.push_back(it.mMembers);
+      }
+    }
+    return groups;
+  }
+
   void SetLateRule(LateRule aRule)
   {
     const std::lock_guard guard(mLock);
@@ -216,6 +288,9 @@
     return {};
   }
 
+  /// Events of a stream, 40 ms apart.
+  void SetEvents(int aEvents) { mEvents = aEvents; }
+
   size_t Broken() const { return mBroken; }
   size_t Orders() const { return mOrders; }
   size_t LateOrders() const { return mLateOrders; }
@@ -223,7 +298,7 @@
 private:
   bool Handle(const std::string& aId, Connection& aTo, const Message& aCall)
   {
-    if (mEnded.contains(aId)) {
+    if (mEnded.contains(aId) || WaitForCut(aId)) {
       return false;
     }
     if (aCall.Word(1) == "/v1/report") {
@@ -243,6 +318,25 @@
     return Serve(aId, aTo, aCall);
   }
 
+  /// Waits while the worker is cut off.
+  /// @return whether it was
+  bool WaitForCut(const std::string& aId)
+  {
+    bool was = false;
+    for (;;) {
+      int64_t until = 0;
+      {
+        const std::lock_guard guard(mLock);
+        until = mWorkers.at(aId).mCutUntil;
+      }
+      if (NowMs() >= until) {
+        return was;
+      }
+      was = true;
+      SleepUntil(until);
+    }
+  }
+
   bool TakeOrder(const std::string& aId, Connection& aTo, const Message& aCall)
   {
     Json::Value order;
@@ -473,7 +567,7 @@
     json["handles"] = 0;
     json["pace"] = 1;
     json["born"] = Json::UInt64(aWorker.mBorn);
-    json["domain"] = "domain-1";
+    json["domain"] = aWorker.mDomain;
     json["staged"].append("model-a");
     json["models"] = Json::Value(Json::arrayValue);
     if (!aWorker.mGroup.empty()) {
@@ -527,8 +621,9 @@
                   "\r\nWeight-Versions: 1\r\n\r\n")) {
       return false;
     }
-    for (int i = 1; i <= 5; ++i) {
-      SleepMs(30);
+    for (int i = 1; i <= mEvents; ++i) {
+      SleepMs(40);
+      WaitForCut(aId);
       const std::string event =
         "id: " + std::to_string(i) + "\ndata: piece\n\n";
       char size[16];
@@ -546,6 +641,7 @@
   mutable std::mutex mLock;
   std::map<std::string, EngineWorker> mWorkers;
   std::set<std::string> mEnded;
+  int mEvents = 5;
   LateRule mLateRule;
   DoneRule mDoneRule;
   std::atomic<size_t> mBroken{ 0 };
