--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
 /// An odd entry among those of the workers: another writer's entry, of which
-/// one number is too large. Three nodes serve requests of thirty clients on
+/// one number is too large. Three nodes serve requests of 48 clients on
 /// kept channels; five workers form a group, two serve the plain service.
 
 #include "../standin/client.h"
@@ -11,8 +11,8 @@
 constexpr int64_t kTroubleAt = 14000;
 constexpr int64_t kEndAt = 34000;
 constexpr int kRestartMs = 1000;
-constexpr size_t kClientsPerNode = 10;
-constexpr int kWorkMs = 350;
+constexpr size_t kClientsPerNode = 16;
+constexpr int kWorkMs = 400;
 /// A client waits this long after an attempt that has failed.
 constexpr int kPauseMs = 300;
 
