--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -12,7 +12,7 @@
 constexpr int64_t kEndAt = 34000;
 constexpr int kRestartMs = 1000;
 constexpr size_t kClientsPerNode = 16;
-constexpr int kWorkMs = 400;
+constexpr int kWorkMs = 1500;
 /// A client waits this long after an attempt that has failed.
 constexpr int kPauseMs = 300;
 
--- a/review/standin/kit.h
+++ b/review/standin/kit.h
@@ -485,6 +485,10 @@
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
+  /// The C library has eight arenas for each core, and the machines of the pages
+  /// show one core to a process.
+  void SetOneCore() { mIsOneCore = true; }
+
   void Start(bool aFirst)
   {
     WriteSettings(aFirst);
@@ -506,6 +510,9 @@
       const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(fd, 1);
       ::dup2(fd, 2);
+      if (mIsOneCore) {
+        ::setenv("MALLOC_ARENA_MAX", "8", 1);
+      }
       ::execl("target/hibiscushold",
               "target/hibiscushold",
               "gateway",
@@ -517,6 +524,17 @@
     mRecord.Line("node %s started", mId.c_str());
   }
 
+  /// @return the resident memory of the process in MB, 0 if there is none
+  int MemoryMb() const
+  {
+    long pages = 0;
+    long resident = 0;
+    std::ifstream in("/proc/" + std::to_string(mPid) + "/statm");
+    in >> pages >> resident;
+    return mPid > 0 ? static_cast<int>(resident * ::sysconf(_SC_PAGESIZE) >> 20)
+                    : 0;
+  }
+
   void Signal(int aSignal) const
   {
     if (mPid > 0) {
@@ -612,6 +630,7 @@
   const int mCallers;
   const int mReady;
   const int mPeers;
+  bool mIsOneCore = false;
   pid_t mPid = 0;
 };
 
--- a/review/standin/workers.h
+++ b/review/standin/workers.h
@@ -84,6 +84,11 @@
                  ",\"born\":" + std::to_string(mBorn) + "}");
   }
 
+  /// From now on, one of so many answers is a body without a length that comes
+  /// without end, until the caller closes; 0 for none.
+  void SetEndless(int aOneOf) { mEndlessOneOf = aOneOf; }
+  size_t EndlessAnswers() const { return mEndlessAnswers; }
+
   /// Removes the entry; the worker goes on serving.
   void Withdraw()
   {
@@ -126,15 +131,36 @@
       mArrivals.push_back(NowMs());
     }
     SleepMs(mWorkMs);
+    const int oneOf = mEndlessOneOf;
+    if (oneOf > 0 && ++mAnswers % static_cast<size_t>(oneOf) == 0) {
+      ++mEndlessAnswers;
+      return SendEndless(aTo, request);
+    }
     return aTo.Send(Reply(200,
                           "done " + request,
                           "Request-Id: " + request + "\r\nServer-Stamp: " +
                             StampOf(mId, request) + "\r\n"));
   }
 
+  bool SendEndless(Connection& aTo, const std::string& aRequest)
+  {
+    mRecord.Line("%s answers %s without end", mId.c_str(), aRequest.c_str());
+    const std::string bytes(4096, 'x');
+    bool open = aTo.Send("HTTP/1.1 200 OK\r\nRequest-Id: " + aRequest +
+                         "\r\nServer-Stamp: " + StampOf(mId, aRequest) +
+                         "\r\n\r\n");
+    while (open) {
+      open = aTo.Send(bytes);
+    }
+    return false;
+  }
+
   const std::string mId;
   const std::string mService;
   const int mWorkMs;
+  std::atomic<int> mEndlessOneOf{ 0 };
+  std::atomic<size_t> mAnswers{ 0 };
+  std::atomic<size_t> mEndlessAnswers{ 0 };
   Store& mStore;
   Record& mRecord;
   Runs& mRuns;
