--- a/review/1/case.cc
+++ b/review/1/case.cpp
@@ -2,7 +2,7 @@
 /// one number is too large. Three nodes serve requests of 48 clients on
 /// kept channels; five workers form a group, two serve the plain service.
 
-#include "../standin/client.h"
+#include "../standin/client.hpp"
 
 using namespace kit;
 
@@ -12,7 +12,7 @@
 constexpr int64_t kEndAt = 34000;
 constexpr int kRestartMs = 1000;
 constexpr size_t kClientsPerNode = 16;
-constexpr int kWorkMs = 1500;
+constexpr int kWorkMs = 3000;
 /// A client waits this long after an attempt that has failed.
 constexpr int kPauseMs = 300;
 
@@ -44,9 +44,8 @@
     nodes.back()->Start(true);
   }
   const auto isReady = [&] {
-    return std::all_of(nodes.begin(), nodes.end(), [](const auto& it) {
-      return it->IsReady();
-    });
+    return std::all_of(
+      nodes.begin(), nodes.end(), [](const auto& it) { return it->IsReady(); });
   };
   while (NowMs() < 10000 && (!isReady() || engines.OpenGroup().empty())) {
     SleepMs(200);
@@ -55,25 +54,17 @@
     record.Line("the system didn't get ready");
     return 2;
   }
-  Seen before;
-  Seen after;
+  Seen seen;
   std::atomic<bool> stop{ false };
   std::vector<std::thread> clients;
   for (const auto& node : nodes) {
     for (size_t i = 0; i < kClientsPerNode; ++i) {
       clients.emplace_back([&, port = node->CallersPort()] {
-        // One channel for the whole run; counted by when a request was sent.
-        Client calm(port, runs, record, before);
-        while (!stop && NowMs() < kTroubleAt - 1000) {
-          if (calm.Send("POST", "/order/1", "", "badge", 4000).mStatus != 200) {
-            SleepMs(kPauseMs);
-          }
-        }
-        Client later(port, runs, record, after);
+        Client client(port, runs, record, seen);
         while (!stop) {
-          if (later.Send("POST", "/order/1", "", "badge", 4000).mStatus != 200) {
-            SleepMs(kPauseMs);
-          }
+          const Outcome outcome =
+            client.Send("POST", "/order/1", "", "badge", 4000);
+          SleepMs(outcome.mStatus == 200 ? 0 : kPauseMs);
         }
       });
     }
@@ -101,36 +92,19 @@
   for (std::thread& it : clients) {
     it.join();
   }
-  const auto report = [&](const char* aWhen, const Seen& aSeen) {
-    record.Line("%s: %zu sent, %zu served, %zu refused, %zu failed, %zu without "
-                "an answer, of which workers had begun %zu",
-                aWhen,
-                aSeen.mSent.load(),
-                aSeen.mServed.load(),
-                aSeen.mRefused.load(),
-                aSeen.mFailed.load(),
-                aSeen.mUnanswered.load(),
-                aSeen.mLostAtWork.load());
-    std::printf("%s: %zu sent, %zu served, %zu refused, %zu failed, %zu closed "
-                "without an answer while a worker had it\n",
-                aWhen,
-                aSeen.mSent.load(),
-                aSeen.mServed.load(),
-                aSeen.mRefused.load(),
-                aSeen.mFailed.load(),
-                aSeen.mLostAtWork.load());
-  };
-  report("before", before);
-  report("after", after);
   // LOST: more than three requests of kept channels were passed on to a sound
   // worker, and their channels closed without an answer. Processes that end by
   // themselves are in touch all the while.
-  const bool broken = after.mLostAtWork + before.mLostAtWork > 3;
-  record.Line("processes that ended by themselves: %zu", ends);
-  record.Line(broken ? "LOST is broken" : "LOST held");
-  std::printf("%zu processes ended by themselves; LOST %s\n",
-              ends,
-              broken ? "is broken" : "held");
+  const bool broken = seen.mLostAtWork > 3;
+  std::ostringstream text;
+  text << seen.mSent << " sent, " << seen.mServed << " served, "
+       << seen.mRefused << " refused, " << seen.mFailed << " failed, "
+       << seen.mLostAtWork
+       << " closed without an answer while a worker had it; " << ends
+       << " processes ended by themselves; LOST "
+       << (broken ? "is broken" : "held");
+  record.Line("%s", text.str().c_str());
+  std::printf("%s\n", text.str().c_str());
   std::fflush(stdout);
   for (const auto& it : nodes) {
     it->End();
--- a/review/2/case.cc
+++ b/review/2/case.cpp
@@ -2,7 +2,7 @@
 /// worker that has just been started changes its entry, as it warms, and then
 /// its entry is removed. Three nodes, three plain workers.
 
-#include "../standin/client.h"
+#include "../standin/client.hpp"
 
 using namespace kit;
 
@@ -42,9 +42,8 @@
     nodes.back()->Start(true);
   }
   const auto isReady = [&] {
-    return std::all_of(nodes.begin(), nodes.end(), [](const auto& it) {
-      return it->IsReady();
-    });
+    return std::all_of(
+      nodes.begin(), nodes.end(), [](const auto& it) { return it->IsReady(); });
   };
   while (NowMs() < 8000 && !isReady()) {
     SleepMs(200);
@@ -102,15 +101,16 @@
   }
   // Requests that were sent when all machines had been in touch again, and
   // drain_ms had passed since the removal for long.
-  const int64_t judgedFrom = std::max(
-    kRemovedAt + kDrainMs, kCutAt + kCutMs + kTouchMs + kDeadlineMs);
+  const int64_t judgedFrom =
+    std::max(kRemovedAt + kDrainMs, kCutAt + kCutMs + kTouchMs + kDeadlineMs);
   const size_t late = third.ArrivedAfter(judgedFrom);
-  record.Line("%zu requests sent, %zu served; %zu reached i-p3 later than %.1f s "
-              "after its removal",
-              seen.mSent.load(),
-              seen.mServed.load(),
-              late,
-              static_cast<double>(judgedFrom - kRemovedAt) / 1000);
+  record.Line(
+    "%zu requests sent, %zu served; %zu reached i-p3 later than %.1f s "
+    "after its removal",
+    seen.mSent.load(),
+    seen.mServed.load(),
+    late,
+    static_cast<double>(judgedFrom - kRemovedAt) / 1000);
   record.Line(late > 0 ? "DRAIN is broken" : "DRAIN held");
   std::printf("%zu requests sent, %zu served; %zu reached the removed worker "
               "later than %.1f s after its removal; DRAIN %s\n",
--- a/review/4/case.cc
+++ b/review/4/case.cpp
@@ -2,7 +2,7 @@
 /// planner's orders get no answer and are carried out five seconds later. One
 /// node, five workers of the engine service.
 
-#include "../standin/client.h"
+#include "../standin/client.hpp"
 
 using namespace kit;
 
@@ -130,13 +130,14 @@
               seen.mSent.load(),
               seen.mServed.load());
   record.Line(broken ? "TWO is broken" : "TWO held");
-  std::printf("%zu orders, %zu of them late; %zu requests sent, %zu served; TWO "
-              "%s\n",
-              engines.Orders(),
-              engines.LateOrders(),
-              seen.mSent.load(),
-              seen.mServed.load(),
-              broken ? "is broken" : "held");
+  std::printf(
+    "%zu orders, %zu of them late; %zu requests sent, %zu served; TWO "
+    "%s\n",
+    engines.Orders(),
+    engines.LateOrders(),
+    seen.mSent.load(),
+    seen.mServed.load(),
+    broken ? "is broken" : "held");
   std::fflush(stdout);
   node.End();
   const std::string remove = "rm -rf '" + folder + "'";
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-for source in review/[1-5]/case.cc; do
+for source in review/[1-5]/case.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -isystem /usr/include/jsoncpp \
--- a/review/standin/kit.h
+++ b/review/standin/kit.hpp
@@ -95,7 +95,8 @@
     std::vsnprintf(text, sizeof(text), aFormat, arguments);
     va_end(arguments);
     const std::lock_guard guard(mLock);
-    std::fprintf(mFile, "%8.3f %s\n", static_cast<double>(NowMs()) / 1000, text);
+    std::fprintf(
+      mFile, "%8.3f %s\n", static_cast<double>(NowMs()) / 1000, text);
     std::fflush(mFile);
   }
 
@@ -175,8 +176,8 @@
   {
     size_t sent = 0;
     while (sent < aBytes.size()) {
-      const ssize_t n = ::send(
-        mFd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+      const ssize_t n =
+        ::send(mFd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
       if (n <= 0) {
         return false;
       }
@@ -231,8 +232,8 @@
     if (Lower(message.Get("Transfer-Encoding")) == "chunked") {
       return ReadChunks(message, aUntil);
     }
-    const size_t length =
-      static_cast<size_t>(std::atoll(message.Get("Content-Length", "0").c_str()));
+    const size_t length = static_cast<size_t>(
+      std::atoll(message.Get("Content-Length", "0").c_str()));
     while (mBuffer.size() < length) {
       if (!Fill(aUntil)) {
         return std::nullopt;
@@ -296,10 +297,11 @@
 inline std::unique_ptr<Connection>
 ConnectTo(int aPort, int aTimeoutMs = 1000)
 {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int fd =
+    ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   const sockaddr_in address = Loopback(aPort);
-  if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) <
-        0 &&
+  if (::connect(
+        fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) < 0 &&
       errno == EINPROGRESS) {
     pollfd entry{ fd, POLLOUT, 0 };
     ::poll(&entry, 1, aTimeoutMs);
@@ -333,7 +335,8 @@
     ::setsockopt(mFd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     sockaddr_in address = Loopback(0);
     socklen_t size = sizeof(address);
-    if (::bind(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+    if (::bind(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+          0 ||
         ::listen(mFd, 512) != 0 ||
         ::getsockname(mFd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
       std::perror("listen");
@@ -384,7 +387,8 @@
   {
     sockaddr_in address = Loopback(0);
     socklen_t size = sizeof(address);
-    if (::bind(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+    if (::bind(mFd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+          0 ||
         ::listen(mFd, 512) != 0 ||
         ::getsockname(mFd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
       std::perror("listen");
@@ -450,8 +454,9 @@
 inline std::string
 Reply(int aStatus, const std::string& aBody, const std::string& aFields = "")
 {
-  return "HTTP/1.1 " + std::to_string(aStatus) + " x\r\nContent-Length: " +
-         std::to_string(aBody.size()) + "\r\n" + aFields + "\r\n" + aBody;
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " x\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n" +
+         aFields + "\r\n" + aBody;
 }
 
 inline int
@@ -471,7 +476,10 @@
 class Node
 {
 public:
-  Node(std::string aId, std::string aFolder, std::string aStore, Record& aRecord)
+  Node(std::string aId,
+       std::string aFolder,
+       std::string aStore,
+       Record& aRecord)
     : mId(std::move(aId))
     , mFolder(std::move(aFolder))
     , mStore(std::move(aStore))
@@ -485,8 +493,8 @@
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
-  /// The C library has eight arenas for each core, and the machines of the pages
-  /// show one core to a process.
+  /// The C library has eight arenas for each core, and the machines of the
+  /// pages show one core to a process.
   void SetOneCore() { mIsOneCore = true; }
 
   void Start(bool aFirst)
@@ -503,7 +511,7 @@
       }
       // A machine has 260 MB; the address space is bounded well above that, so
       // that no run takes the memory of the machine that plays it.
-      const rlimit space{ 6ULL << 30, 6ULL << 30 };
+      const rlimit space{ 16ULL << 30, 16ULL << 30 };
       ::setrlimit(RLIMIT_AS, &space);
       const rlimit core{ 0, 0 };
       ::setrlimit(RLIMIT_CORE, &core);
@@ -550,9 +558,9 @@
       return std::nullopt;
     }
     mPid = 0;
-    const std::string how =
-      WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
-                          : "exit " + std::to_string(WEXITSTATUS(status));
+    const std::string how = WIFSIGNALED(status)
+                              ? "signal " + std::to_string(WTERMSIG(status))
+                              : "exit " + std::to_string(WEXITSTATUS(status));
     mRecord.Line("node %s ended by itself: %s", mId.c_str(), how.c_str());
     return how;
   }
@@ -639,7 +647,8 @@
 MakeFolder()
 {
   const char* base = std::getenv("TMPDIR");
-  std::string path = std::string(base == nullptr ? "/tmp" : base) + "/review-XXXXXX";
+  std::string path =
+    std::string(base == nullptr ? "/tmp" : base) + "/review-XXXXXX";
   if (::mkdtemp(path.data()) == nullptr) {
     std::perror("mkdtemp");
     std::_Exit(2);
--- a/review/standin/store.h
+++ b/review/standin/store.hpp
@@ -4,7 +4,7 @@
 /// store"): linearizable, one revision counter, lists, watches and conditional
 /// writes.
 
-#include "kit.h"
+#include "kit.hpp"
 
 #include <json/json.h>
 
@@ -145,14 +145,14 @@
     const auto query = QueryOf(target);
     const std::string method = aCall.Word(0);
     if (method == "GET" && query.contains("watch")) {
-      const std::string events = Watch(kind,
-                                       std::stoull(query.at("watch")),
-                                       std::stoll(query.at("wait_ms")));
+      const std::string events = Watch(
+        kind, std::stoull(query.at("watch")), std::stoll(query.at("wait_ms")));
       return !events.empty() && aTo.Send(events);
     }
     const std::lock_guard guard(mLock);
-    return aTo.Send(method == "GET" ? Read(kind, name)
-                                    : Change_(method, kind, name, query, aCall));
+    return aTo.Send(method == "GET"
+                      ? Read(kind, name)
+                      : Change_(method, kind, name, query, aCall));
   }
 
   std::string Read(const std::string& aKind, const std::string& aName)
@@ -184,8 +184,7 @@
       std::string events;
       for (const Change& it : mChanges) {
         if (it.mKind == aKind && it.mObject.mRevision > aSince) {
-          events += (events.empty() ? "" : ",") +
-                    std::string("{\"deleted\":") +
+          events += (events.empty() ? "" : ",") + std::string("{\"deleted\":") +
                     (it.mDeleted ? "true" : "false") +
                     ",\"object\":" + Render(it.mObject) + "}";
         }
@@ -193,8 +192,8 @@
       const int64_t left = until - NowMs();
       if (!events.empty() || left <= 0) {
         return Reply(200,
-                     "{\"events\":[" + events + "],\"as_of\":" +
-                       std::to_string(mRevision) + "}");
+                     "{\"events\":[" + events +
+                       "],\"as_of\":" + std::to_string(mRevision) + "}");
       }
       mChanged.wait_for(guard, std::chrono::milliseconds(left));
     }
--- a/review/standin/workers.h
+++ b/review/standin/workers.hpp
@@ -3,7 +3,7 @@
 /// Stand-ins of the workers (PROTOCOL.md, "Workers", "Service discovery" and
 /// the groups of "Requests").
 
-#include "store.h"
+#include "store.hpp"
 
 namespace kit {
 
@@ -73,15 +73,14 @@
       mRecord.Line(
         "worker %s reports cold_left_ms %d", mId.c_str(), aColdLeftMs);
     }
-    mStore.Put("servers",
-               mId,
-               "{\"service\":\"" + mService + "\",\"addr\":\"" +
-                 mServer.Address() +
-                 "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":64,"
-                 "\"state\":\"ready\",\"cold_left_ms\":" +
-                 std::to_string(aColdLeftMs) +
-                 ",\"seq\":" + std::to_string(mSeq) +
-                 ",\"born\":" + std::to_string(mBorn) + "}");
+    mStore.Put(
+      "servers",
+      mId,
+      "{\"service\":\"" + mService + "\",\"addr\":\"" + mServer.Address() +
+        "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":64,"
+        "\"state\":\"ready\",\"cold_left_ms\":" +
+        std::to_string(aColdLeftMs) + ",\"seq\":" + std::to_string(mSeq) +
+        ",\"born\":" + std::to_string(mBorn) + "}");
   }
 
   /// From now on, one of so many answers is a body without a length that comes
@@ -146,9 +145,9 @@
   {
     mRecord.Line("%s answers %s without end", mId.c_str(), aRequest.c_str());
     const std::string bytes(4096, 'x');
-    bool open = aTo.Send("HTTP/1.1 200 OK\r\nRequest-Id: " + aRequest +
-                         "\r\nServer-Stamp: " + StampOf(mId, aRequest) +
-                         "\r\n\r\n");
+    bool open =
+      aTo.Send("HTTP/1.1 200 OK\r\nRequest-Id: " + aRequest +
+               "\r\nServer-Stamp: " + StampOf(mId, aRequest) + "\r\n\r\n");
     while (open) {
       open = aTo.Send(bytes);
     }
@@ -240,8 +239,8 @@
     worker.mId = aId;
     worker.mDomain = aDomain;
     worker.mBorn = static_cast<uint64_t>(UnixMs());
-    worker.mServer =
-      std::make_unique<Server>([this, aId](Connection& aTo, const Message& aCall) {
+    worker.mServer = std::make_unique<Server>(
+      [this, aId](Connection& aTo, const Message& aCall) {
         return Handle(aId, aTo, aCall);
       });
     Report(worker);
@@ -521,13 +520,14 @@
     if (head != nullptr &&
         (head->mPhase == "open" || head->mPhase == "closing")) {
       ++mBroken;
-      mRecord.Line("TWO: worker %s takes a join of %s while %s, the head of its "
-                   "group %s, is %s",
-                   aWorker.mId.c_str(),
-                   aGroup.c_str(),
-                   head->mId.c_str(),
-                   aWorker.mGroup.c_str(),
-                   head->mPhase.c_str());
+      mRecord.Line(
+        "TWO: worker %s takes a join of %s while %s, the head of its "
+        "group %s, is %s",
+        aWorker.mId.c_str(),
+        aGroup.c_str(),
+        head->mId.c_str(),
+        aWorker.mGroup.c_str(),
+        head->mPhase.c_str());
     }
   }
 
@@ -614,8 +614,13 @@
   void Report(const EngineWorker& aWorker)
   {
     Json::Value entry = Describe(aWorker);
-    for (const char* it :
-         { "busy", "waiting", "running", "kv_used", "kv_total", "handles", "pace" }) {
+    for (const char* it : { "busy",
+                            "waiting",
+                            "running",
+                            "kv_used",
+                            "kv_total",
+                            "handles",
+                            "pace" }) {
       entry.removeMember(it);
     }
     entry["service"] = "drafting";
