--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -90,7 +90,7 @@
     if (dissolved == mState.mDissolved.end()) {
       return false;
     }
-    return mNow < dissolved->second || !IsServingHead(aGroup.mMembers[0]);
+    return mNow < dissolved->second || !IsServingHead(HeadOf(aGroup));
   }
 
   /// Adds a group to the plan. Any group with a head and other members may be
@@ -99,7 +99,7 @@
   /// only recorded as dissolved.
   void AdoptGroup(const ObservedGroup& aGroup)
   {
-    const FleetVm* head = aGroup.mMembers[0];
+    const FleetVm* head = HeadOf(aGroup);
     const bool serves = IsServingHead(head);
     if (head == nullptr || (!serves && aGroup.mMembers.size() == 1)) {
       if (head == nullptr) {
@@ -110,15 +110,24 @@
       return;
     }
     const FleetModel* model = mView.mEngine.FindModel(aGroup.mModel);
-    const size_t size = model == nullptr ? 1 : model->mSize;
+    const size_t size =
+      model == nullptr ? aGroup.mMembers.size() : model->mSize;
     PlannedGroup group{ aGroup.mModel, aGroup.mDomain, {}, {}, {}, {} };
+    std::vector<const FleetVm*> members = FindAllMembers(aGroup, size);
+    const bool isWhole = !members.empty();
+    if (!isWhole) {
+      for (const auto& [rank, vm] : aGroup.mMembers) {
+        members.push_back(vm);
+      }
+    }
     bool joining = false;
-    for (const FleetVm* it : aGroup.mMembers) {
-      group.mMembers.push_back(it == nullptr ? "" : it->mId);
-      joining = joining || (it != nullptr && it->mMembership->mPhase ==
-                                               MembershipPhase::Joining);
+    for (const FleetVm* it : members) {
+      group.mMembers.push_back(it->mId);
+      joining = joining || it->mMembership->mPhase == MembershipPhase::Joining;
+    }
+    if (!isWhole) {
+      group.mMembers.emplace_back(); // stands for those that aren't listed
     }
-    group.mMembers.resize(std::max(group.mMembers.size(), size));
     group.mStage =
       joining && !serves ? GroupStage::Forming : GroupStage::Serving;
     group.mDeadline =
@@ -137,17 +146,17 @@
   /// reappear in the list at different times.
   void LockMembers(const ObservedGroup& aGroup)
   {
-    for (const FleetVm* it : aGroup.mMembers) {
-      if (it == nullptr || it->mMembership->mRank == 0) {
+    for (const auto& [rank, vm] : aGroup.mMembers) {
+      if (rank == 0) {
         continue;
       }
-      const PlannedVm& planned = mState.mVms[it->mId];
+      const PlannedVm& planned = mState.mVms[vm->mId];
       if (planned.mLockedGroup != aGroup.mKey || planned.mLockedUntil <= mNow) {
-        Lock(it->mId, mState.mUnreachableHeads[aGroup.mKey], aGroup.mKey);
+        Lock(vm->mId, mState.mUnreachableHeads[aGroup.mKey], aGroup.mKey);
       }
       if (!planned.mHasLeft && mNow >= planned.mRepeatLeaveAt &&
-          !IsLost(it->mId)) {
-        Order(OrderKind::Leave, it->mId, aGroup.mKey);
+          !IsLost(vm->mId)) {
+        Order(OrderKind::Leave, vm->mId, aGroup.mKey);
       }
     }
   }
--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -42,10 +42,10 @@
   for (const ObservedGroup& it : FindGroups(aVms, aService.mName)) {
     const FleetModel* model = aService.mEngine->FindModel(it.mModel);
     if (model == nullptr || !IsComplete(it, model->mSize) ||
-        it.mMembers[0]->mMembership->mPhase != MembershipPhase::Open) {
+        HeadOf(it)->mMembership->mPhase != MembershipPhase::Open) {
       continue;
     }
-    const FleetVm& head = *it.mMembers[0];
+    const FleetVm& head = *HeadOf(it);
     aInto.mByService[aService.mName].push_back(
       { head.mId,
         head.mAddress,
--- a/src/fleet/vm.cc
+++ b/src/fleet/vm.cc
@@ -61,34 +61,49 @@
     }
     ObservedGroup& group = groups[vm.mMembership->mKey];
     group.mKey = vm.mMembership->mKey;
-    group.mModel = vm.mMembership->mModel;
-    group.mDomain = vm.mDomain;
-    const size_t rank = vm.mMembership->mRank;
-    if (group.mMembers.size() <= rank) {
-      group.mMembers.resize(rank + 1);
-    }
-    group.mMembers[rank] = &vm;
+    group.mMembers[vm.mMembership->mRank] = &vm;
   }
   std::vector<ObservedGroup> list;
   list.reserve(groups.size());
   for (auto& [key, group] : groups) {
+    const FleetVm& first = *group.mMembers.begin()->second;
+    group.mModel = first.mMembership->mModel;
+    group.mDomain = first.mDomain;
     list.push_back(std::move(group));
   }
   return list;
 }
 
+const FleetVm*
+HeadOf(const ObservedGroup& aGroup)
+{
+  const auto it = aGroup.mMembers.find(0);
+  return it == aGroup.mMembers.end() ? nullptr : it->second;
+}
+
+std::vector<const FleetVm*>
+FindAllMembers(const ObservedGroup& aGroup, size_t aSize)
+{
+  std::vector<const FleetVm*> members;
+  for (const auto& [rank, vm] : aGroup.mMembers) {
+    if (rank != members.size()) {
+      break;
+    }
+    members.push_back(vm);
+  }
+  return members.size() == aSize ? members : std::vector<const FleetVm*>();
+}
+
 bool
 IsComplete(const ObservedGroup& aGroup, size_t aSize)
 {
-  return aGroup.mMembers.size() == aSize &&
-         std::all_of(
-           aGroup.mMembers.begin(),
-           aGroup.mMembers.end(),
-           [](const FleetVm* it) {
-             return it != nullptr && it->mState == VmState::Live &&
-                    it->mMembership->mPhase != MembershipPhase::Joining &&
-                    it->mMembership->mPhase != MembershipPhase::Broken;
-           });
+  const std::vector<const FleetVm*> members = FindAllMembers(aGroup, aSize);
+  return !members.empty() &&
+         std::all_of(members.begin(), members.end(), [](const FleetVm* it) {
+           return it->mState == VmState::Live &&
+                  it->mMembership->mPhase != MembershipPhase::Joining &&
+                  it->mMembership->mPhase != MembershipPhase::Broken;
+         });
 }
 
 } // namespace hibiscushold
--- a/src/fleet/vm.h
+++ b/src/fleet/vm.h
@@ -93,14 +93,25 @@
   GroupKey mKey;
   std::string mModel;
   std::string mDomain;
-  std::vector<const FleetVm*> mMembers; ///< by rank; null where a VM is missing
+  std::map<uint32_t, const FleetVm*> mMembers; ///< by rank; none is null
 };
 
-/// @return the groups that the service's VMs are members of; the vectors of
-///         members extend to the highest rank found
+/// @return the groups that the service's VMs are members of
 std::vector<ObservedGroup>
 FindGroups(const FleetVms& aVms, std::string_view aService);
 
+/// @return the group's head, or null if it isn't listed
+const FleetVm*
+HeadOf(const ObservedGroup& aGroup);
+
+/// An entry whose rank is not next to those of the others was written by
+/// someone else, and names no member.
+/// @param aSize VMs that the group's model needs
+/// @return the members, the head first, or none if one isn't listed or the
+///         group has more
+std::vector<const FleetVm*>
+FindAllMembers(const ObservedGroup& aGroup, size_t aSize);
+
 /// @param aSize VMs that the group's model needs
 /// @return whether all members are listed and live, and none is joining or
 ///         broken
--- a/test/oddentry-test.cc
+++ b/test/oddentry-test.cc
@@ -1,6 +1,8 @@
 #include "core/json.h"
 #include "core/jsonscan.h"
+#include "fleet/targetchoice.h"
 #include "manualclock.h"
+#include "plannerworld.h"
 #include "platform/decode.h"
 #include "platform/objectstore.h"
 #include "relay/feedcache.h"
@@ -202,6 +204,72 @@
   CHECK(engine.mModels[0].mLoadTime == std::chrono::hours(24));
 }
 
+TEST_GROUP(OddRank)
+{
+  static constexpr uint32_t kLargeRank = 20'000'000;
+
+  PlannerWorld mWorld;
+  std::string mHead;
+
+  /// Forms a group and adds an entry that claims a large rank in it.
+  void Form()
+  {
+    mWorld.Add("d0", 4, "small");
+    mWorld.Settle();
+    mHead = mWorld.OpenHeads("small").front();
+    FleetVm odd = mWorld.mVms[mHead];
+    odd.mId = "z-odd";
+    odd.mMembership->mRank = kLargeRank;
+    odd.mMembership->mModel = "";
+    mWorld.mVms[odd.mId] = odd;
+  }
+
+  size_t CountTargets() const
+  {
+    FleetConfig config;
+    config.mServices[PlannerWorld::kService] = { PlannerWorld::kService,
+                                                 mWorld.mEngine };
+    const FleetTargets targets = FindTargets(mWorld.mVms, config);
+    const auto found = targets.mByService.find(PlannerWorld::kService);
+    return found == targets.mByService.end() ? 0 : found->second.size();
+  }
+};
+
+// Guards against an entry whose rank costs memory for each rank below it, which
+// ends the nodes that read the list.
+TEST(OddRank, SizesNothing)
+{
+  const FleetVm vm = DecodeVm({ "servers/odd", 1, R"({"service":"s",
+      "addr":"10.0.0.8:80","state":"ready","models":[{"name":"m"}],
+      "group":{"name":"x1","epoch":1,"rank":20000000,"state":"open"}})" })
+                       .value();
+  const FleetVms vms{ { vm.mId, vm } };
+  const std::vector<ObservedGroup> groups = FindGroups(vms, "s");
+  CHECK_EQUAL(1U, groups.size());
+  CHECK_EQUAL(1U, groups[0].mMembers.size());
+}
+
+// Guards against an entry that takes a group out of service by claiming a rank
+// that the group doesn't have.
+TEST(OddRank, LeavesTheGroupServing)
+{
+  Form();
+  CHECK_EQUAL(1U, CountTargets());
+  mWorld.mVms.erase(mWorld.MembersOf(mHead).back());
+  CHECK_EQUAL(0U, CountTargets());
+}
+
+// Guards against a new planner that closes the group for such an entry.
+TEST(OddRank, LeavesTheGroupToANewPlanner)
+{
+  Form();
+  mWorld.mState = MakePlannerState(8);
+  mWorld.Step();
+  CHECK_EQUAL(3U, mWorld.MembersOf(mHead).size());
+  mWorld.Settle();
+  CHECK(mWorld.OpenHeads("small") == std::vector<std::string>{ mHead });
+}
+
 TEST_GROUP(JsonScan){};
 
 TEST(JsonScan, SplitsObjectsAndArrays)
