--- a/src/core/parallel.h
+++ b/src/core/parallel.h
@@ -6,7 +6,8 @@
 namespace hibiscushold {
 
 /// Calls aTask once for each index from 0 to aCount - 1, on at most aThreads
-/// threads. Returns when all calls have ended.
+/// threads. Returns when all calls have ended; throws the first exception of
+/// them, if any.
 void
 ForEachInParallel(size_t aCount,
                   size_t aThreads,
--- a/src/core/workqueue.cc
+++ b/src/core/workqueue.cc
@@ -2,8 +2,9 @@
 
 namespace hibiscushold {
 
-WorkQueue::WorkQueue(size_t aMaxThreads)
+WorkQueue::WorkQueue(size_t aMaxThreads, FailureHandler aOnFailure)
   : mMaxThreads(aMaxThreads)
+  , mOnFailure(std::move(aOnFailure))
 {
 }
 
@@ -45,7 +46,7 @@
       task = std::move(mTasks.front());
       mTasks.pop_front();
     }
-    task();
+    RunGuarded(task, mOnFailure);
   }
 }
 
--- a/src/core/workqueue.h
+++ b/src/core/workqueue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/guard.h"
+
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -10,12 +12,13 @@
 namespace hibiscushold {
 
 /// A thread pool with a FIFO queue, which starts its threads when there is work
-/// for them. The destructor waits for running tasks and discards queued ones.
+/// for them. A task that ends with an exception leaves its thread to the
+/// others. The destructor waits for running tasks and discards queued ones.
 class WorkQueue
 {
 public:
   /// @param aMaxThreads tasks that run at once
-  explicit WorkQueue(size_t aMaxThreads);
+  WorkQueue(size_t aMaxThreads, FailureHandler aOnFailure);
   ~WorkQueue();
 
   WorkQueue(const WorkQueue&) = delete;
@@ -27,6 +30,7 @@
   void Run();
 
   const size_t mMaxThreads;
+  const FailureHandler mOnFailure;
   std::mutex mLock; ///< guards the members below
   std::condition_variable mChanged;
   std::deque<std::function<void()>> mTasks;
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -2,6 +2,7 @@
 
 #include "fleet/targetchoice.h"
 #include "observe/events.h"
+#include "observe/taskfailure.h"
 
 namespace hibiscushold {
 
@@ -60,8 +61,8 @@
             mDependencies.mPlatform,
             mDependencies.mClock,
             kLeaseDuration)
-  , mOrderQueue(kOrderThreads)
-  , mProbeQueue(kProbeThreads)
+  , mOrderQueue(kOrderThreads, LogFailuresOf("order"))
+  , mProbeQueue(kProbeThreads, LogFailuresOf("probe"))
 {
 }
 
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -171,9 +171,25 @@
   const TimePoint sentAt = mClock.Now();
   bool isFull = false;
   const Result<Listing> read = Read(mWatchedVms, kVmWatchTimeout, isFull);
-  if (read) {
+  if (!read) {
+    return;
+  }
+  ApplyOrListAgain(mWatchedVms, [&] {
     ApplyVms(read.value(), isFull, sentAt - read.value().mMaxAge);
-    std::this_thread::sleep_for(aPause);
+  });
+  std::this_thread::sleep_for(aPause);
+}
+
+void
+FleetWatcher::ApplyOrListAgain(WatchedPrefix& aWatched,
+                               const std::function<void()>& aApply)
+{
+  try {
+    aApply();
+  } catch (...) {
+    // The next watch would not repeat these changes.
+    aWatched.mRevision = 0;
+    throw;
   }
 }
 
@@ -268,11 +284,13 @@
   if (!read) {
     return;
   }
-  for (const Object& it : read.value().mObjects) {
-    if (it.mKey == mSource.mConfigKey) {
-      ApplyConfig(it);
+  ApplyOrListAgain(mWatchedConfig, [&] {
+    for (const Object& it : read.value().mObjects) {
+      if (it.mKey == mSource.mConfigKey) {
+        ApplyConfig(it);
+      }
     }
-  }
+  });
   const TimePoint asOf = sentAt - read.value().mMaxAge;
   if (asOf >= mWatchedConfig.mRestoredUntil) {
     const std::lock_guard guard(mLock);
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -101,6 +101,10 @@
                        milliseconds aTimeout,
                        bool& aIsFull);
   void RecordReadResult(WatchedPrefix& aWatched, const Result<Listing>& aRead);
+  /// Applies a read. If that ends with an exception, which is passed on, the
+  /// next read lists all objects again.
+  static void ApplyOrListAgain(WatchedPrefix& aWatched,
+                               const std::function<void()>& aApply);
   void ApplyVms(const Listing& aListing, bool aIsFull, TimePoint aAsOf);
   void DropExpired(FleetVms& aVms, TimePoint aAsOf);
   void RecordRevision(WatchedPrefix& aWatched, uint64_t aRevision);
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -23,6 +23,7 @@
              "node_stopping",
              log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::NodeStopped, "node_stopped", log4cplus::INFO_LOG_LEVEL },
+  EventType{ EventId::TaskFailed, "task_failed", log4cplus::ERROR_LOG_LEVEL },
   EventType{ EventId::CredentialsReloaded,
              "credentials_reloaded",
              log4cplus::INFO_LOG_LEVEL },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -14,6 +14,7 @@
   NodeStarted = 1001,
   NodeStopping = 1002,
   NodeStopped = 1003,
+  TaskFailed = 1004,
   CredentialsReloaded = 1101,
   CredentialsRejected = 1102,
   ConfigInForce = 2001,
--- /dev/null
+++ b/src/observe/taskfailure.cc
@@ -0,0 +1,18 @@
+#include "observe/taskfailure.h"
+
+#include "observe/events.h"
+
+#include <utility>
+
+namespace hibiscushold {
+
+FailureHandler
+LogFailuresOf(std::string aTask)
+{
+  return [task = std::move(aTask)](std::string_view aReason) {
+    LogEvent(EventId::TaskFailed,
+             { { "task", task }, { "reason", std::string(aReason) } });
+  };
+}
+
+} // namespace hibiscushold
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -11,6 +11,7 @@
 #include "groups/prober.h"
 #include "groups/reportexchange.h"
 #include "observe/events.h"
+#include "observe/taskfailure.h"
 #include "route/demandtable.h"
 #include "serve/callerhandler.h"
 #include "serve/claimsweeper.h"
@@ -298,30 +299,39 @@
     return boost::outcome_v2::success();
   }
 
+  void AddTask(const char* aName, Duration aPause, std::function<void()> aTask)
+  {
+    mTasks.emplace_back(aPause, std::move(aTask), LogFailuresOf(aName));
+  }
+
   void StartTasks()
   {
-    mTasks.emplace_back(kWatchInterval, [this] { WatchStep(); });
-    mTasks.emplace_back(kVmListInterval, [this] { (void)mVms.Poll(); });
-    mTasks.emplace_back(kProbeInterval, [this] { ProbeStep(); });
+    AddTask("watch", kWatchInterval, [this] { WatchStep(); });
+    AddTask("vms", kVmListInterval, [this] { (void)mVms.Poll(); });
+    AddTask("probe", kProbeInterval, [this] { ProbeStep(); });
     for (size_t i = 0; i < mReportSources.size(); ++i) {
-      mTasks.emplace_back(kReportExchangeInterval, [this, i] {
+      AddTask("reports", kReportExchangeInterval, [this, i] {
         mReportExchange.Step(AliveMembers(), i, mReportSources[i]);
       });
     }
-    mTasks.emplace_back(kGroupMetricsInterval,
-                        [this] { mGroupMetrics.Step(); });
-    mTasks.emplace_back(kHeartbeatInterval, [this] { HeartbeatStep(); });
-    mTasks.emplace_back(kDemandInterval, [this] { DemandStep(); });
-    mTasks.emplace_back(kGroupManagerInterval,
-                        [this] { mGroupManager.Step(); });
-    mTasks.emplace_back(kClaimWriteInterval, [this] { mClaimWriter.Step(); });
-    mTasks.emplace_back(ClaimSweeper::StepInterval(mSettings.mClaimRetention),
-                        [this] { (void)mClaimSweeper.Step(); });
-    mTasks.emplace_back(kPendingChangeCheckInterval,
-                        [this] { ClearAbandonedChangeStep(); });
-    mTasks.emplace_back(kRegistrationCheckInterval, [this] { RegisterStep(); });
-    mTasks.emplace_back(kCredentialReloadInterval,
-                        [this] { mCredentials->Reload(); });
+    AddTask(
+      "group_metrics", kGroupMetricsInterval, [this] { mGroupMetrics.Step(); });
+    AddTask("heartbeat", kHeartbeatInterval, [this] { HeartbeatStep(); });
+    AddTask("demand", kDemandInterval, [this] { DemandStep(); });
+    AddTask("groups", kGroupManagerInterval, [this] { mGroupManager.Step(); });
+    AddTask(
+      "claim_writer", kClaimWriteInterval, [this] { mClaimWriter.Step(); });
+    AddTask("claim_sweeper",
+            ClaimSweeper::StepInterval(mSettings.mClaimRetention),
+            [this] { (void)mClaimSweeper.Step(); });
+    AddTask("pending_change", kPendingChangeCheckInterval, [this] {
+      ClearAbandonedChangeStep();
+    });
+    AddTask(
+      "registration", kRegistrationCheckInterval, [this] { RegisterStep(); });
+    AddTask("credentials", kCredentialReloadInterval, [this] {
+      mCredentials->Reload();
+    });
   }
 
   /// Waits until the queued claim writes are done, for at most
--- a/test/standin/target.cc
+++ b/test/standin/target.cc
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/json.h"
+#include "observe/taskfailure.h"
 
 #include <thread>
 
@@ -38,7 +39,10 @@
       aOptions.mPort,
       [this](auto& aRequest, auto& aResponse) { Handle(aRequest, aResponse); })
   , mListEntry(MakeListEntry(aOptions, mServer.Address(), mIncarnation))
-  , mAnnounceLoop(kAnnounceInterval, [this] { Announce(); })
+  , mAnnounceLoop(
+      kAnnounceInterval,
+      [this] { Announce(); },
+      LogFailuresOf("announce"))
 {
 }
 
--- a/test/watcher-test.cc
+++ b/test/watcher-test.cc
@@ -14,6 +14,9 @@
   if (aObject.mValue == "bad") {
     return Failure{ Error::ReplyInvalid, "bad", "" };
   }
+  if (aObject.mValue == "throws") {
+    throw std::runtime_error("scripted");
+  }
   FleetVm vm;
   vm.mId = aObject.mKey.substr(4);
   vm.mState = aObject.mValue == "leaving" ? VmState::Leaving : VmState::Live;
@@ -165,6 +168,33 @@
   CHECK(IsListed("2"));
 }
 
+// Guards against a change that is lost for good because applying it ended with
+// an exception.
+TEST(Watcher, ListsAgainWhenAChangeCouldNotBeApplied)
+{
+  PollVms();
+  mStore.mValues = { { "vms/1", "throws" }, { "vms/2", "live" } };
+  CHECK_THROWS(std::runtime_error, PollVms());
+  mStore.mValues["vms/1"] = "bad";
+  mStore.mUnchanged = true;
+  PollVms();
+  CHECK(IsListed("2"));
+  CHECK_EQUAL(2, mStore.mLists);
+}
+
+// Guards against a configuration that is lost in the same way.
+TEST(Watcher, ListsTheConfigurationAgainWhenItCouldNotBeApplied)
+{
+  mStore.mValues["config/main"] = "7";
+  mWatcher.PollConfig(Duration::zero());
+  mStore.mValues["config/main"] = "throws";
+  CHECK_THROWS(std::invalid_argument, mWatcher.PollConfig(Duration::zero()));
+  mStore.mValues["config/main"] = "8";
+  mStore.mUnchanged = true;
+  mWatcher.PollConfig(Duration::zero());
+  CHECK_EQUAL(8U, mWatcher.Config()->mVersion);
+}
+
 TEST(Watcher, IgnoresAnUnreadableEntryAndKeepsOthers)
 {
   mStore.mValues = { { "vms/1", "bad" }, { "vms/2", "live" } };
--- a/test/workqueue-test.cc
+++ b/test/workqueue-test.cc
@@ -1,9 +1,12 @@
 #include "core/clock.h"
+#include "core/parallel.h"
+#include "core/periodictask.h"
 #include "core/workqueue.h"
 
 #include <atomic>
 #include <filesystem>
 #include <iterator>
+#include <stdexcept>
 
 #include <CppUTest/TestHarness.h>
 
@@ -51,7 +54,7 @@
 TEST(WorkQueue, StartsNoThreadWithoutWork)
 {
   const size_t before = CountThreads();
-  const WorkQueue queue(24);
+  const WorkQueue queue(24, [](std::string_view) {});
   CHECK(CountThreads() <= before); // those of earlier tests may end
 }
 
@@ -59,7 +62,7 @@
 // more than the limit.
 TEST(WorkQueue, RunsAsManyTasksAtOnceAsItMay)
 {
-  WorkQueue queue(3);
+  WorkQueue queue(3, [](std::string_view) {});
   for (int n = 0; n < 7; ++n) {
     queue.Add([this] { Work(); });
   }
@@ -70,7 +73,7 @@
 // Guards against a thread for each task while others are idle.
 TEST(WorkQueue, UsesAnIdleThreadAgain)
 {
-  WorkQueue queue(24);
+  WorkQueue queue(24, [](std::string_view) {});
   queue.Add([this] { Work(); });
   WaitUntilDone(1);
   std::this_thread::sleep_for(milliseconds(50));
@@ -79,3 +82,56 @@
   WaitUntilDone(2);
   CHECK(CountThreads() <= before); // those of earlier tests may end
 }
+
+/// Each thread that is started by the node itself goes on after an exception,
+/// which would otherwise end the process with the requests at work.
+TEST_GROUP(Guard)
+{
+  std::atomic<int> mCalls{ 0 };
+  std::atomic<int> mFailures{ 0 };
+  const FailureHandler mOnFailure = [this](std::string_view aReason) {
+    mFailures += aReason == "odd" ? 1 : 0;
+  };
+
+  void Fail()
+  {
+    ++mCalls;
+    throw std::runtime_error("odd");
+  }
+
+  void WaitForCalls(int aCalls) const
+  {
+    for (int n = 0; n < 500 && mCalls < aCalls; ++n) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(mCalls >= aCalls);
+  }
+};
+
+// Guards against a periodic task whose exception ends the process.
+TEST(Guard, APeriodicTaskGoesOnAfterAnException)
+{
+  const PeriodicTask task(
+    milliseconds(1), [this] { Fail(); }, mOnFailure);
+  WaitForCalls(2);
+  CHECK(mFailures >= 1);
+}
+
+// Guards against a queued task whose exception ends the process.
+TEST(Guard, AWorkQueueGoesOnAfterAnException)
+{
+  WorkQueue queue(1, mOnFailure);
+  queue.Add([this] { Fail(); });
+  queue.Add([this] { Fail(); });
+  WaitForCalls(2);
+  CHECK(mFailures >= 1);
+}
+
+// Guards against a parallel call whose exception ends the process: the caller
+// gets it after the other calls.
+TEST(Guard, AParallelCallPassesItsExceptionOn)
+{
+  CHECK_THROWS(std::runtime_error,
+               ForEachInParallel(4, 2, [this](size_t) { Fail(); }));
+  CHECK_EQUAL(4, mCalls.load());
+}
