--- a/test/oddentry-test.cc
+++ b/test/oddentry-test.cc
@@ -204,6 +204,19 @@
   CHECK(engine.mModels[0].mLoadTime == std::chrono::hours(24));
 }
 
+// Guards against parts of a configuration with another type that end its
+// decoding with an exception.
+TEST(OddEntry, PartsOfAConfigurationOfAnotherTypeAreLeftOut)
+{
+  const FleetConfig config = DecodeConfig({ "config/main", 1, R"({"version":3,
+      "routes":[],"limits":7,"tenants":[7,{"name":"y","keys":[7,"k"]}],
+      "services":[7,"s",[1],{"name":"e","engine":{"models":[7],"usual":7}}]})" })
+                               .value();
+  CHECK_EQUAL(3U, config.mVersion);
+  CHECK(FindAccount(config, "k") != nullptr);
+  CHECK(config.mServices.at("e").mEngine.has_value());
+}
+
 TEST_GROUP(OddRank)
 {
   static constexpr uint32_t kLargeRank = 20'000'000;
