--- a/src/store/platform.h
+++ b/src/store/platform.h
@@ -19,7 +19,7 @@
 };
 
 /// The objects under a prefix, or the changes to them, at a revision of the
-/// store.
+/// store. A key is among the objects or among the deleted ones, never in both.
 struct Listing
 {
   uint64_t mRevision = 0;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -226,6 +226,28 @@
   STRCMP_EQUAL(R"({"x":1})", listing.mObjects[0].mValue.c_str());
 }
 
+// Guards against an object that was changed and then deleted, and one that was
+// deleted and then created again, within one response: each has the state of
+// its last event.
+TEST(ObjectStore, ReadsTheLastOfSeveralEventsOfAnObject)
+{
+  ScriptedServer server({ { MakeResponse(200, R"({"as_of":9,"events":[
+    {"deleted":false,"object":{"metadata":{"name":"a","rev":6},"spec":{}}},
+    {"deleted":true,"object":{"metadata":{"name":"b","rev":6},"spec":{}}},
+    {"deleted":false,"object":{"metadata":{"name":"b","rev":7},
+      "spec":{"x":1}}},
+    {"deleted":false,"object":{"metadata":{"name":"b","rev":8},
+      "spec":{"x":2}}},
+    {"deleted":true,"object":{"metadata":{"name":"a","rev":9}}}]})") } });
+  ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+  const Listing listing = store.Watch("servers/", 5, milliseconds(100)).value();
+  CHECK_EQUAL(1U, listing.mDeleted.size());
+  STRCMP_EQUAL("servers/a", listing.mDeleted[0].c_str());
+  CHECK_EQUAL(1U, listing.mObjects.size());
+  STRCMP_EQUAL("servers/b", listing.mObjects[0].mKey.c_str());
+  STRCMP_EQUAL(R"({"x":2})", listing.mObjects[0].mValue.c_str());
+}
+
 TEST_GROUP(PlatformEngineControl)
 {
   SystemClock mClock;
