--- a/src/relay/feed.cc
+++ b/src/relay/feed.cc
@@ -199,7 +199,9 @@
 void
 ApplyChanges(Feed& aFeed, const Listing& aChanges, TimePoint aConfirmedAt)
 {
-  if (EraOf(aChanges.mRevision) != EraOf(aFeed.mRevision)) {
+  // The feed has all changes up to its revision, which a later read has shown.
+  if (EraOf(aChanges.mRevision) != EraOf(aFeed.mRevision) ||
+      aChanges.mRevision < aFeed.mRevision) {
     return;
   }
   for (const std::string& it : aChanges.mDeleted) {
--- a/src/relay/feed.h
+++ b/src/relay/feed.h
@@ -76,8 +76,8 @@
 void
 ApplySnapshot(Feed& aFeed, const Listing& aListing, TimePoint aConfirmedAt);
 
-/// Applies the changes since the feed's revision. Changes of another era than
-/// the feed's are ignored.
+/// Applies changes up to a revision. Those of another era than the feed's, or
+/// of a read that a later one has overtaken, are ignored.
 /// @param aConfirmedAt time at which the store had nothing newer
 void
 ApplyChanges(Feed& aFeed, const Listing& aChanges, TimePoint aConfirmedAt);
--- a/test/feed-test.cc
+++ b/test/feed-test.cc
@@ -50,6 +50,17 @@
   CHECK(ChangesSince(mFeed, 30).has_value());
 }
 
+// Guards against an object that is back for good: a watch that began before a
+// listing ends after it, and has the object from before its deletion.
+TEST(Feed, IgnoresChangesThatAListingHasOvertaken)
+{
+  ApplySnapshot(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
+  ApplySnapshot(mFeed, ListingOf(20, {}), mNow);
+  ApplyChanges(mFeed, ListingOf(15, { { "a/1", 15, "y" } }), mNow);
+  CHECK(SnapshotOf(mFeed).mObjects.empty());
+  CHECK_EQUAL(20U, mFeed.mRevision);
+}
+
 TEST(Feed, DropsDeletionOfRecreatedObject)
 {
   ApplySnapshot(mFeed, ListingOf(10, { { "a/1", 4, "x" } }), mNow);
