--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -318,10 +318,9 @@
       return StartLeaving(aKey, aGroup, "not_closed", headId);
     }
     if (head->mMembership->mPhase == MembershipPhase::Ready) {
-      // An order to open without response may still arrive at the head, so it
-      // is ordered to leave.
-      Order(OrderKind::Leave, headId, aKey);
-      return Dissolve(aKey, aGroup, "closed", "");
+      // An order to open without response may still arrive at the head, so the
+      // members are not free before it has left.
+      return StartLeaving(aKey, aGroup, "closed", "");
     }
     if (head->mMembership->mPhase == MembershipPhase::Open &&
         mNow >= aGroup.mRepeatOrderAt) {
--- a/test/planner-two-test.cc
+++ b/test/planner-two-test.cc
@@ -138,3 +138,69 @@
   mWorld.Step();
   CHECK(!IsLocked(mWorld.mState, mWorld.mVms, mMember, mWorld.mNow));
 }
+
+/// Orders without a response may take effect seconds later, also when their
+/// group has been given up.
+TEST_GROUP(PlannerLateOrders)
+{
+  PlannerWorld mWorld;
+  std::string mHead;
+  std::string mMember;
+  GroupKey mGroup;
+
+  void Form()
+  {
+    mWorld.Add("d0", 3, "small");
+    mWorld.Settle();
+    mHead = mWorld.OpenHeads("small").front();
+    mMember = mWorld.MembersOf(mHead)[1];
+    mGroup = mWorld.mVms[mHead].mMembership->mKey;
+    mWorld.Add("d0", 2, "small");
+  }
+
+  void SetPhase(MembershipPhase aPhase)
+  {
+    mWorld.mVms[mHead].mMembership->mPhase = aPhase;
+  }
+
+  void LoseLastMember()
+  {
+    mWorld.mVms[mWorld.MembersOf(mHead).back()].mState = VmState::Leaving;
+  }
+
+  bool IsOrderedToJoin(const std::vector<FleetOrder>& aOrders) const
+  {
+    return mWorld.FindOrder(aOrders, OrderKind::Join, mHead) != nullptr ||
+           mWorld.FindOrder(aOrders, OrderKind::Join, mMember) != nullptr;
+  }
+};
+
+// Guards against freeing the members of a closing group while its head may
+// still carry out an order to open: a member leaves while the head opens.
+TEST(PlannerLateOrders, MembersAreNotFreeBeforeTheHeadHasLeft)
+{
+  Form();
+  SetPhase(MembershipPhase::Ready);
+  mWorld.mUnresponsive = { mHead };
+  LoseLastMember();
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Leave, mHead) != nullptr);
+  CHECK(!IsOrderedToJoin(orders));
+  SetPhase(MembershipPhase::Open); // the late order
+  const std::vector<FleetOrder> repeated = mWorld.Step(milliseconds(500));
+  CHECK(mWorld.FindOrder(repeated, OrderKind::Leave, mHead) != nullptr);
+  CHECK(!IsOrderedToJoin(repeated));
+  CHECK(!IsOrderedToJoin(mWorld.Step(milliseconds(500))));
+}
+
+// Guards against keeping the members of a closed group waiting although the
+// head has confirmed that it left.
+TEST(PlannerLateOrders, MembersAreFreeOnceTheHeadHasLeft)
+{
+  Form();
+  SetPhase(MembershipPhase::Ready);
+  LoseLastMember();
+  const std::vector<FleetOrder> orders = mWorld.Step();
+  CHECK(mWorld.FindOrder(orders, OrderKind::Leave, mHead) != nullptr);
+  CHECK(IsOrderedToJoin(mWorld.Step()));
+}
