--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -74,6 +74,9 @@
   void AdoptGroups()
   {
     for (const ObservedGroup& it : FindGroups(mView.mVms, mView.mService)) {
+      if (IsServingHead(HeadOf(it))) {
+        mServing.insert(it.mKey);
+      }
       if (mState.mUnreachableHeads.contains(it.mKey)) {
         LockMembers(it);
       }
@@ -241,12 +244,22 @@
     return true;
   }
 
+  /// @return whether the head of the VM's group, which may be the VM itself, is
+  ///         listed as serving
+  bool IsHeadServing(const FleetVm* aVm) const
+  {
+    return aVm != nullptr && aVm->mMembership &&
+           mServing.contains(aVm->mMembership->mKey);
+  }
+
   /// Repeats the joins that have no visible effect. A join without response may
-  /// be lost or delayed; VMs treat a repeated join as the same one.
+  /// be lost or delayed; VMs treat a repeated join as the same one. Late orders
+  /// may meanwhile have opened an earlier group, which has to be left first.
   void RepeatJoins(const GroupKey& aKey, const PlannedGroup& aGroup)
   {
     for (const std::string& it : aGroup.mMembers) {
-      if (!IsMemberOf(FindVm(mView.mVms, it), aKey)) {
+      const FleetVm* vm = FindVm(mView.mVms, it);
+      if (!IsMemberOf(vm, aKey) && !IsHeadServing(vm)) {
         FleetOrder& order = Order(OrderKind::Join, it, aKey);
         order.mModel = aGroup.mModel;
         order.mMembers = aGroup.mMembers;
@@ -390,6 +403,7 @@
   const PlannerView& mView;
   const PlannerLimits& mLimits;
   const TimePoint mNow;
+  std::set<GroupKey> mServing; ///< groups whose head is listed as serving
   PlannerStep mStep;
 };
 
--- a/test/planner-two-test.cc
+++ b/test/planner-two-test.cc
@@ -204,3 +204,24 @@
   CHECK(mWorld.FindOrder(orders, OrderKind::Leave, mHead) != nullptr);
   CHECK(IsOrderedToJoin(mWorld.Step()));
 }
+
+// Guards against repeating the joins of a newer group while the head of the
+// members' earlier group serves, as orders to join and to open it were late.
+TEST(PlannerLateOrders, JoinsAreNotRepeatedWhileTheEarlierHeadServes)
+{
+  Form();
+  const FleetVm head = mWorld.mVms[mHead];
+  const FleetVm member = mWorld.mVms[mMember];
+  LoseLastMember();
+  for (int n = 0; n < 5 && mWorld.mVms[mHead].mMembership; ++n) {
+    mWorld.mUnresponsive = { mMember };
+    mWorld.Step();
+  }
+  mWorld.mUnresponsive = { mHead, mMember };
+  CHECK(IsOrderedToJoin(mWorld.Step()));
+  mWorld.mVms[mHead] = head;
+  mWorld.mVms[mMember] = member;
+  for (int n = 0; n < 5; ++n) {
+    CHECK(!IsOrderedToJoin(mWorld.Step(milliseconds(500))));
+  }
+}
