--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -342,11 +342,31 @@
   });
 }
 
+bool
+PlanRunner::IsStillPlanned(const std::string& aService,
+                           const FleetOrder& aOrder)
+{
+  if (aOrder.mKind != OrderKind::Join && aOrder.mKind != OrderKind::Open) {
+    return true;
+  }
+  const std::lock_guard guard(mLock);
+  const auto it = mServices.find(aService);
+  const bool isPlanned = it != mServices.end() && aOrder.mFence == mFence &&
+                         it->second.mState.mGroups.contains(aOrder.mGroup);
+  if (!isPlanned) {
+    LogEvent(EventId::OrderWithdrawn,
+             { { "order", NameOf(aOrder.mKind) },
+               { "vm", aOrder.mVmId },
+               { "group", aOrder.mGroup.mName } });
+  }
+  return isPlanned;
+}
+
 void
 PlanRunner::SendOrder(const std::string& aService, FleetOrder aOrder)
 {
   mOrderQueue.Add([this, aService, order = std::move(aOrder)] {
-    if (!IsLeaseHolder()) {
+    if (!IsLeaseHolder() || !IsStillPlanned(aService, order)) {
       return;
     }
     const TimePoint sentAt = mDependencies.mClock.Now();
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -45,6 +45,7 @@
   FleetCounts = 4008,
   PlannerCutOff = 4009,
   ModelNotFormable = 4010,
+  OrderWithdrawn = 4011,
   TargetEjected = 4101,
   RequestRefused = 5001,
   RequestRetried = 5002,
--- a/test/planrunner-test.cc
+++ b/test/planrunner-test.cc
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <condition_variable>
 #include <thread>
 
 using namespace hibiscushold;
@@ -26,11 +27,30 @@
 public:
   OrderOutcome SendOrder(const FleetOrder& aOrder) override
   {
-    const std::lock_guard guard(mLock);
+    std::unique_lock guard(mLock);
+    ++mHeldOrders;
+    mReleased.wait(guard, [this] { return !mHolds; });
+    --mHeldOrders;
     mOrders.push_back(aOrder);
     return OrderOutcome::AlreadyDone;
   }
 
+  /// @param aHolds whether orders get no response until this is called again
+  void SetHolds(bool aHolds)
+  {
+    {
+      const std::lock_guard guard(mLock);
+      mHolds = aHolds;
+    }
+    mReleased.notify_all();
+  }
+
+  size_t CountHeldOrders() const
+  {
+    const std::lock_guard guard(mLock);
+    return mHeldOrders;
+  }
+
   Result<EngineReport> GetReport(const Endpoint& aTo,
                                  milliseconds aTimeout) override
   {
@@ -61,6 +81,9 @@
   }
 
   mutable std::mutex mLock; ///< guards the members below
+  std::condition_variable mReleased;
+  bool mHolds = false;
+  size_t mHeldOrders = 0;
   Endpoint mSilent;
   bool mAllSilent = false;
   std::vector<FleetOrder> mOrders;
@@ -176,6 +199,32 @@
     }
   }
 
+  /// Lists VMs without a group, three to a domain.
+  void AddFreeVms(uint32_t aDomains)
+  {
+    for (uint32_t domain = 0; domain < aDomains; ++domain) {
+      for (uint32_t n = 0; n < 3; ++n) {
+        FleetVm vm = mVms["v0"];
+        vm.mId = "f" + std::to_string(domain) + "-" + std::to_string(n);
+        vm.mAddress.mPort = static_cast<uint16_t>(2000 + 10 * domain + n);
+        vm.mDomain = "free-" + std::to_string(domain);
+        vm.mMembership.reset();
+        mVms[vm.mId] = vm;
+        (void)mStore.Create("vm/" + vm.mId, "", CallPriority::Config);
+      }
+    }
+  }
+
+  void RemoveFreeVms()
+  {
+    for (const auto& [id, vm] : mVms) {
+      if (!vm.mMembership) {
+        (void)mStore.Delete(
+          "vm/" + id, mStore.VersionOf("vm/" + id), CallPriority::Config);
+      }
+    }
+  }
+
   /// Runs the planner for a time, or until it has sent an order.
   void RunFor(Duration aTime)
   {
@@ -256,6 +305,26 @@
   mRunner.reset();
 }
 
+// Guards against an order that waited for a thread and takes effect after its
+// group was given up.
+TEST(PlanRunner, AnOrderOfAGroupThatWasGivenUpIsNotSent)
+{
+  constexpr size_t kThreads = 24;
+  mEngines.SetHolds(true);
+  AddFreeVms(10);
+  const TimePoint end = mClock.Now() + kGivenUpWithin;
+  while (mClock.Now() < end && mEngines.CountHeldOrders() < kThreads) {
+    RunFor(milliseconds(50));
+  }
+  CHECK_EQUAL(kThreads, mEngines.CountHeldOrders());
+  RemoveFreeVms();
+  RunFor(milliseconds(200));
+  mEngines.SetHolds(false);
+  std::this_thread::sleep_for(milliseconds(300));
+  mRunner.reset();
+  CHECK_EQUAL(kThreads, mEngines.CountOrders());
+}
+
 TEST_GROUP(CutSuggestion){};
 
 // Guards against a planner that takes the loss of a domain, a zone or half of
