--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,4 +1,5 @@
 #include "cli/command.h"
+#include "core/memory.h"
 
 #include <string>
 #include <vector>
@@ -6,6 +7,7 @@
 int
 main(int aCount, char** aArguments)
 {
+  hibiscushold::ReturnFreedBlocks();
   const std::vector<std::string> arguments(aArguments + 1, aArguments + aCount);
   return static_cast<int>(hibiscushold::RunCommandLine(arguments));
 }
--- a/src/core/bytebudget.cc
+++ b/src/core/bytebudget.cc
@@ -1,11 +1,19 @@
 #include "core/bytebudget.h"
 
+#include <algorithm>
+
 namespace hibiscushold {
 
 namespace {
 
 constexpr size_t kFreeBytes = 131072;
 
+size_t
+ChargeFor(size_t aBytes)
+{
+  return aBytes > kFreeBytes ? aBytes - kFreeBytes : 0;
+}
+
 } // namespace
 
 bool
@@ -32,7 +40,7 @@
 bool
 BudgetedBytes::TryGrowTo(size_t aBytes)
 {
-  const size_t charged = aBytes > kFreeBytes ? aBytes - kFreeBytes : 0;
+  const size_t charged = ChargeFor(aBytes);
   if (charged <= mBytes) {
     return true;
   }
@@ -43,6 +51,16 @@
   return true;
 }
 
+void
+BudgetedBytes::ShrinkTo(size_t aBytes)
+{
+  const size_t charged = ChargeFor(aBytes);
+  if (charged < mBytes) {
+    mBudget->Return(mBytes - charged);
+    mBytes = charged;
+  }
+}
+
 void
 BudgetedBytes::Return()
 {
@@ -51,4 +69,23 @@
   }
 }
 
+bool
+AppendWithin(BudgetedBytes& aHeld,
+             std::string& aBuffer,
+             std::string_view aBytes)
+{
+  const size_t needed = aBuffer.size() + aBytes.size();
+  if (needed > aBuffer.capacity()) {
+    const size_t grown = std::max(needed, 2 * aBuffer.capacity());
+    // The content is copied, so that both blocks are in use for a moment.
+    if (!aHeld.TryGrowTo(aBuffer.capacity() + grown)) {
+      return false;
+    }
+    aBuffer.reserve(grown);
+    aHeld.ShrinkTo(aBuffer.capacity());
+  }
+  aBuffer.append(aBytes);
+  return true;
+}
+
 } // namespace hibiscushold
--- a/src/core/bytebudget.h
+++ b/src/core/bytebudget.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <cstddef>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace hibiscushold {
@@ -52,6 +54,9 @@
   /// @return false if the budget has too few left
   bool TryGrowTo(size_t aBytes);
 
+  /// Returns what is taken beyond aBytes.
+  void ShrinkTo(size_t aBytes);
+
 private:
   void Return();
 
@@ -59,4 +64,12 @@
   size_t mBytes = 0;
 };
 
+/// Appends to a buffer whose memory is taken from a budget before it is used.
+/// @param aHeld taken for the buffer
+/// @return false if the budget has too few bytes left; then nothing is appended
+bool
+AppendWithin(BudgetedBytes& aHeld,
+             std::string& aBuffer,
+             std::string_view aBytes);
+
 } // namespace hibiscushold
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -257,12 +257,11 @@
   try {
     std::array<char, 16384> buf;
     for (size_t n = body.Read(buf); n > 0; n = body.Read(buf)) {
-      aInto.mBody.append(buf.data(), n);
-      if (aInto.mBody.size() > maxBytes) {
+      if (aInto.mBody.size() + n > maxBytes) {
         return Refusal{ RefusalKind::BodyTooLarge,
                         "the limit is " + std::to_string(maxBytes) + " bytes" };
       }
-      if (!aInto.mHeldBytes.TryGrowTo(aInto.mBody.capacity())) {
+      if (!AppendWithin(aInto.mHeldBytes, aInto.mBody, { buf.data(), n })) {
         return Refusal{ RefusalKind::Overloaded,
                         "the bodies of other requests take all room",
                         Ran::No,
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -286,11 +286,10 @@
     std::string body;
     std::array<char, 16384> buf;
     for (size_t n = aBody.Read(buf); n > 0; n = aBody.Read(buf)) {
-      body.append(buf.data(), n);
-      if (body.size() > kMaxResponseBytes) {
+      if (body.size() + n > kMaxResponseBytes) {
         throw Poco::Net::MessageException("the answer is too large");
       }
-      if (!aHeld.TryGrowTo(body.capacity())) {
+      if (!AppendWithin(aHeld, body, { buf.data(), n })) {
         throw Poco::Net::MessageException("too many bytes wait for callers");
       }
     }
--- a/test/main.cc
+++ b/test/main.cc
@@ -1,3 +1,5 @@
+#include "core/memory.h"
+
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 
@@ -6,6 +8,7 @@
 {
   // CppUTest reports lazily initialised statics as leaks. Real leaks are found
   // by the run with the address sanitizer.
+  hibiscushold::ReturnFreedBlocks();
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aCount, aArguments);
 }
