--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -65,6 +65,27 @@
   }
 }
 
+// Guards against an entry that counts as a group's head because its rank can't
+// be read.
+TEST(Decode, IgnoresAGroupWithoutAReadableRankOrEpoch)
+{
+  for (const char* it : { R"("epoch":1)",
+                          R"("epoch":1,"rank":"0")",
+                          R"("epoch":1,"rank":-1)",
+                          R"("epoch":1,"rank":4294967296)",
+                          R"("epoch":1,"rank":1e300)",
+                          R"("epoch":1,"rank":0.5)",
+                          R"("rank":0)",
+                          R"("epoch":"1","rank":0)",
+                          R"("epoch":99999999999999999999,"rank":0)" }) {
+    const std::string spec =
+      R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
+      R"("group":{"name":"g","state":"open",)" +
+      std::string(it) + "}}";
+    CHECK_TEXT(!DecodeVm(MakeVmObject(spec.c_str())).value().mMembership, it);
+  }
+}
+
 TEST(Decode, IgnoresAGroupInAnUnknownState)
 {
   const Result<FleetVm> vm = DecodeVm(
