--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -29,6 +29,7 @@
   StoreEraIncomplete = 3006,
   StoreEraRecorded = 3007,
   StoreObjectUnreadable = 3008,
+  StoreWatchCut = 3009,
   MemberRegistered = 3101,
   UpstreamLost = 3102,
   RosterFailed = 3103,
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -210,6 +210,34 @@
   STRCMP_CONTAINS(R"("rev":4)", server.Requests()[0].c_str());
 }
 
+// Guards against a watch that was cut off and counts as an outage of the store,
+// after which a removed VM is kept for seconds.
+TEST(ObjectStore, AsksAgainAtOnceWhenAWatchIsCutOff)
+{
+  const ScriptedServer::Response changes{ MakeResponse(
+    200, R"({"as_of":8,"events":[]})") };
+  for (const bool isReset : { false, true }) {
+    ScriptedServer server({ { "", !isReset, isReset }, changes });
+    ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+    const TimePoint start = mClock.Now();
+    const Result<Listing> listing = store.Watch("servers/", 5, seconds(20));
+    CHECK(listing.has_value());
+    CHECK_EQUAL(8U, listing.value().mRevision);
+    CHECK(mClock.Now() - start < seconds(5));
+    STRCMP_CONTAINS("watch=5&wait_ms=1 ", server.Requests()[1].c_str());
+  }
+}
+
+// Guards against a store that is away and is asked again and again.
+TEST(ObjectStore, AWatchThatIsCutOffTwiceFails)
+{
+  ScriptedServer server({ { "", true }, { "", true }, { "", true } });
+  ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+  const Result<Listing> listing = store.Watch("servers/", 5, seconds(20));
+  CHECK(Error::StoreUnavailable == listing.error().mError);
+  CHECK_EQUAL(2U, server.Requests().size());
+}
+
 TEST(ObjectStore, AllowsStaleDataForStatusReadsOnly)
 {
   const std::string object =
