--- a/test/memory-test.cc
+++ b/test/memory-test.cc
@@ -51,7 +51,7 @@
 {
 public:
   /// @param aRepeated sent until the client closes the connection
-  EndlessServer(std::string aFirst, std::string aRepeated)
+  EndlessServer(std::string aFirst, const std::string& aRepeated)
     : mFirst(std::move(aFirst))
     , mRepeated(Repeat(aRepeated))
     , mSocket(Poco::Net::SocketAddress("127.0.0.1", 0))
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -82,7 +82,7 @@
       R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
       R"("group":{"name":"g","state":"open",)" +
       std::string(it) + "}}";
-    CHECK_TEXT(!DecodeVm(MakeVmObject(spec.c_str())).value().mMembership, it);
+    CHECK_TEXT(!DecodeVm(MakeVmObject(spec)).value().mMembership, it);
   }
 }
 
