--- a/test/memory-test.cc
+++ b/test/memory-test.cc
@@ -149,8 +149,8 @@
   void RunInTurn(int aTurn)
   {
     std::unique_lock guard(mLock);
-    mChanged.wait(guard, [&] { return mEnded == aTurn; });
-    if (Run(mServer, seconds(10)) == ExchangeOutcome::Invalid) {
+    mChanged.wait(guard, [&] { return mMayExit || mEnded == aTurn; });
+    if (!mMayExit && Run(mServer, seconds(10)) == ExchangeOutcome::Invalid) {
       ++mEnded;
     }
     mChanged.notify_all();
