Log a withdrawn order where it is withdrawn

Cause: a question about an order wrote to the log, and two comments said too little. Result: the tests of PlanRunner, Memory and PlannerLateOrders pass.

--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -351,22 +351,22 @@
   }
   const std::lock_guard guard(mLock);
   const auto it = mServices.find(aService);
-  const bool isPlanned = it != mServices.end() && aOrder.mFence == mFence &&
-                         it->second.mState.mGroups.contains(aOrder.mGroup);
-  if (!isPlanned) {
-    LogEvent(EventId::OrderWithdrawn,
-             { { "order", NameOf(aOrder.mKind) },
-               { "vm", aOrder.mVmId },
-               { "group", aOrder.mGroup.mName } });
-  }
-  return isPlanned;
+  return it != mServices.end() && aOrder.mFence == mFence &&
+         it->second.mState.mGroups.contains(aOrder.mGroup);
 }
 
 void
 PlanRunner::SendOrder(const std::string& aService, FleetOrder aOrder)
 {
   mOrderQueue.Add([this, aService, order = std::move(aOrder)] {
-    if (!IsLeaseHolder() || !IsStillPlanned(aService, order)) {
+    if (!IsLeaseHolder()) {
+      return;
+    }
+    if (!IsStillPlanned(aService, order)) {
+      LogEvent(EventId::OrderWithdrawn,
+               { { "order", NameOf(order.mKind) },
+                 { "vm", order.mVmId },
+                 { "group", order.mGroup.mName } });
       return;
     }
     const TimePoint sentAt = mDependencies.mClock.Now();
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -91,8 +91,8 @@
   void Probe(const std::string& aService,
              const std::string& aVmId,
              Endpoint aTo);
-  /// @return whether the order is still to be sent: its group may have been
-  ///         given up while the order waited for a thread
+  /// @return false for an order to join or to open a group that was given up
+  ///         while the order waited for a thread
   bool IsStillPlanned(const std::string& aService, const FleetOrder& aOrder);
   void SendOrder(const std::string& aService, FleetOrder aOrder);
 
--- a/src/fleet/planstep.cc
+++ b/src/fleet/planstep.cc
@@ -129,7 +129,7 @@
       joining = joining || it->mMembership->mPhase == MembershipPhase::Joining;
     }
     if (!isWhole) {
-      group.mMembers.emplace_back(); // stands for those that aren't listed
+      group.mMembers.emplace_back(); // so that the group counts as broken
     }
     group.mStage =
       joining && !serves ? GroupStage::Forming : GroupStage::Serving;
