--- a/src/gateway/eventsplitter.cc
+++ b/src/gateway/eventsplitter.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+/// Length of the longest end of an event.
+constexpr size_t kMaxEndBytes = 3;
 constexpr char kCommentMark = ':';
 
 /// @return the length of all complete events at the start of the text
@@ -42,9 +44,13 @@
 std::string
 EventSplitter::TakeCompleteEvents()
 {
-  const size_t length = CompleteLength(mBuffer);
+  // The end of an event may have begun in the bytes that were searched before.
+  const size_t from = std::max(mSearchedBytes, kMaxEndBytes) - kMaxEndBytes;
+  const size_t found = CompleteLength(std::string_view(mBuffer).substr(from));
+  const size_t length = found == 0 ? 0 : from + found;
   std::string events = mBuffer.substr(0, length);
   mBuffer.erase(0, length);
+  mSearchedBytes = mBuffer.size();
   CheckIds(events);
   return events;
 }
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -39,6 +39,7 @@
   void CheckIds(std::string_view aEvents);
 
   std::string mBuffer;
+  size_t mSearchedBytes = 0; ///< of mBuffer, without the end of an event
   uint64_t mLastId;
   bool mOutOfOrder = false;
 };
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -212,6 +212,25 @@
   CHECK(ExchangeOutcome::Answered == Run(server, true).mOutcome);
 }
 
+// Guards against the end of an event that is missed because it arrives in
+// parts.
+TEST(Exchange, EventsAreFoundHoweverTheirBytesArrive)
+{
+  const std::string events = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                             "id: 3\ndata: c\n\n";
+  for (size_t step = 1; step <= events.size(); ++step) {
+    EventSplitter splitter(0);
+    std::string taken;
+    for (size_t at = 0; at < events.size(); at += step) {
+      splitter.Add(std::string_view(events).substr(at, step));
+      taken += splitter.TakeCompleteEvents();
+    }
+    STRCMP_EQUAL(events.c_str(), taken.c_str());
+    CHECK_EQUAL(0U, splitter.PendingBytes());
+    CHECK_EQUAL(3U, splitter.LastId());
+  }
+}
+
 // Guards against targets that send bytes without end and together fill the
 // memory of a node.
 TEST(Exchange, ResponsesTogetherKeepTheirBudgetOfMemory)
