Count a connection of the scripted server before it is served

Cause, by reading: the server counted a new connection only after it had answered on it, so the test could read the count between the answer and that. Done: the connection is counted when it is accepted. The check is unchanged. Result: the group passes in the plain build and with the thread sanitizer; that the failure is gone is suspected, not shown.

--- a/test/scriptedserver.h
+++ b/test/scriptedserver.h
@@ -88,6 +88,7 @@
     while (!mStopping) {
       if (mSocket.poll(pollInterval, Poco::Net::Socket::SELECT_READ)) {
         mConnections.push_back(mSocket.acceptConnection());
+        mOpenConnections = mConnections.size();
       }
       for (size_t n = 0; n < mConnections.size(); ++n) {
         if (mConnections[n].poll(Poco::Timespan(0),
