--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,7 +7,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  hibiscushold::ReturnFreedBlocks();
+  hibiscushold::LimitMemoryUse();
   const std::vector<std::string> arguments(aArguments + 1, aArguments + aCount);
   return static_cast<int>(hibiscushold::RunCommandLine(arguments));
 }
--- a/test/main.cc
+++ b/test/main.cc
@@ -8,7 +8,7 @@
 {
   // CppUTest reports lazily initialised statics as leaks. Real leaks are found
   // by the run with the address sanitizer.
-  hibiscushold::ReturnFreedBlocks();
+  hibiscushold::LimitMemoryUse();
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aCount, aArguments);
 }
--- a/test/memory-test.cc
+++ b/test/memory-test.cc
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <fstream>
+#include <latch>
 #include <mutex>
 #include <thread>
 #include <unistd.h>
@@ -18,6 +19,8 @@
 
 namespace {
 
+/// Memory of the users' machines.
+constexpr size_t kMachineBytes = 260'000'000;
 /// What all bodies of a node may take at once.
 constexpr size_t kBudgetBytes = 32'000'000;
 constexpr int kThreads = 24;
@@ -32,14 +35,26 @@
                                "Account", "Vm",   "Not-Run", "Model",
                                "Tokens",  "Rank", 421 };
 
+struct ProcessMemory
+{
+  size_t mAddressSpace = 0; ///< bytes
+  size_t mResident = 0;     ///< bytes
+};
+
+ProcessMemory
+MeasureMemory()
+{
+  std::ifstream file("/proc/self/statm");
+  ProcessMemory pages;
+  file >> pages.mAddressSpace >> pages.mResident;
+  const auto pageBytes = static_cast<size_t>(sysconf(_SC_PAGESIZE));
+  return { pages.mAddressSpace * pageBytes, pages.mResident * pageBytes };
+}
+
 size_t
 ResidentBytes()
 {
-  std::ifstream file("/proc/self/statm");
-  size_t total = 0;
-  size_t resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+  return MeasureMemory().mResident;
 }
 
 constexpr const char* kHead =
@@ -225,3 +240,24 @@
   CHECK(buffer.capacity() < 1'000'000);
   CHECK(appended > 500'000);
 }
+
+// Guards against threads whose stacks and arenas use up an address space that is
+// bounded, so that a node is refused memory that it has.
+TEST(Memory, ThreadsReserveLittleAddressSpace)
+{
+  const size_t before = MeasureMemory().mAddressSpace;
+  std::latch started(kThreads + 1);
+  std::latch mayEnd(1);
+  std::vector<std::jthread> threads;
+  for (int n = 0; n < kThreads; ++n) {
+    threads.emplace_back([&] {
+      const std::vector<char> block(1000);
+      started.count_down();
+      mayEnd.wait();
+    });
+  }
+  started.arrive_and_wait();
+  const size_t after = MeasureMemory().mAddressSpace;
+  mayEnd.count_down();
+  CHECK(!kMeasuresMemory || after < before + kMachineBytes);
+}
