--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -24,6 +24,9 @@
              log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::NodeStopped, "node_stopped", log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::TaskFailed, "task_failed", log4cplus::ERROR_LOG_LEVEL },
+  EventType{ EventId::EventsDropped,
+             "events_dropped",
+             log4cplus::ERROR_LOG_LEVEL },
   EventType{ EventId::CredentialsReloaded,
              "credentials_reloaded",
              log4cplus::INFO_LOG_LEVEL },
@@ -148,6 +151,7 @@
 };
 
 std::atomic<bool> gIsJson{ false };
+std::atomic<uint64_t> gDroppedEvents{ 0 };
 
 const EventType&
 FindEventType(EventId aId)
@@ -183,6 +187,31 @@
   return ToJson(json);
 }
 
+void
+WriteEvent(EventId aId, std::initializer_list<EventField> aFields)
+{
+  const EventType& type = FindEventType(aId);
+  const log4cplus::Logger root = log4cplus::Logger::getRoot();
+  if (!root.isEnabledFor(type.mLevel)) {
+    return;
+  }
+  const std::string text =
+    gIsJson ? FormatJson(type, aFields) : FormatPlain(type, aFields);
+  root.log(type.mLevel, text, __FILE__, __LINE__, "LogEvent");
+}
+
+/// Writes how many events could not be written, if any.
+void
+ReportDroppedEvents()
+{
+  uint64_t dropped = gDroppedEvents;
+  if (dropped == 0) {
+    return;
+  }
+  WriteEvent(EventId::EventsDropped, { { "count", std::to_string(dropped) } });
+  gDroppedEvents -= dropped;
+}
+
 log4cplus::Appender*
 CreateAppender(LogOutput aOutput)
 {
@@ -219,16 +248,20 @@
 }
 
 void
-LogEvent(EventId aId, std::initializer_list<EventField> aFields)
+LogEvent(EventId aId, std::initializer_list<EventField> aFields) noexcept
 {
-  const EventType& type = FindEventType(aId);
-  const log4cplus::Logger root = log4cplus::Logger::getRoot();
-  if (!root.isEnabledFor(type.mLevel)) {
-    return;
+  try {
+    WriteEvent(aId, aFields);
+    ReportDroppedEvents();
+  } catch (...) {
+    CountDroppedEvent();
   }
-  const std::string text =
-    gIsJson ? FormatJson(type, aFields) : FormatPlain(type, aFields);
-  root.log(type.mLevel, text, __FILE__, __LINE__, "LogEvent");
+}
+
+void
+CountDroppedEvent() noexcept
+{
+  ++gDroppedEvents;
 }
 
 std::span<const EventType>
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -15,6 +15,7 @@
   NodeStopping = 1002,
   NodeStopped = 1003,
   TaskFailed = 1004,
+  EventsDropped = 1005,
   CredentialsReloaded = 1101,
   CredentialsRejected = 1102,
   ConfigInForce = 2001,
@@ -85,9 +86,15 @@
 void
 StopLog();
 
-/// Writes an event at the level of its type.
+/// Writes an event at the level of its type. An event that can't be written for
+/// want of memory is counted; events_dropped has that count and follows the
+/// next one that can be written.
 void
-LogEvent(EventId aId, std::initializer_list<EventField> aFields);
+LogEvent(EventId aId, std::initializer_list<EventField> aFields) noexcept;
+
+/// Counts an event whose fields could not be built for want of memory.
+void
+CountDroppedEvent() noexcept;
 
 /// The name and log level of an event.
 struct EventType
--- a/src/observe/taskfailure.cc
+++ b/src/observe/taskfailure.cc
@@ -10,8 +10,12 @@
 LogFailuresOf(std::string aTask)
 {
   return [task = std::move(aTask)](std::string_view aReason) {
-    LogEvent(EventId::TaskFailed,
-             { { "task", task }, { "reason", std::string(aReason) } });
+    try {
+      LogEvent(EventId::TaskFailed,
+               { { "task", task }, { "reason", std::string(aReason) } });
+    } catch (const std::bad_alloc&) {
+      CountDroppedEvent();
+    }
   };
 }
 
