--- a/src/core/compress.cc
+++ b/src/core/compress.cc
@@ -1,12 +1,13 @@
 #include "core/compress.h"
 
+#include "core/textstream.h"
+
 #include <Poco/DeflatingStream.h>
 #include <Poco/Exception.h>
 #include <Poco/InflatingStream.h>
 #include <Poco/MemoryStream.h>
 
 #include <array>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -28,9 +29,10 @@
 std::string
 Deflate(std::string_view aBytes)
 {
-  std::ostringstream compressed;
+  TextStream compressed;
   Poco::DeflatingOutputStream out(
     compressed, Poco::DeflatingStreamBuf::STREAM_ZLIB, kFastestLevel);
+  out.exceptions(std::ios::badbit);
   out.write(aBytes.data(), static_cast<std::streamsize>(aBytes.size()));
   out.close();
   return compressed.str();
--- a/src/core/json.cc
+++ b/src/core/json.cc
@@ -1,5 +1,7 @@
 #include "core/json.h"
 
+#include "core/textstream.h"
+
 #include <json/reader.h>
 #include <json/writer.h>
 
@@ -56,7 +58,10 @@
     settings["emitUTF8"] = true;
     return settings;
   }();
-  return Json::writeString(builder, aValue);
+  const std::unique_ptr<Json::StreamWriter> writer(builder.newStreamWriter());
+  TextStream text;
+  writer->write(aValue, &text);
+  return text.str();
 }
 
 std::string
--- a/src/fleet/demandaggregator.cc
+++ b/src/fleet/demandaggregator.cc
@@ -1,12 +1,13 @@
 #include "fleet/demandaggregator.h"
 
+#include "core/textstream.h"
+
 #include <Poco/BinaryReader.h>
 #include <Poco/BinaryWriter.h>
 #include <Poco/MemoryStream.h>
 
 #include <algorithm>
 #include <optional>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -41,7 +42,7 @@
 std::string
 EncodeReport(const DemandReport& aReport, TimePoint aNow)
 {
-  std::ostringstream stream;
+  TextStream stream;
   Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
   out << aReport.mToken << static_cast<uint16_t>(aReport.mDemands.size());
   for (const auto& [vm, demand] : aReport.mDemands) {
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -1,6 +1,7 @@
 #include "gateway/callerconnection.h"
 
 #include "core/sessionpool.h"
+#include "core/textstream.h"
 #include "gateway/callersession.h"
 #include "observe/events.h"
 
@@ -11,7 +12,6 @@
 #include <Poco/Net/TCPServerConnection.h>
 
 #include <memory>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -157,7 +157,7 @@
     aResponse.setVersion(HTTPServerResponse::HTTP_1_1);
     aResponse.setKeepAlive(false);
     aResponse.setContentLength(0);
-    std::ostringstream text;
+    TextStream text;
     aResponse.write(text);
     const std::string bytes = text.str();
     socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 
+#include "core/textstream.h"
 #include "gateway/announcements.h"
 #include "gateway/bodyreader.h"
 #include "gateway/eventsplitter.h"
@@ -14,7 +15,6 @@
 #include <algorithm>
 #include <array>
 #include <optional>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -191,7 +191,7 @@
     head.set(mDependencies.mProtocol.mDeadline,
              std::to_string(ToMillis(remaining)));
     head.set(mDependencies.mProtocol.mExpectVm, mRequest.mTarget.mVmId);
-    std::ostringstream text;
+    TextStream text;
     head.write(text);
     return text.str();
   }
--- a/src/relay/crashreport.cc
+++ b/src/relay/crashreport.cc
@@ -1,11 +1,12 @@
 #include "relay/crashreport.h"
 
+#include "core/textstream.h"
+
 #include <Poco/BinaryReader.h>
 #include <Poco/BinaryWriter.h>
 #include <Poco/MemoryStream.h>
 
 #include <algorithm>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -19,7 +20,7 @@
 std::string
 EncodeCrashReport(const CrashReport& aReport, TimePoint aNow)
 {
-  std::ostringstream stream;
+  TextStream stream;
   Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
   out << aReport.mToken << kCrashReportMark
       << static_cast<uint16_t>(aReport.mNotices.size());
--- a/src/serve/claim.cc
+++ b/src/serve/claim.cc
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/json.h"
+#include "core/textstream.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
@@ -31,8 +32,9 @@
 std::string
 EncodeBase64(const std::string& aBytes)
 {
-  std::ostringstream text;
+  TextStream text;
   Poco::Base64Encoder encoder(text);
+  encoder.exceptions(std::ios::badbit);
   encoder.rdbuf()->setLineLength(0);
   encoder << aBytes;
   encoder.close();
