--- a/src/core/parallel.cc
+++ b/src/core/parallel.cc
@@ -29,9 +29,14 @@
   };
   {
     std::vector<std::jthread> threads;
-    for (size_t i = 0; i < std::min(aCount, aThreads); ++i) {
-      threads.emplace_back(run);
+    try {
+      for (size_t i = 1; i < std::min(aCount, aThreads); ++i) {
+        threads.emplace_back(run);
+      }
+    } catch (const std::exception&) {
+      // All calls are made nevertheless, by the threads that run.
     }
+    run();
   }
   if (first) {
     std::rethrow_exception(first);
--- a/src/core/workqueue.cc
+++ b/src/core/workqueue.cc
@@ -6,6 +6,7 @@
   : mMaxThreads(aMaxThreads)
   , mOnFailure(std::move(aOnFailure))
 {
+  mThreads.reserve(aMaxThreads);
 }
 
 WorkQueue::~WorkQueue()
@@ -20,14 +21,33 @@
 void
 WorkQueue::Add(std::function<void()> aTask)
 {
+  std::optional<std::string> failure;
   {
     const std::lock_guard guard(mLock);
     mTasks.push_back(std::move(aTask));
     if (mTasks.size() > mIdleThreads && mThreads.size() < mMaxThreads) {
-      mThreads.emplace_back([this] { Run(); });
+      failure = StartThread();
     }
   }
   mChanged.notify_one();
+  if (failure) {
+    RunGuarded([&] { mOnFailure(*failure); }, [](std::string_view) {});
+  }
+}
+
+std::optional<std::string>
+WorkQueue::StartThread()
+{
+  try {
+    mThreads.emplace_back([this] { Run(); });
+    return std::nullopt;
+  } catch (const std::exception&) {
+    if (mThreads.empty()) {
+      mTasks.pop_back();
+      throw;
+    }
+    return DescribeException();
+  }
 }
 
 void
--- a/src/core/workqueue.h
+++ b/src/core/workqueue.h
@@ -6,6 +6,8 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -18,15 +20,25 @@
 {
 public:
   /// @param aMaxThreads tasks that run at once
+  /// @param aOnFailure receives the reasons of failed tasks, and why a thread
+  ///        could not be started
   WorkQueue(size_t aMaxThreads, FailureHandler aOnFailure);
   ~WorkQueue();
 
   WorkQueue(const WorkQueue&) = delete;
   WorkQueue& operator=(const WorkQueue&) = delete;
 
+  /// A task waits for the threads that there are if no further one can be
+  /// started.
+  /// @throw std::system_error, std::bad_alloc when there is none at all, or no
+  ///        memory for the task; it isn't queued then
   void Add(std::function<void()> aTask);
 
 private:
+  /// Starts a thread. Call with the lock held.
+  /// @return why it can't be started, or nothing
+  /// @throw see Add
+  std::optional<std::string> StartThread();
   void Run();
 
   const size_t mMaxThreads;
