--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,12 +1,12 @@
 #include "gateway/gateway.h"
 
+#include "core/guard.h"
 #include "core/random.h"
 #include "gateway/callerrequest.h"
 #include "gateway/peerforwarder.h"
 #include "gateway/requestforwarder.h"
 #include "observe/events.h"
 
-#include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 
@@ -95,10 +95,14 @@
     ResponseWriter writer(aRequest, aResponse);
     try {
       Handle(aRequest, aResponse, writer);
-    } catch (const Poco::Exception& e) {
-      EndFailed(aRequest, aResponse, writer, e.displayText());
-    } catch (const std::exception& e) {
-      EndFailed(aRequest, aResponse, writer, e.what());
+    } catch (...) {
+      try {
+        EndFailed(aRequest, aResponse, writer, DescribeException());
+      } catch (...) {
+        // Logging and rendering the answer were refused memory as well.
+        CountDroppedEvent();
+        writer.SendWithoutMemory(mMayHaveRun, mDependencies.mClock);
+      }
     }
   }
 
@@ -135,6 +139,7 @@
       aWriter.DiscardRest(mDependencies.mClock);
       return;
     }
+    mMayHaveRun = true;
     const ResultOrRefusal<void> served = Serve(request.value(), aWriter);
     if (!served) {
       SendRefusal(aRequest, aWriter, served.error(), false);
@@ -156,8 +161,7 @@
     return ForwardRequest(mDependencies, aRequest, aWriter);
   }
 
-  /// Ends a request whose handling failed; it may have run by then. A response
-  /// that has started is cut.
+  /// Ends a request whose handling failed. A response that has started is cut.
   void EndFailed(const HTTPServerRequest& aRequest,
                  HTTPServerResponse& aResponse,
                  ResponseWriter& aWriter,
@@ -173,12 +177,15 @@
       return;
     }
     aResponse.setKeepAlive(false);
-    SendRefusal(aRequest,
-                aWriter,
-                { RefusalKind::TargetFailed,
-                  "the node failed to handle the request",
-                  Ran::Unknown },
-                false);
+    const Refusal refusal =
+      mMayHaveRun ? Refusal{ RefusalKind::TargetFailed,
+                             "the node failed to handle the request",
+                             Ran::Unknown }
+                  : Refusal{ RefusalKind::Overloaded,
+                             "the node failed before it sent the request",
+                             Ran::No,
+                             kElsewhereRetryMillis };
+    SendRefusal(aRequest, aWriter, refusal, false);
   }
 
   ResultOrRefusal<GatewayRequest> Admit(const HTTPServerRequest& aRequest)
@@ -277,6 +284,7 @@
   }
 
   const GatewayDependencies& mDependencies;
+  bool mMayHaveRun = false; ///< a target may have been sent the request
 };
 
 } // namespace
--- a/src/gateway/responsewriter.cc
+++ b/src/gateway/responsewriter.cc
@@ -2,12 +2,12 @@
 
 #include "core/guardedsocket.h"
 #include "core/sessionpool.h"
+#include "core/textstream.h"
 
 #include <Poco/Exception.h>
 
 #include <array>
 #include <cstdio>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -18,6 +18,49 @@
 /// Limits for callers that go on sending after their request was refused.
 constexpr auto kMaxDiscardTime = milliseconds(2000);
 constexpr size_t kMaxDiscardedBytes = 16777216;
+/// Answers that are sent when there is no memory to render one.
+constexpr std::string_view kFailedAnswer =
+  "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: Close\r\n\r\n";
+constexpr std::string_view kNotRunAnswer =
+  "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+  "Retry-After: 1\r\nConnection: Close\r\n\r\n";
+
+/// Adds fields to a response for its own lifetime. If this response can't be
+/// sent, another one is, which must not have them.
+class FieldsOfOneHead
+{
+public:
+  FieldsOfOneHead(HTTPServerResponse& aResponse,
+                  const std::vector<HttpField>& aFields)
+    : mResponse(aResponse)
+    , mFields(aFields)
+  {
+    try {
+      for (const HttpField& it : mFields) {
+        mResponse.add(it.mName, it.mValue);
+      }
+    } catch (...) {
+      Remove();
+      throw;
+    }
+  }
+
+  ~FieldsOfOneHead() { Remove(); }
+
+  FieldsOfOneHead(const FieldsOfOneHead&) = delete;
+  FieldsOfOneHead& operator=(const FieldsOfOneHead&) = delete;
+
+private:
+  void Remove()
+  {
+    for (const HttpField& it : mFields) {
+      mResponse.erase(it.mName);
+    }
+  }
+
+  HTTPServerResponse& mResponse;
+  const std::vector<HttpField>& mFields;
+};
 
 } // namespace
 
@@ -58,13 +101,10 @@
 std::string
 ResponseWriter::MakeHead(int aStatus, const std::vector<HttpField>& aFields)
 {
-  mStarted = true;
   mResponse.setStatusAndReason(
     static_cast<HTTPServerResponse::HTTPStatus>(aStatus));
-  for (const HttpField& it : aFields) {
-    mResponse.add(it.mName, it.mValue);
-  }
-  std::ostringstream text;
+  const FieldsOfOneHead fields(mResponse, aFields);
+  TextStream text;
   mResponse.write(text);
   return text.str();
 }
@@ -75,6 +115,7 @@
                              std::string_view aBody)
 {
   const bool hasNoBody = aStatus == 204 || aStatus == 304;
+  mResponse.setChunkedTransferEncoding(false);
   if (!hasNoBody) {
     mResponse.setContentLength64(static_cast<int64_t>(aBody.size()));
   }
@@ -82,6 +123,7 @@
   if (!hasNoBody && mRequest.getMethod() != "HEAD") {
     response.append(aBody);
   }
+  mStarted = true;
   return Send(response);
 }
 
@@ -89,7 +131,9 @@
 ResponseWriter::StartStream(int aStatus, const std::vector<HttpField>& aFields)
 {
   mResponse.setChunkedTransferEncoding(true);
-  return Send(MakeHead(aStatus, aFields));
+  const std::string head = MakeHead(aStatus, aFields);
+  mStarted = true;
+  return Send(head);
 }
 
 bool
@@ -121,6 +165,24 @@
   }
 }
 
+void
+ResponseWriter::SendWithoutMemory(bool aMayHaveRun,
+                                  const Clock& aClock) noexcept
+{
+  try {
+    if (mStarted) {
+      Abort();
+      return;
+    }
+    mStarted = true;
+    Send(aMayHaveRun ? kFailedAnswer : kNotRunAnswer);
+    DiscardRest(aClock);
+  } catch (...) {
+    // The connection is closed when its thread has ended the request.
+    return;
+  }
+}
+
 void
 ResponseWriter::DiscardRest(const Clock& aClock)
 {
--- a/src/gateway/responsewriter.h
+++ b/src/gateway/responsewriter.h
@@ -51,6 +51,12 @@
   /// truncated.
   void Abort();
 
+  /// Ends a response without taking memory: refuses the request if no response
+  /// has started, and cuts a started one. The connection can't be used
+  /// afterwards.
+  /// @param aMayHaveRun whether a target may have run the request
+  void SendWithoutMemory(bool aMayHaveRun, const Clock& aClock) noexcept;
+
   /// Makes sure that a caller that is still sending its body receives the
   /// response, which must be complete. The connection can't be used afterwards.
   void DiscardRest(const Clock& aClock);
