--- a/src/fleet/demandaggregator.cc
+++ b/src/fleet/demandaggregator.cc
@@ -1,5 +1,6 @@
 #include "fleet/demandaggregator.h"
 
+#include "core/binarytext.h"
 #include "core/textstream.h"
 
 #include <Poco/BinaryReader.h>
@@ -63,14 +64,16 @@
   Poco::BinaryReader in(stream, Poco::BinaryReader::NETWORK_BYTE_ORDER);
   DemandReport report;
   uint16_t n = 0;
-  in >> report.mToken >> n;
+  ReadText(in, report.mToken);
+  in >> n;
   for (uint16_t i = 0; i < n && in.good(); ++i) {
     std::string vm;
     uint16_t waiting = 0;
     uint32_t tokens = 0;
     uint16_t streaming = 0;
     uint16_t age = kNoAge;
-    in >> vm >> waiting >> tokens >> streaming >> age;
+    ReadText(in, vm);
+    in >> waiting >> tokens >> streaming >> age;
     const TimePoint progressAt =
       age == kNoAge ? TimePoint{} : aNow - milliseconds(age);
     report.mDemands[vm] = { waiting, tokens, streaming, progressAt };
--- a/src/relay/crashreport.cc
+++ b/src/relay/crashreport.cc
@@ -1,5 +1,6 @@
 #include "relay/crashreport.h"
 
+#include "core/binarytext.h"
 #include "core/textstream.h"
 
 #include <Poco/BinaryReader.h>
@@ -43,7 +44,8 @@
   CrashReport report;
   uint16_t mark = 0;
   uint16_t n = 0;
-  in >> report.mToken >> mark >> n;
+  ReadText(in, report.mToken);
+  in >> mark >> n;
   if (in.fail() || mark != kCrashReportMark || n > kMaxNoticesPerReport) {
     return std::nullopt;
   }
--- a/test/nomemory/refusal.cc
+++ b/test/nomemory/refusal.cc
@@ -19,12 +19,14 @@
 thread_local size_t tGranted = 0;
 thread_local size_t tToRefuse = 0;
 thread_local bool tHasRefused = false;
+thread_local size_t tLargest = 0;
 std::atomic<size_t> gRefused{ 0 };
 std::atomic<bool> gRefusesThreads{ false };
 
 bool
-IsRefused()
+IsRefused(size_t aSize)
 {
+  tLargest = aSize > tLargest ? aSize : tLargest;
   if (!tIsArmed) {
     return false;
   }
@@ -47,19 +49,19 @@
 extern "C" void*
 malloc(size_t aSize)
 {
-  return IsRefused() ? nullptr : __libc_malloc(aSize);
+  return IsRefused(aSize) ? nullptr : __libc_malloc(aSize);
 }
 
 extern "C" void*
 calloc(size_t aCount, size_t aSize)
 {
-  return IsRefused() ? nullptr : __libc_calloc(aCount, aSize);
+  return IsRefused(aCount * aSize) ? nullptr : __libc_calloc(aCount, aSize);
 }
 
 extern "C" void*
 realloc(void* aBlock, size_t aSize)
 {
-  return IsRefused() ? nullptr : __libc_realloc(aBlock, aSize);
+  return IsRefused(aSize) ? nullptr : __libc_realloc(aBlock, aSize);
 }
 
 extern "C" int
@@ -109,6 +111,17 @@
   return tHasRefused;
 }
 
+AllocationMeter::AllocationMeter()
+{
+  tLargest = 0;
+}
+
+size_t
+AllocationMeter::Largest()
+{
+  return tLargest;
+}
+
 ThreadRefusal::ThreadRefusal()
 {
   gRefusesThreads = true;
--- a/test/nomemory/refusal.h
+++ b/test/nomemory/refusal.h
@@ -43,6 +43,16 @@
   ThreadRefusal& operator=(const ThreadRefusal&) = delete;
 };
 
+/// Measures what the calling thread asks for during its own lifetime.
+class AllocationMeter
+{
+public:
+  AllocationMeter();
+
+  /// @return bytes of the largest allocation so far
+  static size_t Largest();
+};
+
 /// Calls a function again and again, with each of its allocations refused in
 /// turn, until it ends without a refusal.
 /// @param aCall makes a MemoryRefusal around what is tested, with the number of
