--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Of any number in the settings; every integer that holds one is larger.
+constexpr double kMaxNumber = 1e9;
+
 using SettingParser =
   std::function<Result<void>(GatewaySettings&, const std::string&)>;
 
@@ -24,8 +27,11 @@
 ParseReal(const std::string& aText)
 {
   double number = 0;
-  if (!ParseNumber(aText, number) || number < 0) {
-    return Invalid(aText, "give a number that is not negative");
+  // Also false for NaN.
+  const bool isInRange =
+    ParseNumber(aText, number) && number >= 0 && number <= kMaxNumber;
+  if (!isInRange) {
+    return Invalid(aText, "give a number from 0 to 1000000000");
   }
   return number;
 }
--- a/test/gatewaysettings-test.cc
+++ b/test/gatewaysettings-test.cc
@@ -50,3 +50,31 @@
     CHECK_TEXT(error == settings.error().mError, text.c_str());
   }
 }
+
+// Guards against a number that no integer holds, which is cast to one.
+TEST(GatewaySettings, RefusesNumbersOutOfRange)
+{
+  const std::string names[] = {
+    "[node]\ncapacity",           "[node]\nmax_connections",
+    "[limits]\nkey_freshness_ms", "[limits]\ngrace_s",
+    "[limits]\nrepeat_ratio",     "[limits]\nrepeat_window_s",
+    "[limits]\nrepeat_slack",     "[groups]\nstall_ms"
+  };
+  const std::string values[] = { "2147483648",
+                                 "4294967296",
+                                 "9223372036854775808",
+                                 "18446744073709551615",
+                                 "1e308",
+                                 "-1",
+                                 "nan",
+                                 "inf" };
+  for (const std::string& name : names) {
+    for (const std::string& value : values) {
+      const std::string text = kRequiredSettings + name + " = " + value + "\n";
+      const Result<GatewaySettings> settings = ParseGatewaySettings("f", text);
+      CHECK_TEXT(!settings, text.c_str());
+      CHECK_TEXT(Error::SettingInvalid == settings.error().mError,
+                 text.c_str());
+    }
+  }
+}
