--- a/src/cluster/rpccode.cc
+++ b/src/cluster/rpccode.cc
@@ -11,9 +11,11 @@
 std::optional<Error>
 ErrorFromRpcCode(int aCode)
 {
-  const int value = kFirstRpcCode - aCode;
-  const bool inRange = value > 0 && value <= static_cast<int>(kLastError);
-  return inRange ? std::optional(static_cast<Error>(value)) : std::nullopt;
+  const int last = kFirstRpcCode - static_cast<int>(kLastError);
+  if (aCode >= kFirstRpcCode || aCode < last) {
+    return std::nullopt;
+  }
+  return static_cast<Error>(kFirstRpcCode - aCode);
 }
 
 } // namespace hibiscushold
