--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -313,7 +313,12 @@
     TimePoint& probedAt = aState.mProbedAt[it];
     if (now - probedAt > interval && aState.mProbing.insert(it).second) {
       probedAt = now;
-      Probe(aService.mName, it, vm->second.mAddress);
+      try {
+        Probe(aService.mName, it, vm->second.mAddress);
+      } catch (...) {
+        aState.mProbing.erase(it);
+        throw;
+      }
     }
   }
 }
@@ -324,24 +329,47 @@
                   Endpoint aTo)
 {
   mProbeQueue.Add([this, aService, aVmId, to = std::move(aTo)] {
-    const TimePoint sentAt = mDependencies.mClock.Now();
-    const Result<EngineReport> report =
-      mDependencies.mEngines.GetReport(to, kProbeTimeout);
-    LogEvent(EventId::VmAsked,
-             { { "vm", aVmId },
-               { "answer", report ? "alive" : Describe(report.error()) } });
-    const std::lock_guard guard(mLock);
-    const auto it = mServices.find(aService);
-    if (it != mServices.end()) {
-      it->second.mProbing.erase(aVmId);
-      RecordProbe(it->second.mState,
-                  aVmId,
-                  report.has_value(),
-                  { sentAt, mDependencies.mClock.Now() });
+    try {
+      AskVm(aService, aVmId, to);
+    } catch (...) {
+      EndProbe(aService, aVmId);
+      throw;
     }
+    EndProbe(aService, aVmId);
   });
 }
 
+void
+PlanRunner::AskVm(const std::string& aService,
+                  const std::string& aVmId,
+                  const Endpoint& aTo)
+{
+  const TimePoint sentAt = mDependencies.mClock.Now();
+  const Result<EngineReport> report =
+    mDependencies.mEngines.GetReport(aTo, kProbeTimeout);
+  LogEvent(EventId::VmAsked,
+           { { "vm", aVmId },
+             { "answer", report ? "alive" : Describe(report.error()) } });
+  const std::lock_guard guard(mLock);
+  const auto it = mServices.find(aService);
+  if (it != mServices.end()) {
+    RecordProbe(it->second.mState,
+                aVmId,
+                report.has_value(),
+                { sentAt, mDependencies.mClock.Now() });
+  }
+}
+
+void
+PlanRunner::EndProbe(const std::string& aService, const std::string& aVmId)
+{
+  const std::lock_guard guard(mLock);
+  const auto it = mServices.find(aService);
+  if (it != mServices.end()) {
+    it->second.mProbing.erase(aVmId);
+  }
+}
+
 bool
 PlanRunner::IsStillPlanned(const std::string& aService,
                            const FleetOrder& aOrder)
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -91,6 +91,11 @@
   void Probe(const std::string& aService,
              const std::string& aVmId,
              Endpoint aTo);
+  /// Asks a VM for its report, and records whether it responded.
+  void AskVm(const std::string& aService,
+             const std::string& aVmId,
+             const Endpoint& aTo);
+  void EndProbe(const std::string& aService, const std::string& aVmId);
   /// @return false for an order to join or to open a group that was given up
   ///         while the order waited for a thread
   bool IsStillPlanned(const std::string& aService, const FleetOrder& aOrder);
--- a/test/planrunner-test.cc
+++ b/test/planrunner-test.cc
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <condition_variable>
+#include <new>
 #include <thread>
 
 using namespace hibiscushold;
@@ -56,6 +57,10 @@
   {
     {
       const std::lock_guard guard(mLock);
+      if (mFailsProbes) {
+        ++mFailedProbes;
+        throw std::bad_alloc();
+      }
       if (aTo != mSilent && !mAllSilent) {
         return EngineReport{};
       }
@@ -86,6 +91,8 @@
   size_t mHeldOrders = 0;
   Endpoint mSilent;
   bool mAllSilent = false;
+  bool mFailsProbes = false;
+  int mFailedProbes = 0;
   std::vector<FleetOrder> mOrders;
   int mProbes = 0; ///< of the silent VM
   int mOpenProbes = 0;
@@ -357,3 +364,16 @@
   Summarize(silence, now + milliseconds(1600), summary);
   CHECK_EQUAL(1U, summary.mResponding);
 }
+
+// Guards against a VM that is never probed again after one probe failed within
+// the node, as when it was refused memory.
+TEST(PlanRunner, AVmIsProbedAgainAfterAProbeThatFailed)
+{
+  {
+    const std::lock_guard guard(mEngines.mLock);
+    mEngines.mFailsProbes = true;
+  }
+  RunFor(seconds(3));
+  const std::lock_guard guard(mEngines.mLock);
+  CHECK(mEngines.mFailedProbes > 3); // more than one for each VM
+}
