--- a/emulator/configs.cc
+++ b/emulator/configs.cc
@@ -44,6 +44,19 @@
   return route;
 }
 
+/// A service without VMs, to which another writer's entries may belong.
+Json::Value
+MakeEngineService()
+{
+  Json::Value model;
+  model["name"] = kEngineModel;
+  model["size"] = 3;
+  Json::Value service;
+  service["name"] = kEngineService;
+  service["engine"]["models"].append(model);
+  return service;
+}
+
 std::string
 RoutePrefix(uint64_t aVersion)
 {
@@ -121,6 +134,7 @@
     service["name"] = ServiceName(it);
     config["services"].append(service);
   }
+  config["services"].append(MakeEngineService());
   config["limits"]["idle_ms"] = 15000;
   return config;
 }
--- a/emulator/configs.h
+++ b/emulator/configs.h
@@ -16,6 +16,9 @@
 inline constexpr const char* kHost = "emulated.example";
 
 /// @return the name of a service
+inline constexpr const char* kEngineService = "engines";
+inline constexpr const char* kEngineModel = "model";
+
 std::string
 ServiceName(size_t aIndex);
 
--- a/emulator/judge.cc
+++ b/emulator/judge.cc
@@ -310,6 +310,19 @@
   return breaches;
 }
 
+std::vector<Breach>
+JudgeEnds(const Lines& aLines)
+{
+  std::vector<Breach> breaches;
+  for (const EndLine& it : aLines.mEnds) {
+    RequestLine request;
+    request.mNode = it.mNode;
+    request.mSentAt = it.mAt;
+    breaches.push_back({ "FAULT", request, "ended by itself, " + it.mHow });
+  }
+  return breaches;
+}
+
 std::vector<Breach>
 JudgeBudget(const Lines& aLines, const JudgeBounds& aBounds)
 {
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -48,6 +48,10 @@
 std::vector<Breach>
 JudgeAnswers(const Lines& aLines);
 
+/// No node's process ends by itself (FAULT).
+std::vector<Breach>
+JudgeEnds(const Lines& aLines);
+
 /// Once a request has ended three targets, no more than three repeats of it
 /// reach targets from nodes in touch after a bound (BUDGET).
 std::vector<Breach>
--- a/emulator/lines.cc
+++ b/emulator/lines.cc
@@ -141,6 +141,18 @@
   mLines.mDisturbances.push_back(aLine);
 }
 
+void
+Recorder::Record(const EndLine& aLine)
+{
+  Json::Value json;
+  json["node"] = Json::UInt64(aLine.mNode);
+  json["how"] = aLine.mHow;
+  json["at_ms"] = Json::Int64(aLine.mAt);
+  const std::lock_guard guard(mLock);
+  WriteLine(mFile, "end", std::move(json));
+  mLines.mEnds.push_back(aLine);
+}
+
 Lines
 Recorder::All() const
 {
--- a/emulator/lines.h
+++ b/emulator/lines.h
@@ -85,6 +85,14 @@
   int64_t mUntil = 0;
 };
 
+/// A node's process that ended by itself.
+struct EndLine
+{
+  size_t mNode = 0;
+  std::string mHow; ///< its signal or its exit code
+  int64_t mAt = 0;
+};
+
 /// All that a run has recorded.
 struct Lines
 {
@@ -93,6 +101,7 @@
   std::vector<VersionLine> mVersions;
   std::vector<LeavingLine> mLeavings;
   std::vector<DisturbanceLine> mDisturbances;
+  std::vector<EndLine> mEnds;
 };
 
 /// Records lines in memory, and as one JSON object per line in a file.
@@ -108,6 +117,7 @@
   void Record(const VersionLine& aLine);
   void Record(const LeavingLine& aLine);
   void Record(const DisturbanceLine& aLine);
+  void Record(const EndLine& aLine);
 
   Lines All() const;
 
--- a/emulator/main.cc
+++ b/emulator/main.cc
@@ -61,8 +61,10 @@
   std::filesystem::create_directories(folder);
   const Lines lines = Play(aScenario, aProgram, folder);
   std::vector<Breach> breaches = JudgeConfig(lines, {});
-  for (const std::vector<Breach>& it :
-       { JudgeDrain(lines, {}), JudgeAnswers(lines), JudgeBudget(lines, {}) }) {
+  for (const std::vector<Breach>& it : { JudgeEnds(lines),
+                                         JudgeDrain(lines, {}),
+                                         JudgeAnswers(lines),
+                                         JudgeBudget(lines, {}) }) {
     breaches.insert(breaches.end(), it.begin(), it.end());
   }
   std::cout << "seed " << aSeed << ": " << Count(lines, Verdict::Accepted)
--- a/emulator/nodeprocess.cc
+++ b/emulator/nodeprocess.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,6 +18,15 @@
 namespace {
 
 constexpr auto kExitPollInterval = milliseconds(10);
+constexpr auto kRestartDelay = milliseconds(1000);
+
+std::string
+DescribeEnd(int aStatus)
+{
+  return WIFSIGNALED(aStatus)
+           ? "signal " + std::to_string(WTERMSIG(aStatus))
+           : "exit code " + std::to_string(WEXITSTATUS(aStatus));
+}
 
 std::string
 WriteSettings(const NodeOptions& aOptions, bool aIsFirstStart)
@@ -60,6 +70,12 @@
   if (failure != 0) {
     throw std::system_error(failure, std::generic_category(), program);
   }
+  if (aOptions.mMaxAddressSpace > 0) {
+    const rlimit limit{ aOptions.mMaxAddressSpace, aOptions.mMaxAddressSpace };
+    if (prlimit(pid, RLIMIT_AS, &limit, nullptr) != 0) {
+      throw std::system_error(errno, std::generic_category(), "prlimit");
+    }
+  }
   return pid;
 }
 
@@ -141,6 +157,20 @@
   Record(DisturbanceLine::Kind::Stop, from);
 }
 
+void
+NodeProcess::RestartIfEnded()
+{
+  int status = 0;
+  if (mPid == 0 || waitpid(mPid, &status, WNOHANG) != mPid) {
+    return;
+  }
+  mPid = 0;
+  mRecorder.Record(
+    EndLine{ mOptions.mIndex, DescribeEnd(status), mTimeline.Now() });
+  std::this_thread::sleep_for(kRestartDelay);
+  Start(false);
+}
+
 void
 NodeProcess::Freeze(milliseconds aTime)
 {
--- a/emulator/nodeprocess.h
+++ b/emulator/nodeprocess.h
@@ -25,6 +25,7 @@
   uint16_t mCallerPort = 0;
   uint16_t mReadyPort = 0;
   uint16_t mPeerPort = 0;
+  size_t mMaxAddressSpace = 0; ///< bytes; 0 for no bound
 };
 
 /// A node of the system as a process. Signals go only to the process that this
@@ -43,6 +44,9 @@
   void Restart(milliseconds aDownTime);
   /// Asks the process to stop, kills it after the grace time, and starts it.
   void StopAndStart(milliseconds aGrace);
+  /// Records that the process has ended by itself, if it has, and starts it
+  /// again a moment later.
+  void RestartIfEnded();
   /// Suspends the process for a time.
   void Freeze(milliseconds aTime);
 
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -1,7 +1,9 @@
 #include "emulator/run.h"
 
+#include "core/json.h"
 #include "emulator/caller.h"
 #include "emulator/nodeprocess.h"
+#include "emulator/oddentry.h"
 #include "emulator/operator.h"
 #include "emulator/storeport.h"
 #include "emulator/targets.h"
@@ -9,6 +11,7 @@
 #include <atomic>
 #include <fstream>
 #include <memory>
+#include <stdexcept>
 #include <thread>
 
 namespace hibiscushold::emulator {
@@ -23,7 +26,8 @@
 constexpr auto kRetryInterval = milliseconds(10);
 constexpr auto kCrashInterval = milliseconds(150);
 constexpr auto kStopGrace = milliseconds(8000);
-constexpr size_t kCallersPerNode = 2;
+constexpr size_t kBytesPerMb = 1'000'000;
+constexpr auto kEndPollInterval = milliseconds(50);
 constexpr uint16_t kFirstPort = 7000;
 constexpr uint16_t kPortsPerNode = 3;
 
@@ -66,6 +70,8 @@
   void DisturbCalls(const Fault& aFault);
   void SpoilAnswers(const Fault& aFault);
   void CrashTargets(const Fault& aFault);
+  void LeaveOddEntry(const Fault& aFault);
+  void RestartEndedNodes() const;
   std::unique_ptr<Caller> MakeCaller(size_t aIndex);
   void Change();
   void SetAccess(StoreAccess aAccess);
@@ -110,7 +116,8 @@
                          OwnLoopbackAddress(),
                          port,
                          static_cast<uint16_t>(port + 1),
-                         static_cast<uint16_t>(port + 2) };
+                         static_cast<uint16_t>(port + 2),
+                         aScenario.mAddressSpaceMb * kBytesPerMb };
     node.mProcess =
       std::make_unique<NodeProcess>(std::move(options), mTimeline, mRecorder);
     mNodes.push_back(std::move(node));
@@ -216,7 +223,8 @@
 {
   std::vector<std::unique_ptr<Caller>> callers;
   for (size_t i = 0; i < mNodes.size(); ++i) {
-    callers.push_back(MakeCaller((kCallersPerNode + 1) * mNodes.size() + i));
+    callers.push_back(
+      MakeCaller((mScenario.mCallersPerNode + 1) * mNodes.size() + i));
   }
   const int64_t end = aFault.mAt + aFault.mFor;
   for (size_t n = 0; mTimeline.Now() < end; ++n) {
@@ -225,6 +233,28 @@
   }
 }
 
+void
+World::LeaveOddEntry(const Fault& aFault)
+{
+  const Result<Json::Value> value = ParseJson(aFault.mValue);
+  if (!value) {
+    throw std::invalid_argument("value " + aFault.mValue + " is no JSON");
+  }
+  mTargets.LeaveOddEntry(MakeOddEntry(aFault.mField, value.value()));
+}
+
+void
+World::RestartEndedNodes() const
+{
+  for (const Node& it : mNodes) {
+    // A fault of the node ends its process and starts it again.
+    const std::unique_lock guard(*it.mLock, std::try_to_lock);
+    if (guard.owns_lock()) {
+      it.mProcess->RestartIfEnded();
+    }
+  }
+}
+
 void
 World::Change()
 {
@@ -264,6 +294,9 @@
     case FaultKind::Crashes:
       CrashTargets(aFault);
       return;
+    case FaultKind::OddEntry:
+      LeaveOddEntry(aFault);
+      return;
     default:
       break;
   }
@@ -301,9 +334,15 @@
       std::this_thread::sleep_for(kSyncInterval);
     }
   });
+  threads.emplace_back([this] {
+    while (!mStopping) {
+      RestartEndedNodes();
+      std::this_thread::sleep_for(kEndPollInterval);
+    }
+  });
   WaitUntil(kTrafficAt);
   std::vector<std::unique_ptr<Caller>> callers;
-  for (size_t i = 0; i < kCallersPerNode * mNodes.size(); ++i) {
+  for (size_t i = 0; i < mScenario.mCallersPerNode * mNodes.size(); ++i) {
     callers.push_back(MakeCaller(i));
     threads.emplace_back(
       [this, caller = callers.back().get()] { caller->Run(mStopping); });
--- a/emulator/scenario.cc
+++ b/emulator/scenario.cc
@@ -1,6 +1,7 @@
 #include "emulator/scenario.h"
 
 #include "core/number.h"
+#include "emulator/oddentry.h"
 
 #include <algorithm>
 #include <functional>
@@ -29,6 +30,7 @@
   Histories,
   Calls,
   Crashes,
+  OddEntries,
 };
 
 template<class Value>
@@ -53,6 +55,7 @@
     { "node-kill", FaultKind::NodeKill },
     { "node-stop", FaultKind::NodeStop },
     { "node-freeze", FaultKind::NodeFreeze },
+    { "odd-entry", FaultKind::OddEntry },
   };
   return names;
 }
@@ -87,6 +90,16 @@
   };
 }
 
+template<class Settable>
+Setter<Settable>
+ToText(std::string Settable::*aMember)
+{
+  return [aMember](Settable& aInto, std::string_view aValue) {
+    aInto.*aMember = aValue;
+    return !aValue.empty();
+  };
+}
+
 template<class Settable, class Value>
 Setter<Settable>
 ToName(Value Settable::*aMember, const Names<Value>& aNames)
@@ -111,6 +124,8 @@
     { "sizes.nodes", ToNumber(&Scenario::mNodes) },
     { "sizes.zones", ToNumber(&Scenario::mZones) },
     { "sizes.targets_per_service", ToNumber(&Scenario::mTargetsPerService) },
+    { "sizes.callers_per_node", ToNumber(&Scenario::mCallersPerNode) },
+    { "sizes.address_space_mb", ToNumber(&Scenario::mAddressSpaceMb) },
   };
   return setters;
 }
@@ -127,6 +142,8 @@
     { "lost_ms", ToNumber(&Fault::mLost) },
     { "rewrite_ms", ToNumber(&Fault::mRewriteAfter) },
     { "vary_query", ToName(&Fault::mVariesQuery, Flags()) },
+    { "field", ToText(&Fault::mField) },
+    { "value", ToText(&Fault::mValue) },
   };
   return setters;
 }
@@ -346,6 +363,27 @@
   return faults;
 }
 
+std::vector<Fault>
+DrawOddEntries(const Scenario& aScenario)
+{
+  Draw draw(aScenario.mSeed, Stream::OddEntries);
+  std::vector<Fault> faults;
+  const auto pick = [&draw](std::span<const std::string_view> aFrom) {
+    const int64_t last = static_cast<int64_t>(aFrom.size()) - 1;
+    return std::string(aFrom[static_cast<size_t>(draw.Between(0, last))]);
+  };
+  const int64_t count = draw.Between(0, 3);
+  for (int64_t i = 0; i < count; ++i) {
+    Fault fault =
+      FaultAt(FaultKind::OddEntry,
+              draw.Between(kFirstFaultAt, aScenario.mRunTime - kQuietEnd));
+    fault.mField = pick(OddFields());
+    fault.mValue = pick(OddValues());
+    faults.push_back(fault);
+  }
+  return faults;
+}
+
 } // namespace
 
 Scenario
@@ -389,7 +427,8 @@
                                         DrawLeavings(aScenario, returns),
                                         DrawHistories(aScenario),
                                         DrawCallFaults(aScenario),
-                                        DrawCrashes(aScenario) }) {
+                                        DrawCrashes(aScenario),
+                                        DrawOddEntries(aScenario) }) {
     all.insert(all.end(), it.begin(), it.end());
   }
   std::stable_sort(
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -26,6 +26,7 @@
   NodeKill,     ///< a node is killed and starts again
   NodeStop,     ///< a node is asked to stop and starts again
   NodeFreeze,   ///< a node is suspended
+  OddEntry,     ///< another writer leaves an entry in the list of VMs
 };
 
 /// How the store is away.
@@ -47,6 +48,8 @@
   int64_t mLost = 0;         ///< age of the copy that the store returns from
   int64_t mRewriteAfter = 0; ///< until the operator writes its part again
   bool mVariesQuery = true;  ///< repeats of a request may differ in their query
+  std::string mField;        ///< of the odd entry
+  std::string mValue;        ///< of the field, as JSON
 };
 
 /// What a run consists of.
@@ -57,6 +60,8 @@
   size_t mNodes = 4;
   size_t mZones = 2;
   size_t mTargetsPerService = 3;
+  size_t mCallersPerNode = 2;
+  size_t mAddressSpaceMb = 0; ///< of each node; 0 for no bound
   std::vector<Fault> mFaults; ///< besides those drawn from the seed
   bool mDrawsFaults = true;
 };
--- a/emulator/targets.cc
+++ b/emulator/targets.cc
@@ -1,6 +1,7 @@
 #include "emulator/targets.h"
 
 #include "emulator/configs.h"
+#include "emulator/oddentry.h"
 #include "platform/wirenames.h"
 
 #include <algorithm>
@@ -120,6 +121,12 @@
   }
 }
 
+void
+Targets::LeaveOddEntry(const Json::Value& aEntry)
+{
+  mStore.Put(VmKind(), kOddEntryName, aEntry, std::nullopt);
+}
+
 void
 Targets::SyncPlace(Place& aPlace, bool aIsStoreAway)
 {
--- a/emulator/targets.h
+++ b/emulator/targets.h
@@ -27,6 +27,10 @@
   /// @param aFault None for sound answers everywhere
   void SpoilAnswers(AnswerFault aFault);
 
+  /// Another writer leaves an entry, which expires as those of silent targets
+  /// do.
+  void LeaveOddEntry(const Json::Value& aEntry);
+
   /// Writes and removes the entries that are due.
   /// @param aIsStoreAway whether the store takes no writes
   void Sync(bool aIsStoreAway);
--- a/test/emulator-test.cc
+++ b/test/emulator-test.cc
@@ -1,4 +1,6 @@
+#include "core/json.h"
 #include "emulator/judge.h"
+#include "emulator/oddentry.h"
 #include "emulator/scenario.h"
 #include "emulator/store.h"
 
@@ -261,6 +263,37 @@
   CHECK(mStore.Watch("k", 101, 0).mHistoryGone);
 }
 
+// Guards against a process that ends by itself and counts as a planned restart.
+TEST(EmulatorJudge, CountsProcessesThatEndByThemselves)
+{
+  CHECK(JudgeEnds(mLines).empty());
+  mLines.mDisturbances = { { DisturbanceLine::Kind::Start, 1, 0, 100 } };
+  CHECK(JudgeEnds(mLines).empty());
+  mLines.mEnds = { { 2, "signal 6", kAck } };
+  const std::vector<Breach> breaches = JudgeEnds(mLines);
+  CHECK_EQUAL(1U, breaches.size());
+  STRCMP_EQUAL("FAULT", breaches[0].mRule.c_str());
+  CHECK_EQUAL(2U, breaches[0].mRequest.mNode);
+  CHECK_EQUAL(kAck, breaches[0].mRequest.mSentAt);
+}
+
+TEST_GROUP(EmulatorOddEntry){};
+
+// Guards against odd entries that are sound, so that nothing is tested.
+TEST(EmulatorOddEntry, EachFieldTakesEachValue)
+{
+  const Json::Value sound = MakeOddEntry("", Json::Value());
+  for (const std::string_view field : OddFields()) {
+    for (const std::string_view text : OddValues()) {
+      const Result<Json::Value> value = ParseJson(text);
+      CHECK(value.has_value());
+      const Json::Value entry = MakeOddEntry(field, value.value());
+      CHECK(entry != sound);
+      STRCMP_CONTAINS(ToJson(value.value()).c_str(), ToJson(entry).c_str());
+    }
+  }
+}
+
 TEST_GROUP(EmulatorScenario){};
 
 // Guards against a scenario file of which only the first fault is reported, or
@@ -297,3 +330,22 @@
   const std::vector<Fault> other = DrawFaults(scenario);
   CHECK(other.size() != first.size() || other[1].mAt != first[1].mAt);
 }
+
+// Guards against an odd entry of a scenario that is read as another one.
+TEST(EmulatorScenario, ReadsAnOddEntry)
+{
+  std::vector<LineError> errors;
+  const Scenario scenario =
+    ParseScenario("[sizes]\n"
+                  "address_space_mb = 260\n"
+                  "callers_per_node = 12\n"
+                  "[faults]\n"
+                  "a = kind:odd-entry at_ms:8000 field:rank value:4294967295\n",
+                  errors);
+  CHECK(errors.empty());
+  CHECK_EQUAL(260U, scenario.mAddressSpaceMb);
+  CHECK_EQUAL(12U, scenario.mCallersPerNode);
+  CHECK(FaultKind::OddEntry == scenario.mFaults[0].mKind);
+  STRCMP_EQUAL("rank", scenario.mFaults[0].mField.c_str());
+  STRCMP_EQUAL("4294967295", scenario.mFaults[0].mValue.c_str());
+}
