--- a/src/core/memory.cc
+++ b/src/core/memory.cc
@@ -12,7 +12,7 @@
 /// A node has a fraction of a core, so its threads seldom allocate at once.
 constexpr int kMaxArenas = 2;
 /// Of threads that don't set their own; also enough with sanitizers.
-constexpr size_t kThreadStackBytes = 512 * 1024;
+constexpr size_t kThreadStackBytes = size_t{ 512 } * 1024;
 
 } // namespace
 
--- a/test/emulator-test.cc
+++ b/test/emulator-test.cc
@@ -289,6 +289,11 @@
       CHECK(value.has_value());
       const Json::Value entry = MakeOddEntry(field, value.value());
       CHECK(entry != sound);
+      if (field == "port") {
+        STRCMP_EQUAL(("127.0.0.1:" + ToJson(value.value())).c_str(),
+                     entry["addr"].asCString());
+        continue;
+      }
       STRCMP_CONTAINS(ToJson(value.value()).c_str(), ToJson(entry).c_str());
     }
   }
--- a/test/gatewaysettings-test.cc
+++ b/test/gatewaysettings-test.cc
@@ -70,7 +70,8 @@
                                  "inf" };
   for (const std::string& name : names) {
     for (const std::string& value : values) {
-      const std::string text = kRequiredSettings + name + " = " + value + "\n";
+      std::string text = kRequiredSettings;
+      text.append(name).append(" = ").append(value).append("\n");
       const Result<GatewaySettings> settings = ParseGatewaySettings("f", text);
       CHECK_TEXT(!settings, text.c_str());
       CHECK_TEXT(Error::SettingInvalid == settings.error().mError,
--- a/test/nomemory/refusal.cc
+++ b/test/nomemory/refusal.cc
@@ -6,12 +6,15 @@
 #include <dlfcn.h>
 #include <pthread.h>
 
+// The C library's own functions, beside those that are replaced here.
+// NOLINTBEGIN(bugprone-reserved-identifier, readability-identifier-naming)
 extern "C" void*
 __libc_malloc(size_t aSize);
 extern "C" void*
 __libc_calloc(size_t aCount, size_t aSize);
 extern "C" void*
 __libc_realloc(void* aBlock, size_t aSize);
+// NOLINTEND(bugprone-reserved-identifier, readability-identifier-naming)
 
 namespace {
 
