--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -1,5 +1,6 @@
 #include "gateway/requestforwarder.h"
 
+#include "core/guard.h"
 #include "core/random.h"
 #include "fleet/shedding.h"
 #include "gateway/attempt.h"
@@ -56,45 +57,19 @@
 
   ResultOrRefusal<void> Run()
   {
-    mDependencies.mRetryBudget.AddRequest(mRequest.mService,
-                                          mDependencies.mClock.Now());
-    for (;;) {
-      DecideOnTrial();
-      if (IsQuarantined()) {
-        return FailQuarantined();
-      }
-      const FleetTargetsPtr targets = mDependencies.mTargets();
-      const FleetTarget* target = Choose(*targets);
-      if (target == nullptr && WaitToResume()) {
-        continue;
-      }
-      if (target == nullptr) {
-        return Fail(RefusalKind::NoTarget, kNoGroupRetryMillis, "no_target");
-      }
-      // On a busy node the caller may have disconnected while the request was
-      // waiting to be handled.
-      if (mWriter.IsCallerDisconnected()) {
-        return AbortForCaller();
-      }
-      if (mAttemptsSent == 0 &&
-          mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream) {
-        BOOST_OUTCOME_TRY(AdmitOrShed(*target));
-      }
-      if (mAttemptsSent > 0 && !TakeRetry()) {
-        if (WaitToResume()) {
-          continue;
-        }
-        return Fail(
-          RefusalKind::TargetFailed, kOverloadRetryMillis, "retry_budget");
-      }
-      ExchangeReport report = RunAttempt(*target, nullptr);
-      if (mTakeover) {
-        report = std::move(*mTakeover);
-        mTakeover.reset();
-      }
-      if (const auto end = HandleOutcome(report)) {
-        return *end;
+    try {
+      return RunAttempts();
+    } catch (...) {
+      if (mMayHaveRun || mUnreported > 0 || mWriter.HasStarted()) {
+        throw;
       }
+      LogEvent(
+        EventId::HandlerFailed,
+        { { "request", mRequest.mId }, { "reason", DescribeException() } });
+      return Refusal{ RefusalKind::Overloaded,
+                      "the node failed before it sent the request",
+                      Ran::No,
+                      kOverloadRetryMillis };
     }
   }
 
@@ -167,6 +142,50 @@
   }
 
 private:
+  ResultOrRefusal<void> RunAttempts()
+  {
+    mDependencies.mRetryBudget.AddRequest(mRequest.mService,
+                                          mDependencies.mClock.Now());
+    for (;;) {
+      DecideOnTrial();
+      if (IsQuarantined()) {
+        return FailQuarantined();
+      }
+      const FleetTargetsPtr targets = mDependencies.mTargets();
+      const FleetTarget* target = Choose(*targets);
+      if (target == nullptr && WaitToResume()) {
+        continue;
+      }
+      if (target == nullptr) {
+        return Fail(RefusalKind::NoTarget, kNoGroupRetryMillis, "no_target");
+      }
+      // On a busy node the caller may have disconnected while the request was
+      // waiting to be handled.
+      if (mWriter.IsCallerDisconnected()) {
+        return AbortForCaller();
+      }
+      if (mAttemptsSent == 0 &&
+          mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream) {
+        BOOST_OUTCOME_TRY(AdmitOrShed(*target));
+      }
+      if (mAttemptsSent > 0 && !TakeRetry()) {
+        if (WaitToResume()) {
+          continue;
+        }
+        return Fail(
+          RefusalKind::TargetFailed, kOverloadRetryMillis, "retry_budget");
+      }
+      ExchangeReport report = RunAttempt(*target, nullptr);
+      if (mTakeover) {
+        report = std::move(*mTakeover);
+        mTakeover.reset();
+      }
+      if (const auto end = HandleOutcome(report)) {
+        return *end;
+      }
+    }
+  }
+
   std::optional<TimePoint> EndOfQuarantine() const
   {
     return mDependencies.mQuarantine.EndOfQuarantine(mRequest.mTraits);
@@ -327,6 +346,7 @@
     attempt.mCounted = mSuperseded.contains(aTarget.mVmId);
     ++mAttempts;
     const TimePoint sentAt = mDependencies.mClock.Now();
+    ++mUnreported;
     ExchangeReport report = RunExchange({ mDependencies.mSessions,
                                           mDependencies.mLoads,
                                           mDependencies.mBuffers,
@@ -335,14 +355,16 @@
                                           mDependencies.mClock },
                                         MakeExchange(aTarget, aOuter),
                                         attempt);
+    const bool notRun = !WasSent(report) ||
+                        report.mOutcome == ExchangeOutcome::NotRun ||
+                        report.mOutcome == ExchangeOutcome::WrongVm;
+    mMayHaveRun = mMayHaveRun || !notRun;
+    --mUnreported;
     RecordOutcome(mDependencies, aTarget, report);
     LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mInFlight);
     RecordEvidence(mDependencies, mRequest, aTarget, report, sentAt);
     if (WasSent(report)) {
       CountAttempt(attempt);
-      const bool notRun = report.mOutcome == ExchangeOutcome::NotRun ||
-                          report.mOutcome == ExchangeOutcome::WrongVm;
-      mMayHaveRun = mMayHaveRun || !notRun;
       mExcluded.insert(aTarget.mVmId);
       if (report.mOutcome == ExchangeOutcome::Superseded) {
         mSuperseded.insert(aTarget.mVmId);
@@ -527,6 +549,7 @@
   bool mIsTrial = false; ///< the request is quarantined, but may be sent once
   int mConnectFailures = 0;
   bool mMayHaveRun = false;
+  uint32_t mUnreported = 0; ///< exchanges that have begun and not returned
   bool mBudgetDenied = false;
   TimePoint mNextTakeoverAt;
   /// Of the attempt that has taken over from the outermost one.
