--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -61,8 +61,8 @@
             mDependencies.mPlatform,
             mDependencies.mClock,
             kLeaseDuration)
-  , mOrderQueue(kOrderThreads, LogFailuresOf("order"))
-  , mProbeQueue(kProbeThreads, LogFailuresOf("probe"))
+  , mOrderQueue(kOrderThreads, LogFailuresOf("order", mDependencies.mMetrics))
+  , mProbeQueue(kProbeThreads, LogFailuresOf("probe", mDependencies.mMetrics))
 {
 }
 
--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -87,6 +87,25 @@
   return targets;
 }
 
+std::map<std::string, uint32_t>
+FindOddRanks(const FleetVms& aVms, const FleetConfig& aConfig)
+{
+  std::map<std::string, uint32_t> ranks;
+  for (const auto& [id, vm] : aVms) {
+    const auto service = aConfig.mServices.find(vm.mService);
+    if (!vm.mMembership || service == aConfig.mServices.end() ||
+        !service->second.mEngine) {
+      continue;
+    }
+    const FleetModel* model =
+      service->second.mEngine->FindModel(vm.mMembership->mModel);
+    if (model != nullptr && vm.mMembership->mRank >= model->mSize) {
+      ranks[id] = vm.mMembership->mRank;
+    }
+  }
+  return ranks;
+}
+
 bool
 IsListed(const FleetTargets& aTargets,
          std::string_view aService,
--- a/src/fleet/targetchoice.h
+++ b/src/fleet/targetchoice.h
@@ -40,6 +40,12 @@
 FleetTargets
 FindTargets(const FleetVms& aVms, const FleetConfig& aConfig);
 
+/// @return by id, the ranks of VMs whose group has no such place. Another
+/// writer
+///         has left these entries; they name no member.
+std::map<std::string, uint32_t>
+FindOddRanks(const FleetVms& aVms, const FleetConfig& aConfig);
+
 /// @return whether the targets of the service include this start of the VM, in
 ///         the same group
 bool
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include "gateway/peerforwarder.h"
 #include "gateway/requestforwarder.h"
 #include "observe/events.h"
+#include "observe/processuse.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -170,7 +171,9 @@
     LogEvent(
       EventId::HandlerFailed,
       { { "request", aRequest.get(mDependencies.mProtocol.mRequestId, "") },
-        { "reason", aReason } });
+        { "reason", aReason },
+        { "process", Describe(MeasureProcess()) } });
+    mDependencies.mMetrics.CountFailure("request");
     if (aWriter.HasStarted()) {
       mDependencies.mMetrics.CountCut("handler_failed");
       aWriter.Abort();
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -6,6 +6,7 @@
 #include "gateway/attempt.h"
 #include "gateway/attemptrecord.h"
 #include "observe/events.h"
+#include "observe/processuse.h"
 
 #include <thread>
 
@@ -63,9 +64,11 @@
       if (mMayHaveRun || mUnreported > 0 || mWriter.HasStarted()) {
         throw;
       }
-      LogEvent(
-        EventId::HandlerFailed,
-        { { "request", mRequest.mId }, { "reason", DescribeException() } });
+      LogEvent(EventId::HandlerFailed,
+               { { "request", mRequest.mId },
+                 { "reason", DescribeException() },
+                 { "process", Describe(MeasureProcess()) } });
+      mDependencies.mMetrics.CountFailure("request");
       return Refusal{ RefusalKind::Overloaded,
                       "the node failed before it sent the request",
                       Ran::No,
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -37,6 +37,7 @@
   VmGone = 3201,
   VmUnreadable = 3202,
   VmAsked = 3203,
+  VmRankIgnored = 3204,
   LeaseTaken = 4001,
   LeaseLost = 4002,
   GroupChanged = 4003,
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -52,6 +52,9 @@
   , mOrders(AddCounterFamily(mRegistry,
                              "hibiscushold_orders_total",
                              "Orders to engines, by outcome"))
+  , mFailures(AddCounterFamily(mRegistry,
+                               "hibiscushold_failures_total",
+                               "Calls ended by an exception, by task"))
   , mReportBytes(AddCounterFamily(mRegistry,
                                   "hibiscushold_report_bytes_total",
                                   "Bytes of datagrams to other nodes, by kind "
@@ -138,6 +141,12 @@
   mOrders.Add({ { "outcome", std::string(aOutcome) } }).Increment();
 }
 
+void
+Metrics::CountFailure(std::string_view aTask)
+{
+  mFailures.Add({ { "task", std::string(aTask) } }).Increment();
+}
+
 void
 Metrics::ObserveLatency(std::string_view aPoint, Duration aTime)
 {
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -47,6 +47,9 @@
   void CountRelayEvent(std::string_view aKind);
   /// Counts an order that was sent to an engine.
   void CountOrder(std::string_view aOutcome);
+  /// Counts a call of a task, or the handling of a request, that ended with an
+  /// exception.
+  void CountFailure(std::string_view aTask);
   /// Records the time from the arrival of a request to a point of its response.
   /// @param aPoint "first" for the first byte, "last" for the end
   void ObserveLatency(std::string_view aPoint, Duration aTime);
@@ -69,6 +72,7 @@
   prometheus::Family<prometheus::Counter>& mStoreCalls;
   prometheus::Family<prometheus::Counter>& mRelays;
   prometheus::Family<prometheus::Counter>& mOrders;
+  prometheus::Family<prometheus::Counter>& mFailures;
   prometheus::Family<prometheus::Counter>& mReportBytes;
   prometheus::Counter& mServedBytes;
   prometheus::Family<prometheus::Gauge>& mGauges;
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -301,7 +301,7 @@
 
   void AddTask(const char* aName, Duration aPause, std::function<void()> aTask)
   {
-    mTasks.emplace_back(aPause, std::move(aTask), LogFailuresOf(aName));
+    mTasks.emplace_back(aPause, std::move(aTask), LogFailuresOf(aName, mMetrics));
   }
 
   void StartTasks()
--- a/test/nomemory/log-test.cc
+++ b/test/nomemory/log-test.cc
@@ -27,7 +27,8 @@
 // Guards against a failure that ends the process because it can't be logged.
 TEST(NoMemoryLog, AFailedTaskIsReportedWithoutMemory)
 {
-  const FailureHandler log = LogFailuresOf("task");
+  Metrics metrics;
+  const FailureHandler log = LogFailuresOf("task", metrics);
   const auto run = [&](size_t aGranted) {
     const MemoryRefusal refusal(aGranted);
     RunGuarded([] { throw std::bad_alloc(); }, log);
--- a/test/oddentry-test.cc
+++ b/test/oddentry-test.cc
@@ -309,3 +309,26 @@
     CHECK_TEXT(!SplitJsonObject(it), it);
   }
 }
+
+// Guards against an entry that is ignored without a word: its rank is named,
+// and those of a group that forms are not.
+TEST(OddEntry, RanksWithoutAPlaceAreNamed)
+{
+  EngineSpec engine;
+  engine.mModels = { { "small", 3, 1, 1, seconds(12), milliseconds(1100) } };
+  FleetConfig config;
+  config.mServices["s"] = { "s", engine };
+  FleetVms vms;
+  for (const uint32_t rank : { 0U, 2U, 3U, 4294967295U }) {
+    FleetVm vm;
+    vm.mId = "v" + std::to_string(rank);
+    vm.mService = "s";
+    vm.mMembership =
+      GroupMembership{ { "g", 1 }, rank, MembershipPhase::Joining, "small" };
+    vms[vm.mId] = vm;
+  }
+  const std::map<std::string, uint32_t> odd = FindOddRanks(vms, config);
+  CHECK_EQUAL(2U, odd.size());
+  CHECK_EQUAL(3U, odd.at("v3"));
+  CHECK_EQUAL(4294967295U, odd.at("v4294967295"));
+}
--- a/test/standin/target.cc
+++ b/test/standin/target.cc
@@ -42,7 +42,7 @@
   , mAnnounceLoop(
       kAnnounceInterval,
       [this] { Announce(); },
-      LogFailuresOf("announce"))
+      LogFailuresOf("announce", mMetrics))
 {
 }
 
--- a/test/standin/target.h
+++ b/test/standin/target.h
@@ -2,6 +2,7 @@
 
 #include "core/http.h"
 #include "core/periodictask.h"
+#include "observe/metrics.h"
 #include "standin/server.h"
 
 #include <map>
@@ -63,6 +64,7 @@
   const Endpoint mPlatform;
   Server mServer;
   const std::string mListEntry;
+  Metrics mMetrics;
   PeriodicTask mAnnounceLoop;
 };
 
