--- a/src/relay/crashreport.cc
+++ b/src/relay/crashreport.cc
@@ -1,11 +1,13 @@
 #include "relay/crashreport.h"
 
+#include "core/binarytext.h"
+#include "core/textstream.h"
+
 #include <Poco/BinaryReader.h>
 #include <Poco/BinaryWriter.h>
 #include <Poco/MemoryStream.h>
 
 #include <algorithm>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -19,7 +21,7 @@
 std::string
 EncodeCrashReport(const CrashReport& aReport, TimePoint aNow)
 {
-  std::ostringstream stream;
+  TextStream stream;
   Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
   out << aReport.mToken << kCrashReportMark
       << static_cast<uint16_t>(aReport.mNotices.size());
@@ -42,7 +44,8 @@
   CrashReport report;
   uint16_t mark = 0;
   uint16_t n = 0;
-  in >> report.mToken >> mark >> n;
+  ReadText(in, report.mToken);
+  in >> mark >> n;
   if (in.fail() || mark != kCrashReportMark || n > kMaxNoticesPerReport) {
     return std::nullopt;
   }
