--- a/src/core/ini.cc
+++ b/src/core/ini.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iterator>
 #include <numeric>
-#include <sstream>
 
 namespace hibiscushold {
 
@@ -138,9 +138,10 @@
   if (!in) {
     return Failure{ Error::FileUnreadable, aPath, "check path and mode" };
   }
-  std::ostringstream buf;
-  buf << in.rdbuf();
-  std::string text = buf.str();
+  // A string stream would end early, without an error, when it is refused
+  // memory.
+  std::string text(std::istreambuf_iterator<char>(in),
+                   std::istreambuf_iterator<char>{});
   if (text.size() > aMaxBytes) {
     return Failure{ Error::FileTooLarge,
                     aPath + " holds " + std::to_string(text.size()) + " bytes",
