--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -207,12 +207,17 @@
 void
 ReportDroppedEvents()
 {
-  uint64_t dropped = gDroppedEvents;
+  const uint64_t dropped = gDroppedEvents.exchange(0);
   if (dropped == 0) {
     return;
   }
-  WriteEvent(EventId::EventsDropped, { { "count", std::to_string(dropped) } });
-  gDroppedEvents -= dropped;
+  try {
+    WriteEvent(EventId::EventsDropped,
+               { { "count", std::to_string(dropped) } });
+  } catch (...) {
+    gDroppedEvents += dropped;
+    throw;
+  }
 }
 
 log4cplus::Appender*
