--- a/src/cluster/rpcclient.h
+++ b/src/cluster/rpcclient.h
@@ -7,7 +7,7 @@
 
 namespace hibiscushold {
 
-/// Result of one JSON-RPC call as reported by the library.
+/// Result of one JSON-RPC call.
 struct RpcOutcome
 {
   bool mOk = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -189,6 +189,9 @@
                              Ran::No,
                              kElsewhereRetryMillis };
     SendRefusal(aRequest, aWriter, refusal, false);
+    if (!mMayHaveRun) {
+      aWriter.DiscardRest(mDependencies.mClock); // the body may be unread
+    }
   }
 
   ResultOrRefusal<GatewayRequest> Admit(const HTTPServerRequest& aRequest)
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -464,13 +464,18 @@
     return boost::outcome_v2::success();
   }
 
-  /// Records a complete response of a target.
-  void RecordAnswer(int aStatus) const
+  /// Records a complete response of a target. A response isn't cut because it
+  /// can't be counted.
+  void RecordAnswer(int aStatus) const noexcept
   {
-    const Duration time = mDependencies.mClock.Now() - mRequest.mArrivedAt;
-    mDependencies.mMetrics.CountAnswer(aStatus);
-    mDependencies.mMetrics.ObserveLatency("last", time);
-    mDependencies.mUsualTimes.Record(mRequest.mRoute->mName, time);
+    try {
+      const Duration time = mDependencies.mClock.Now() - mRequest.mArrivedAt;
+      mDependencies.mMetrics.CountAnswer(aStatus);
+      mDependencies.mMetrics.ObserveLatency("last", time);
+      mDependencies.mUsualTimes.Record(mRequest.mRoute->mName, time);
+    } catch (const std::exception&) {
+      CountDroppedEvent();
+    }
   }
 
   /// Ends the request with a refusal. If the request may have run, a kind that
--- a/test/nomemory/request-test.cc
+++ b/test/nomemory/request-test.cc
@@ -81,6 +81,7 @@
     }
   };
   size_t refusedBefore = 0;
+  size_t sentBefore = 0;
   do {
     refusedBefore = CountRefused();
     isArmed = false;
@@ -92,6 +93,9 @@
     const bool isRefused =
       (StartsWith(got, 502) || StartsWith(got, 503)) && !HasProof(got);
     CHECK_TEXT(isWhole || isRefused, text.c_str());
+    const size_t sent = target.Requests().size();
+    CHECK_TEXT(!StartsWith(got, 503) || sent == sentBefore, text.c_str());
+    sentBefore = sent;
     CheckNothingIsCounted();
     ++granted;
   } while (CountRefused() > refusedBefore);
