--- a/src/cluster/rpcclient.h
+++ b/src/cluster/rpcclient.h
@@ -24,8 +24,8 @@
 
 /// Makes one JSON-RPC 2.0 call over the given transport. The client of
 /// libjsonrpccpp isn't used: its functions have dynamic exception
-/// specifications, so an exception of another type, such as std::bad_alloc, ends
-/// the process there.
+/// specifications, so an exception of another type, such as std::bad_alloc,
+/// ends the process there.
 RpcOutcome
 CallRpc(const RpcTransport& aTransport,
         const std::string& aMethod,
--- a/src/serve/node.cc
+++ b/src/serve/node.cc
@@ -301,7 +301,8 @@
 
   void AddTask(const char* aName, Duration aPause, std::function<void()> aTask)
   {
-    mTasks.emplace_back(aPause, std::move(aTask), LogFailuresOf(aName, mMetrics));
+    mTasks.emplace_back(
+      aPause, std::move(aTask), LogFailuresOf(aName, mMetrics));
   }
 
   void StartTasks()
--- a/test/memory-test.cc
+++ b/test/memory-test.cc
@@ -241,8 +241,8 @@
   CHECK(appended > 500'000);
 }
 
-// Guards against threads whose stacks and arenas use up an address space that is
-// bounded, so that a node is refused memory that it has.
+// Guards against threads whose stacks and arenas use up an address space that
+// is bounded, so that a node is refused memory that it has.
 TEST(Memory, ThreadsReserveLittleAddressSpace)
 {
   const size_t before = MeasureMemory().mAddressSpace;
