Leave threads their full stack under the thread sanitizer

Its state is on the stack, so threads could not be started with 512 KB (Invalid argument), and the unit tests of that build ended at the fourth test. The program as it is shipped is not affected.

--- a/src/core/memory.cc
+++ b/src/core/memory.cc
@@ -11,8 +11,12 @@
 constexpr int kLargeBlockBytes = 128 * 1024;
 /// A node has a fraction of a core, so its threads seldom allocate at once.
 constexpr int kMaxArenas = 2;
-/// Of threads that don't set their own; also enough with sanitizers.
+/// Of threads that don't set their own.
+#if defined(__SANITIZE_THREAD__)
+constexpr size_t kThreadStackBytes = size_t{ 8 } * 1024 * 1024; // has its state
+#else
 constexpr size_t kThreadStackBytes = size_t{ 512 } * 1024;
+#endif
 
 } // namespace
 
