Measure the process in one place, and mend a comment that the formatter broke

The memory test read /proc/self/statm by itself, beside MeasureProcess. Its bounds and checks are as they were; the group Memory passes, the linter is clean on it.

--- a/src/fleet/targetchoice.h
+++ b/src/fleet/targetchoice.h
@@ -40,9 +40,8 @@
 FleetTargets
 FindTargets(const FleetVms& aVms, const FleetConfig& aConfig);
 
-/// @return by id, the ranks of VMs whose group has no such place. Another
-/// writer
-///         has left these entries; they name no member.
+/// Finds entries that another writer has left, which name no member.
+/// @return by id, the ranks of VMs whose group has no such place
 std::map<std::string, uint32_t>
 FindOddRanks(const FleetVms& aVms, const FleetConfig& aConfig);
 
--- a/test/memory-test.cc
+++ b/test/memory-test.cc
@@ -1,5 +1,6 @@
 #include "core/bytebudget.h"
 #include "gateway/exchange.h"
+#include "observe/processuse.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
@@ -7,11 +8,9 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <condition_variable>
-#include <fstream>
 #include <latch>
 #include <mutex>
 #include <thread>
-#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -35,28 +34,6 @@
                                "Account", "Vm",   "Not-Run", "Model",
                                "Tokens",  "Rank", 421 };
 
-struct ProcessMemory
-{
-  size_t mAddressSpace = 0; ///< bytes
-  size_t mResident = 0;     ///< bytes
-};
-
-ProcessMemory
-MeasureMemory()
-{
-  std::ifstream file("/proc/self/statm");
-  ProcessMemory pages;
-  file >> pages.mAddressSpace >> pages.mResident;
-  const auto pageBytes = static_cast<size_t>(sysconf(_SC_PAGESIZE));
-  return { pages.mAddressSpace * pageBytes, pages.mResident * pageBytes };
-}
-
-size_t
-ResidentBytes()
-{
-  return MeasureMemory().mResident;
-}
-
 constexpr const char* kHead =
   "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nConnection: close\r\n\r\n";
 
@@ -177,7 +154,7 @@
 // for its size: each thread kept the blocks of the largest body it had read.
 TEST(Memory, EndlessAnswersLeaveNothingBehind)
 {
-  const size_t before = ResidentBytes();
+  const size_t before = MeasureProcess().mResidentBytes;
   size_t after = 0;
   {
     std::vector<std::jthread> threads;
@@ -187,7 +164,7 @@
     std::unique_lock guard(mLock);
     mChanged.wait_for(
       guard, seconds(60), [this] { return mEnded == kThreads; });
-    after = ResidentBytes();
+    after = MeasureProcess().mResidentBytes;
     mMayExit = true;
     mChanged.notify_all();
   }
@@ -213,7 +190,7 @@
     { chunked, "0" },
     { chunked + "0\r\n", "Name: value\r\n" },
   };
-  const size_t before = ResidentBytes();
+  const size_t before = MeasureProcess().mResidentBytes;
   for (const auto& [first, repeated] : cases) {
     const EndlessServer server(first, repeated);
     const ExchangeOutcome outcome = Run(server, milliseconds(500));
@@ -221,7 +198,8 @@
                           outcome == ExchangeOutcome::Deadline;
     CHECK_TEXT(hasEnded, (first + repeated).c_str());
   }
-  CHECK(!kMeasuresMemory || ResidentBytes() < before + kBudgetBytes);
+  CHECK(!kMeasuresMemory ||
+        MeasureProcess().mResidentBytes < before + kBudgetBytes);
 }
 
 // Guards against a buffer that grows first and is counted afterwards.
@@ -245,7 +223,7 @@
 // is bounded, so that a node is refused memory that it has.
 TEST(Memory, ThreadsReserveLittleAddressSpace)
 {
-  const size_t before = MeasureMemory().mAddressSpace;
+  const size_t before = MeasureProcess().mAddressSpaceBytes;
   std::latch started(kThreads + 1);
   std::latch mayEnd(1);
   std::vector<std::jthread> threads;
@@ -257,7 +235,7 @@
     });
   }
   started.arrive_and_wait();
-  const size_t after = MeasureMemory().mAddressSpace;
+  const size_t after = MeasureProcess().mAddressSpaceBytes;
   mayEnd.count_down();
   CHECK(!kMeasuresMemory || after < before + kMachineBytes);
 }
