Leave zones out of service alone, and pace requests to cold targets

Nodes follow the entries like the configuration (fleet/zonesout.h), and leave the zone's targets and groups out of every choice; the planner forms nothing there. A cold target gets requests from at most four nodes, which rendezvous hashing picks from the roster, each at a paced share of the rate, with room for two disjoint sets of senders (fleet/coldtargets.h).

Both are on only where the settings have a bound for zones out of service, or a service's configuration has a rate for cold VMs.

--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -92,6 +92,8 @@
 {
   std::string mName;
   std::optional<EngineSpec> mEngine;
+  /// Requests a second that a cold VM tolerates; 0 if the service has no limit.
+  double mColdRequestsPerSecond = 0;
 };
 
 /// A client account.
--- a/src/fleet/formationcontext.cc
+++ b/src/fleet/formationcontext.cc
@@ -48,7 +48,11 @@
   std::set<std::string> unavailable;
   for (const auto& [key, group] : aContext.mState.mGroups) {
     if (group.mMembers.size() > 1) {
-      aContext.mGroupsByModel[group.mModel] += 1;
+      // A group in a zone out of service serves nobody until the zone is back.
+      const FleetVm* head = FindVm(aContext.mView.mVms, group.mMembers[0]);
+      if (head == nullptr || !IsInZoneOut(aContext.mView, *head)) {
+        aContext.mGroupsByModel[group.mModel] += 1;
+      }
       aContext.mModelsByDomain[group.mDomain].insert(group.mModel);
       ++aContext.mGroupCounts[{ group.mDomain, group.mModel }];
     } else {
@@ -65,7 +69,8 @@
       continue;
     }
     const PlannedVm& planned = aContext.mState.mVms[id];
-    if (IsUnresponsive(planned.mSilence, aContext.mNow)) {
+    if (IsUnresponsive(planned.mSilence, aContext.mNow) ||
+        IsInZoneOut(aContext.mView, vm)) {
       continue;
     }
     ++aContext.mLive;
--- a/src/fleet/planner.cc
+++ b/src/fleet/planner.cc
@@ -61,6 +61,12 @@
   return state;
 }
 
+bool
+IsInZoneOut(const PlannerView& aView, const FleetVm& aVm)
+{
+  return aView.mZones != nullptr && IsOut(*aView.mZones, aVm.mZone);
+}
+
 std::set<std::string>
 FindUnformableModels(const PlannerView& aView)
 {
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -4,6 +4,7 @@
 #include "fleet/orders.h"
 #include "fleet/silence.h"
 #include "fleet/vm.h"
+#include "fleet/zonesout.h"
 
 #include <deque>
 #include <map>
@@ -90,8 +91,13 @@
   /// No request was received yet; loads are fast, and their rate is not
   /// limited.
   bool mBeforeTraffic = false;
+  const ZonesOut* mZones = nullptr; ///< zones out of service; null: none
 };
 
+/// @return whether the VM is in a zone out of service
+bool
+IsInZoneOut(const PlannerView& aView, const FleetVm& aVm);
+
 /// The result of one planner step.
 struct PlannerStep
 {
--- a/src/fleet/planrunner.cc
+++ b/src/fleet/planrunner.cc
@@ -173,9 +173,12 @@
   if (IsCutOff()) {
     return;
   }
-  const PlannerView view{
-    *aVms, aService.mName, *aService.mEngine, mDependencies.mIsBeforeTraffic()
-  };
+  const ZonesOutPtr zones = mDependencies.mZones();
+  const PlannerView view{ *aVms,
+                          aService.mName,
+                          *aService.mEngine,
+                          mDependencies.mIsBeforeTraffic(),
+                          zones.get() };
   PlannerStep step = PlanStep(service.mState, view, mLimits, now);
   for (FleetOrder& order : step.mOrders) {
     SendOrder(aService.mName, std::move(order));
--- a/src/fleet/planrunner.h
+++ b/src/fleet/planrunner.h
@@ -28,6 +28,8 @@
     Metrics& mMetrics;
     const Clock& mClock;
     std::function<bool()> mIsBeforeTraffic;
+    /// The zones out of service; null if they are unknown or never are.
+    std::function<ZonesOutPtr()> mZones;
     /// Whether this node's requests reach targets.
     std::function<bool()> mReachesTargets;
     const std::atomic<bool>& mStopping;
--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -34,15 +34,27 @@
 /// a single stream may pause because of a lost packet.
 constexpr uint32_t kMinOtherStreams = 2;
 
+/// @return whether one of the group's VMs is in a zone out of service
+bool
+HasMemberIn(const ObservedGroup& aGroup, const ZonesOut& aZones)
+{
+  return std::any_of(
+    aGroup.mMembers.begin(), aGroup.mMembers.end(), [&](const auto& it) {
+      return IsOut(aZones, it.second->mZone);
+    });
+}
+
 void
 AddGroups(const FleetVms& aVms,
           const FleetService& aService,
+          const ZonesOut& aZones,
           FleetTargets& aInto)
 {
   for (const ObservedGroup& it : FindGroups(aVms, aService.mName)) {
     const FleetModel* model = aService.mEngine->FindModel(it.mModel);
     if (model == nullptr || !IsComplete(it, model->mSize) ||
-        HeadOf(it)->mMembership->mPhase != MembershipPhase::Open) {
+        HeadOf(it)->mMembership->mPhase != MembershipPhase::Open ||
+        HasMemberIn(it, aZones)) {
       continue;
     }
     const FleetVm& head = *HeadOf(it);
@@ -54,26 +66,29 @@
         it.mKey,
         aService.mEngine->mSlots,
         aService.mEngine->TimesOf(*model),
-        head.mStartedMillis });
+        head.mStartedMillis,
+        head.mColdUntil });
   }
 }
 
 } // namespace
 
 FleetTargets
-FindTargets(const FleetVms& aVms, const FleetConfig& aConfig)
+FindTargets(const FleetVms& aVms,
+            const FleetConfig& aConfig,
+            const ZonesOut& aZones)
 {
   FleetTargets targets;
   for (const auto& [name, service] : aConfig.mServices) {
     if (service.mEngine) {
-      AddGroups(aVms, service, targets);
+      AddGroups(aVms, service, aZones, targets);
     }
   }
   for (const auto& [id, vm] : aVms) {
     const auto service = aConfig.mServices.find(vm.mService);
     const bool plain =
       service != aConfig.mServices.end() && !service->second.mEngine;
-    if (plain && vm.mState == VmState::Live) {
+    if (plain && vm.mState == VmState::Live && !IsOut(aZones, vm.mZone)) {
       targets.mByService[vm.mService].push_back({ id,
                                                   vm.mAddress,
                                                   vm.mZone,
@@ -81,7 +96,8 @@
                                                   {},
                                                   vm.mSlots,
                                                   {},
-                                                  vm.mStartedMillis });
+                                                  vm.mStartedMillis,
+                                                  vm.mColdUntil });
     }
   }
   return targets;
@@ -226,6 +242,22 @@
   return aLoad.mLeavingStart == aTarget.mStartedMillis;
 }
 
+TimePoint
+NextColdTurn(const FleetTarget& aTarget,
+             const TargetLoad& aLoad,
+             TimePoint aNow)
+{
+  if (aTarget.mColdUntil <= aNow) {
+    return TimePoint::min();
+  }
+  if (!(aTarget.mColdPerSecond > 0)) {
+    return aTarget.mColdUntil;
+  }
+  const TimePoint turn =
+    std::max(aLoad.mNextColdTurnAt, aTarget.mColdTurnsFrom);
+  return std::min(turn, aTarget.mColdUntil);
+}
+
 std::optional<TimePoint>
 EndOfQuiet(std::span<const FleetTarget> aTargets,
            const TargetLoads& aLoads,
@@ -237,10 +269,12 @@
     if (it.mModel != aInput.mModel || IsLeaving(it, load)) {
       continue;
     }
-    if (load.mQuietUntil <= aInput.mNow) {
+    const TimePoint freeAt =
+      std::max(load.mQuietUntil, NextColdTurn(it, load, aInput.mNow));
+    if (freeAt <= aInput.mNow) {
       return std::nullopt;
     }
-    earliest = std::min(earliest.value_or(TimePoint::max()), load.mQuietUntil);
+    earliest = std::min(earliest.value_or(TimePoint::max()), freeAt);
   }
   return earliest;
 }
@@ -260,7 +294,9 @@
                                aLoads.Get(it.mVmId),
                                it.mZone == aInput.mZone };
     const TimePoint freeAt =
-      std::max(EndOfAvoidance(loaded.mLoad), loaded.mLoad.mQuietUntil);
+      std::max({ EndOfAvoidance(loaded.mLoad),
+                 loaded.mLoad.mQuietUntil,
+                 NextColdTurn(it, loaded.mLoad, aInput.mNow) });
     if (freeAt <= aInput.mNow && !IsLeaving(it, loaded.mLoad)) {
       costs.push_back({ RequestCost(loaded, aInput), &it });
     }
--- a/src/fleet/targetchoice.h
+++ b/src/fleet/targetchoice.h
@@ -3,6 +3,7 @@
 #include "fleet/config.h"
 #include "fleet/targetloads.h"
 #include "fleet/vm.h"
+#include "fleet/zonesout.h"
 
 #include <optional>
 #include <set>
@@ -24,6 +25,10 @@
   uint32_t mSlots = 1;
   TargetTimes mTimes{};
   uint64_t mStartedMillis = 0; ///< start of the VM, Unix time
+  TimePoint mColdUntil{};      ///< tolerates few requests before then
+  /// While it is cold, requests a second that this node may send it.
+  double mColdPerSecond = 0;
+  TimePoint mColdTurnsFrom{}; ///< while it is cold, none are sent before then
 };
 
 /// The targets that accept new requests, by service. Immutable; rebuilt from
@@ -36,9 +41,12 @@
 using FleetTargetsPtr = std::shared_ptr<const FleetTargets>;
 
 /// @return the live VMs of plain services, and the heads of open groups whose
-///         members are all present and not leaving
+///         members are all present and not leaving; none that has a VM in a
+///         zone out of service
 FleetTargets
-FindTargets(const FleetVms& aVms, const FleetConfig& aConfig);
+FindTargets(const FleetVms& aVms,
+            const FleetConfig& aConfig,
+            const ZonesOut& aZones = {});
 
 /// Finds entries that another writer has left, which name no member.
 /// @return by id, the ranks of VMs whose group has no such place
@@ -98,8 +106,16 @@
 bool
 IsLeaving(const FleetTarget& aTarget, const TargetLoad& aLoad);
 
+/// @return when this node may send the target its next request; the earliest
+///         possible time unless the target is cold
+TimePoint
+NextColdTurn(const FleetTarget& aTarget,
+             const TargetLoad& aLoad,
+             TimePoint aNow);
+
 /// @return when the first of the model's targets accepts requests again; none
-///         if one of them has not asked for quiet, or there is none
+///         if one of them has not asked for quiet and is not cold, or there is
+///         none
 std::optional<TimePoint>
 EndOfQuiet(std::span<const FleetTarget> aTargets,
            const TargetLoads& aLoads,
@@ -107,7 +123,7 @@
 
 /// Chooses a target at random, preferring low costs; targets that cost much
 /// more than the cheapest are never chosen, nor are those that announced their
-/// leaving or asked for quiet.
+/// leaving, asked for quiet, or are cold and get no request of this node now.
 /// @param aTried VMs that the request has been sent to before
 /// @return the target, or null when none is available
 const FleetTarget*
--- a/src/fleet/targetloads.cc
+++ b/src/fleet/targetloads.cc
@@ -214,6 +214,21 @@
   Extend(aTarget, &TargetLoad::mQuietUntil, aUntil);
 }
 
+bool
+TargetLoads::TryTakeColdTurn(const std::string& aTarget,
+                             TimePoint aNow,
+                             TimePoint aNext)
+{
+  Shard& shard = ShardOf(aTarget);
+  const std::lock_guard guard(shard.mLock);
+  TargetLoad& load = shard.mLoads[aTarget];
+  if (load.mNextColdTurnAt > aNow) {
+    return false;
+  }
+  load.mNextColdTurnAt = aNext;
+  return true;
+}
+
 void
 TargetLoads::RecordLeaving(const std::string& aTarget, uint64_t aStartedMillis)
 {
--- a/src/fleet/targetloads.h
+++ b/src/fleet/targetloads.h
@@ -24,7 +24,8 @@
   TimePoint mLastProgress; ///< when a response byte last arrived
   TimePoint mAvoidUntil;   ///< not chosen for new requests before this
   TimePoint mAvoidStalledUntil; ///< likewise, unless a response byte arrives
-  TimePoint mQuietUntil; ///< the target asked for no requests before this
+  TimePoint mQuietUntil;     ///< the target asked for no requests before this
+  TimePoint mNextColdTurnAt; ///< while it is cold, gets no request before this
   /// Start of the VM that announced its leaving, Unix time in milliseconds.
   std::optional<uint64_t> mLeavingStart;
   bool mSentBadHeader = false;
@@ -108,6 +109,13 @@
 
   /// Records that the target asked for no requests before aUntil.
   void RecordQuiet(const std::string& aTarget, TimePoint aUntil);
+  /// Takes the turn for a request to a cold target, unless the next one is
+  /// later than aNow.
+  /// @param aNext time of the next turn
+  /// @return whether the request may be sent
+  bool TryTakeColdTurn(const std::string& aTarget,
+                       TimePoint aNow,
+                       TimePoint aNext);
   /// Records that the target announced its leaving. A later start of the VM
   /// under the same id is not affected.
   /// @param aStartedMillis start of the VM, Unix time in milliseconds
--- a/src/fleet/vm.h
+++ b/src/fleet/vm.h
@@ -63,6 +63,7 @@
   uint32_t mSlots = 1;
   std::vector<std::string> mStaged; ///< models on the VM's host
   std::optional<GroupMembership> mMembership;
+  TimePoint mColdUntil{}; ///< tolerates few requests before then
 };
 
 /// A snapshot of the VMs, by id.
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -134,6 +134,17 @@
       { false, Number([](Settings& aInto, double aValue) {
           aInto.mRetryLimits.mSlack = aValue;
         }) } },
+    { "limits.cold_factor", { false, Number([](Settings& aInto, double aValue) {
+                                aInto.mColdTolerance.mFactor = aValue;
+                              }) } },
+    { "limits.cold_extra_requests",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mColdTolerance.mExtraRequests = aValue;
+        }) } },
+    { "zones.out_within_ms",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mFollowsZones = aValue > 0;
+        }) } },
     { "groups.stall_ms", { false, Number([](Settings& aInto, double aValue) {
                              aInto.mPlanner.mStallTimeout = Millis(aValue);
                            }) } },
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/settings.h"
+#include "fleet/coldtargets.h"
 #include "fleet/planner.h"
 #include "fleet/retrybudget.h"
 
@@ -24,6 +25,8 @@
   milliseconds mShutdownGrace{ 8000 }; ///< from the stop signal to the exit
   PlannerLimits mPlanner;
   RetryLimits mRetryLimits;
+  bool mFollowsZones = false; ///< operators may take zones out of service
+  ColdTolerance mColdTolerance;
 };
 
 /// Reads and validates the settings file of a gateway node.
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -38,6 +38,8 @@
   VmUnreadable = 3202,
   VmAsked = 3203,
   VmRankIgnored = 3204,
+  ZoneOut = 3301,
+  ZoneBack = 3302,
   LeaseTaken = 4001,
   LeaseLost = 4002,
   GroupChanged = 4003,
--- a/test/decodefuzz-test.cc
+++ b/test/decodefuzz-test.cc
@@ -76,7 +76,7 @@
     if (object.mKey.empty()) {
       continue;
     }
-    const Result<FleetVm> vm = DecodeVm(object);
+    const Result<FleetVm> vm = DecodeVm(object, TimePoint{});
     CHECK(!vm || (vm.value().mAddress.mPort > 0 && !vm.value().mId.empty()));
     (void)DecodeConfig(object);
     (void)ParseRosterEntry({ "peers/x", object.mVersion, object.mValue });
--- a/test/oddentry-test.cc
+++ b/test/oddentry-test.cc
@@ -73,7 +73,7 @@
 {
   std::string ids;
   for (const Object& it : aListing.mObjects) {
-    const Result<FleetVm> vm = DecodeVm(it);
+    const Result<FleetVm> vm = DecodeVm(it, TimePoint{});
     ids += vm ? vm.value().mId + " " : "";
   }
   return ids;
@@ -254,7 +254,8 @@
 {
   const FleetVm vm = DecodeVm({ "servers/odd", 1, R"({"service":"s",
       "addr":"10.0.0.8:80","state":"ready","models":[{"name":"m"}],
-      "group":{"name":"x1","epoch":1,"rank":20000000,"state":"open"}})" })
+      "group":{"name":"x1","epoch":1,"rank":20000000,"state":"open"}})" },
+                              TimePoint{})
                        .value();
   const FleetVms vms{ { vm.mId, vm } };
   const std::vector<ObservedGroup> groups = FindGroups(vms, "s");
--- a/test/outsidenumbers-test.cc
+++ b/test/outsidenumbers-test.cc
@@ -203,9 +203,11 @@
     if (n > 2) {
       entry.removeMember("group");
     }
-    vms[id] = DecodeVm({ "servers/" + id, 1, ToJson(entry) }).value();
+    vms[id] =
+      DecodeVm({ "servers/" + id, 1, ToJson(entry) }, TimePoint{}).value();
   }
-  const Result<FleetVm> odd = DecodeVm({ "servers/odd", 1, ToJson(aOddEntry) });
+  const Result<FleetVm> odd =
+    DecodeVm({ "servers/odd", 1, ToJson(aOddEntry) }, TimePoint{});
   if (odd) {
     vms["odd"] = odd.value();
   }
--- a/test/plannerworld.h
+++ b/test/plannerworld.h
@@ -51,8 +51,11 @@
   std::vector<FleetOrder> Step(Duration aElapsed = milliseconds(50))
   {
     mNow += aElapsed;
-    PlannerStep step = PlanStep(
-      mState, { mVms, kService, mEngine, mBeforeTraffic }, mLimits, mNow);
+    PlannerStep step =
+      PlanStep(mState,
+               { mVms, kService, mEngine, mBeforeTraffic, &mZones },
+               mLimits,
+               mNow);
     for (const FleetOrder& it : step.mOrders) {
       RecordOutcome(mState, it, CarryOut(it), { mNow, mNow });
     }
@@ -135,6 +138,7 @@
   TimePoint mNow{ std::chrono::hours(1) };
   PlannerState mState = MakePlannerState(7);
   bool mBeforeTraffic = false;
+  ZonesOut mZones;                     ///< out of service
   bool mLoadsNeverEnd = false;         ///< otherwise they take no time
   std::set<std::string> mUnresponsive; ///< VMs that do not respond
 
--- a/test/planrunner-test.cc
+++ b/test/planrunner-test.cc
@@ -162,6 +162,7 @@
                                 mMetrics,
                                 mClock,
                                 [] { return true; },
+                                [] { return ZonesOutPtr(); },
                                 [this] { return mReachesTargets.load(); },
                                 mStopping },
       PlannerLimits{});
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -37,7 +37,8 @@
     DecodeVm(MakeVmObject(R"({"service":"s","addr":"10.0.0.9:80","zone":"z",
       "state":"ready","born":17,"domain":"d","slots":26,"seq":4,
       "staged":["m"],"models":[{"name":"m","version":1}],
-      "group":{"name":"g7","epoch":12,"rank":2,"state":"ready"}})"))
+      "group":{"name":"g7","epoch":12,"rank":2,"state":"ready"}})"),
+             TimePoint{})
       .value();
   STRCMP_EQUAL("i-1", vm.mId.c_str());
   CHECK_EQUAL(17U, vm.mStartedMillis);
@@ -61,7 +62,7 @@
          R"({"service":"s","addr":"nowhere","state":"ready"})",
          R"({"service":"s","addr":"10.0.0.9:80","state":["ready"]})",
        }) {
-    CHECK_TEXT(!DecodeVm(MakeVmObject(it)), it);
+    CHECK_TEXT(!DecodeVm(MakeVmObject(it), TimePoint{}), it);
   }
 }
 
@@ -82,7 +83,8 @@
       R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
       R"("group":{"name":"g","state":"open",)" +
       std::string(it) + "}}";
-    CHECK_TEXT(!DecodeVm(MakeVmObject(spec)).value().mMembership, it);
+    CHECK_TEXT(!DecodeVm(MakeVmObject(spec), TimePoint{}).value().mMembership,
+               it);
   }
 }
 
@@ -90,7 +92,8 @@
 {
   const Result<FleetVm> vm = DecodeVm(
     MakeVmObject(R"({"service":"s","addr":"10.0.0.9:80","state":"draining",
-      "group":{"name":"g","epoch":1,"rank":0,"state":"resting"}})"));
+      "group":{"name":"g","epoch":1,"rank":0,"state":"resting"}})"),
+    TimePoint{});
   CHECK(VmState::Leaving == vm.value().mState);
   CHECK(!vm.value().mMembership.has_value());
 }
--- a/test/storeera-soak-test.cc
+++ b/test/storeera-soak-test.cc
@@ -116,7 +116,13 @@
     , mFeeds(mClock, CompareContents)
     , mRelay({ mDoor, mFeeds, std::move(aReadPeer), aMetrics, mClock })
     , mWatcher(mRelay,
-               { "servers/", "config/", kConfigKey, DecodeVm, DecodeConfig },
+               { "servers/",
+                 "config/",
+                 kConfigKey,
+                 [this](const Object& aObject) {
+                   return DecodeVm(aObject, mClock.Now());
+                 },
+                 DecodeConfig },
                mClock)
     , mLeases("n" + std::to_string(aIndex), mRelay, mClock, kLeaseTerm)
   {
