--- a/src/fleet/shedding.cc
+++ b/src/admission/shedding.cc
@@ -1,4 +1,4 @@
-#include "fleet/shedding.h"
+#include "admission/shedding.h"
 
 #include <algorithm>
 
--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -1,6 +1,6 @@
 #include "fleet/targetchoice.h"
 
-#include "fleet/shedding.h"
+#include "admission/shedding.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -1,8 +1,8 @@
 #include "gateway/requestforwarder.h"
 
+#include "admission/shedding.h"
 #include "core/guard.h"
 #include "core/random.h"
-#include "fleet/shedding.h"
 #include "gateway/attempt.h"
 #include "gateway/attemptrecord.h"
 #include "observe/events.h"
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -2,8 +2,8 @@
 
 #include "core/settings.h"
 #include "fleet/coldtargets.h"
-#include "fleet/planner.h"
 #include "fleet/retrybudget.h"
+#include "placement/planner.h"
 
 namespace hibiscushold {
 
--- a/src/fleet/formation.cc
+++ b/src/placement/formation.cc
@@ -1,7 +1,7 @@
-#include "fleet/formation.h"
+#include "placement/formation.h"
 
-#include "fleet/formationcontext.h"
-#include "fleet/spares.h"
+#include "placement/formationcontext.h"
+#include "placement/spares.h"
 
 #include <optional>
 
--- a/src/fleet/formation.h
+++ b/src/placement/formation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet/planner.h"
+#include "placement/planner.h"
 
 namespace hibiscushold {
 
--- a/src/fleet/formationcontext.cc
+++ b/src/placement/formationcontext.cc
@@ -1,4 +1,4 @@
-#include "fleet/formationcontext.h"
+#include "placement/formationcontext.h"
 
 #include "observe/events.h"
 
--- a/src/fleet/orders.cc
+++ b/src/placement/orders.cc
@@ -1,4 +1,4 @@
-#include "fleet/orders.h"
+#include "placement/orders.h"
 
 namespace hibiscushold {
 
--- a/src/fleet/planner.h
+++ b/src/placement/planner.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "fleet/config.h"
-#include "fleet/orders.h"
 #include "fleet/silence.h"
 #include "fleet/vm.h"
 #include "fleet/zonesout.h"
+#include "placement/orders.h"
 
 #include <deque>
 #include <map>
--- a/src/fleet/planrunner.cc
+++ b/src/placement/planrunner.cc
@@ -1,4 +1,4 @@
-#include "fleet/planrunner.h"
+#include "placement/planrunner.h"
 
 #include "fleet/targetchoice.h"
 #include "observe/events.h"
--- a/src/fleet/planrunner.h
+++ b/src/placement/planrunner.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "core/workqueue.h"
-#include "fleet/planner.h"
 #include "fleet/targetchoice.h"
 #include "fleet/watcher.h"
 #include "groups/leaseclient.h"
 #include "observe/metrics.h"
+#include "placement/planner.h"
 
 #include <atomic>
 #include <functional>
--- a/src/fleet/planstep.cc
+++ b/src/placement/planstep.cc
@@ -1,5 +1,5 @@
-#include "fleet/formation.h"
 #include "observe/events.h"
+#include "placement/formation.h"
 
 #include <algorithm>
 
--- a/src/fleet/spares.cc
+++ b/src/placement/spares.cc
@@ -1,4 +1,4 @@
-#include "fleet/spares.h"
+#include "placement/spares.h"
 
 #include <algorithm>
 #include <set>
--- a/src/fleet/spares.h
+++ b/src/placement/spares.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet/formationcontext.h"
+#include "placement/formationcontext.h"
 
 namespace hibiscushold {
 
--- a/test/loadpatterns-test.cc
+++ b/test/loadpatterns-test.cc
@@ -1,5 +1,5 @@
+#include "admission/shedding.h"
 #include "fleet/retrybudget.h"
-#include "fleet/shedding.h"
 #include "fleet/targetchoice.h"
 
 #include <CppUTest/TestHarness.h>
--- a/test/outsidenumbers-test.cc
+++ b/test/outsidenumbers-test.cc
@@ -1,7 +1,7 @@
 #include "core/ini.h"
 #include "core/json.h"
-#include "fleet/planner.h"
 #include "fleet/targetchoice.h"
+#include "placement/planner.h"
 #include "platform/decode.h"
 
 #include <fstream>
--- a/test/planner-fence-test.cc
+++ b/test/planner-fence-test.cc
@@ -1,4 +1,4 @@
-#include "fleet/planner.h"
+#include "placement/planner.h"
 
 #include <algorithm>
 #include <map>
--- a/test/planrunner-test.cc
+++ b/test/planrunner-test.cc
@@ -1,6 +1,6 @@
 #include "fakeplatform.h"
-#include "fleet/planrunner.h"
 #include "fleet/silence.h"
+#include "placement/planrunner.h"
 
 #include <CppUTest/TestHarness.h>
 
