Forecast the first event of a request from the demand of all nodes

A node of a large fleet sends a target a request every few seconds, so waits that it measured there say little. The forecast (admission/forecast.h) takes the sums of all nodes and the engine's figures. It is only logged (expected_ms). Turns at cold targets are taken where targets are chosen.

--- a/src/fleet/config.cc
+++ b/src/fleet/config.cc
@@ -22,7 +22,9 @@
   const double pass = mTokensPerEvent * aModel.mPace;
   return { mStepMillis * pass,
            mStepMillisPerRequest * pass,
-           aModel.mPace / std::max(mPrefillTokensPerMilli, 1.0) };
+           aModel.mPace / std::max(mPrefillTokensPerMilli, 1.0),
+           mPrefillTokensPerPass,
+           mUsualAnswerTokens / std::max(mTokensPerEvent, 1U) };
 }
 
 const FleetRoute*
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -38,6 +38,9 @@
   milliseconds mTimeout{ 10000 }; ///< longest wait for the complete response
   milliseconds mLatencyTarget{ 500 }; ///< to the response or the first event
   milliseconds mGapTarget{ 300 };     ///< between events
+  /// Callers give up a stream whose first event takes longer.
+  milliseconds mPatience{ 2000 };
+  uint32_t mPriority = 0; ///< 0 is the most urgent
   uint32_t mAttempts = 1; ///< targets that may be tried for a caller's attempt
   bool mPublic = false;   ///< accepts requests without a key
   bool mResumable = false;
@@ -62,6 +65,8 @@
   double mPassMillis = 0;        ///< a pass without the additions below
   double mMillisPerRequest = 40; ///< added to a pass by each request
   double mMillisPerToken = 0;    ///< added to a pass by each prompt token
+  double mTokensPerPass = 0;     ///< prompt tokens that fit into a pass; 0: all
+  double mPassesPerRequest = 0;  ///< that a usual response takes
 };
 
 /// The properties of a service's engines.
@@ -73,6 +78,7 @@
   double mStepMillis = 6;     ///< a step, which generates a token per request
   double mStepMillisPerRequest = 0; ///< added for each request that generates
   double mPrefillTokensPerMilli = 50;
+  double mPrefillTokensPerPass = 0; ///< 0: no limit
   uint32_t mTokensPerEvent = 1; ///< steps in a pass, and so tokens in an event
   double mLoadsPerSecond = 1;   ///< from the weight store, by all VMs
   uint32_t mLoadsAtOnce = 1;
@@ -100,6 +106,7 @@
 struct FleetAccount
 {
   std::string mName;
+  uint32_t mPriority = 0; ///< 0 is the most urgent; goes before the route's
 };
 
 /// Limits for requests and connections of callers.
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -29,6 +29,13 @@
   virtual bool TryTakeover(Attempt& aStalled) = 0;
 };
 
+/// The load of a target when it was chosen.
+struct LoadAtChoice
+{
+  uint32_t mInFlight = 0;       ///< requests of this node
+  double mFirstEventMillis = 0; ///< forecast of the wait for the first event
+};
+
 /// One attempt of a request at one target.
 class Attempt final
   : public StreamSink
@@ -38,11 +45,11 @@
   /// @param aOuter the attempt with the stalled target, or null
   Attempt(AttemptOwner& aOwner,
           const FleetTarget& aTarget,
-          uint32_t aInFlight,
+          const LoadAtChoice& aLoad,
           Attempt* aOuter)
     : NestedAttempt(aOuter)
     , mTarget(aTarget)
-    , mInFlight(aInFlight)
+    , mLoad(aLoad)
     , mOwner(aOwner)
   {
   }
@@ -56,9 +63,9 @@
   bool IsNodeExiting() override { return mOwner.IsNodeExiting(); }
 
   const FleetTarget& mTarget;
-  const uint32_t mInFlight; ///< requests at the target when it was chosen
-  bool mCounted = false;    ///< in the attempts that were sent
-  bool mAvoided = false;    ///< new requests are kept away from the target
+  const LoadAtChoice mLoad;
+  bool mCounted = false; ///< in the attempts that were sent
+  bool mAvoided = false; ///< new requests are kept away from the target
 
 private:
   AttemptOwner& mOwner;
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -135,7 +135,7 @@
            const GatewayRequest& aRequest,
            const FleetTarget& aTarget,
            const ExchangeReport& aReport,
-           uint32_t aInFlight)
+           const LoadAtChoice& aLoad)
 {
   if (aReport.mOutcome != ExchangeOutcome::Answered) {
     aDependencies.mMetrics.CountRetry(NameOf(aReport.mOutcome));
@@ -154,7 +154,9 @@
       { "gap_ms", std::to_string(ToMillis(aReport.mLongestEventGap)) },
       { "ms", std::to_string(ToMillis(elapsed)) },
       { "prompt", std::to_string(aRequest.mPromptTokens) },
-      { "in_flight", std::to_string(aInFlight) },
+      { "in_flight", std::to_string(aLoad.mInFlight) },
+      { "expected_ms",
+        std::to_string(static_cast<int>(aLoad.mFirstEventMillis)) },
       { "version", std::to_string(aRequest.mConfig->mVersion) },
       { "detail", aReport.mDetail } });
 }
--- a/src/gateway/attemptrecord.h
+++ b/src/gateway/attemptrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/attempt.h"
 #include "gateway/callerrequest.h"
 #include "gateway/gateway.h"
 
@@ -29,13 +30,12 @@
                TimePoint aSentAt);
 
 /// Logs an attempt and counts its outcome.
-/// @param aInFlight requests at the target when it was chosen
 void
 LogAttempt(const GatewayDependencies& aDependencies,
            const GatewayRequest& aRequest,
            const FleetTarget& aTarget,
            const ExchangeReport& aReport,
-           uint32_t aInFlight);
+           const LoadAtChoice& aLoad);
 
 /// Why and where a response was cut.
 struct CutResponse
--- a/src/gateway/peerforwarder.cc
+++ b/src/gateway/peerforwarder.cc
@@ -133,7 +133,7 @@
                                         MakeExchange(target, aPeer),
                                         *this);
     mDependencies.mMetrics.CountRelayEvent("request_passed_on");
-    LogAttempt(mDependencies, mRequest, target, report, 0);
+    LogAttempt(mDependencies, mRequest, target, report, {});
     return report;
   }
 
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -1,8 +1,10 @@
 #include "gateway/requestforwarder.h"
 
+#include "admission/forecast.h"
 #include "admission/shedding.h"
 #include "core/guard.h"
 #include "core/random.h"
+#include "fleet/coldtargets.h"
 #include "gateway/attempt.h"
 #include "gateway/attemptrecord.h"
 #include "observe/events.h"
@@ -206,7 +208,7 @@
   const FleetTarget* Choose(const FleetTargets& aTargets)
   {
     const std::span<const FleetTarget> targets = TargetsOf(aTargets);
-    return ChooseTarget(
+    return ChooseWithTurn(
       targets, mDependencies.mLoads, MakeChoiceInput(targets), mExcluded);
   }
 
@@ -224,7 +226,7 @@
         others.insert(it.mVmId);
       }
     }
-    return ChooseTarget(
+    return ChooseWithTurn(
       targets, mDependencies.mLoads, MakeChoiceInput(targets), others);
   }
 
@@ -342,10 +344,13 @@
   /// @param aOuter the attempt with the stalled target, or null
   ExchangeReport RunAttempt(const FleetTarget& aTarget, Attempt* aOuter)
   {
-    Attempt attempt(*this,
-                    aTarget,
-                    mDependencies.mLoads.Get(aTarget.mVmId).mInFlight,
-                    aOuter);
+    const TargetLoad load = mDependencies.mLoads.Get(aTarget.mVmId);
+    Attempt attempt(
+      *this,
+      aTarget,
+      { load.mInFlight,
+        ForecastFirstEvent(aTarget, load, mRequest.mPromptTokens) },
+      aOuter);
     attempt.mCounted = mSuperseded.contains(aTarget.mVmId);
     ++mAttempts;
     const TimePoint sentAt = mDependencies.mClock.Now();
@@ -364,7 +369,7 @@
     mMayHaveRun = mMayHaveRun || !notRun;
     --mUnreported;
     RecordOutcome(mDependencies, aTarget, report);
-    LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mInFlight);
+    LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mLoad);
     RecordEvidence(mDependencies, mRequest, aTarget, report, sentAt);
     if (WasSent(report)) {
       CountAttempt(attempt);
