--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -1,6 +1,6 @@
 #include "fleet/targetchoice.h"
 
-#include "admission/shedding.h"
+#include "fleet/forecast.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,6 +16,9 @@
 /// costs kSilentCostMillis more, as its group may have lost a VM.
 constexpr double kSilentPauseFraction = 0.35;
 constexpr double kSilentCostMillis = 480;
+/// Added where the first event is expected to be late, so that another target
+/// goes first if the request would be on time there.
+constexpr double kLateCostMillis = 240;
 /// A request costs other requests more than its share of a pass: it occupies
 /// memory, and the prompts of later requests are processed alongside it.
 constexpr double kMinMillisPerRequest = 2;
@@ -137,6 +140,21 @@
            });
 }
 
+bool
+IsTooLate(const LoadedTarget& aTarget, const ChoiceInput& aInput)
+{
+  if (aInput.mOnTimeUntil == TimePoint{}) {
+    return false;
+  }
+  const double wait = ForecastFirstEvent(aTarget.mTarget->mTimes,
+                                         aTarget.mTarget->mSlots,
+                                         aTarget.mLoad,
+                                         aInput.mPromptTokens) +
+                      aInput.mOverheadMillis;
+  return aInput.mNow + std::chrono::duration<double, std::milli>(wait) >
+         aInput.mOnTimeUntil;
+}
+
 double
 RequestCost(const LoadedTarget& aTarget, const ChoiceInput& aInput)
 {
@@ -152,12 +170,13 @@
   cost += tokens * times.mMillisPerToken;
   // Waits beyond the expected pause show that the target is slow.
   cost += std::max(0.0,
-                   ExpectedFirstEventMillis(load, aInput.mNow) -
+                   MeasuredFirstEventMillis(load, aInput.mNow) -
                      static_cast<double>(ExpectedPause(times, load).count()));
   const bool silent = load.mStreaming > 0 &&
                       aInput.mNow - load.mLastProgress >
                         UsualPause(load, StallLimits{}) * kSilentPauseFraction;
   cost += silent ? kSilentCostMillis : 0;
+  cost += IsTooLate(aTarget, aInput) ? kLateCostMillis : 0;
   return aTarget.mSameZone ? cost : cost + kOtherZoneCostMillis;
 }
 
--- a/src/fleet/targetchoice.h
+++ b/src/fleet/targetchoice.h
@@ -75,8 +75,16 @@
   std::string_view mModel;
   TimePoint mNow;
   double mFraction = 0; ///< random, at least 0 and less than 1
+  /// Latest time of a first event that is on time; zero if there is none.
+  TimePoint mOnTimeUntil{};
+  uint32_t mPromptTokens = 0;
+  double mOverheadMillis = 0; ///< of first events, beyond the forecast
 };
 
+/// @return whether the first event is expected after aInput.mOnTimeUntil
+bool
+IsTooLate(const LoadedTarget& aTarget, const ChoiceInput& aInput);
+
 /// @return the cost of sending one more request to the target, in milliseconds
 ///         that this request or others would have to wait
 double
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -143,6 +143,7 @@
                     "header Authorization: the key is missing or unknown" };
   }
   aInto.mAccount = account->mName;
+  aInto.mUrgency.mAccount = account->mPriority;
   return boost::outcome_v2::success();
 }
 
@@ -210,7 +211,11 @@
     return Refusal{ RefusalKind::NoRoute, "no route takes this host and path" };
   }
   BOOST_OUTCOME_TRY(Authenticate(aRequest, request));
+  request.mUrgency.mRoute = request.mRoute->mPriority;
   request.mDeadline = DeadlineOf(aRequest, aProtocol, request);
+  // Callers state how long they still wait, which is less after a refusal.
+  request.mFirstSentAt =
+    std::min(aNow, request.mDeadline - request.mRoute->mTimeout);
   request.mService = std::string(PickService(*request.mRoute, aFraction));
   request.mAuthorization = aRequest.get("Authorization", "");
   request.mModel = aRequest.get(aProtocol.mModel, "");
--- a/src/gateway/callerrequest.h
+++ b/src/gateway/callerrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/room.h"
 #include "core/bytebudget.h"
 #include "core/http.h"
 #include "fleet/config.h"
@@ -28,7 +29,9 @@
   uint32_t mPromptTokens = 0;
   RequestTraits mTraits;
   TimePoint mArrivedAt;
+  TimePoint mFirstSentAt; ///< of the caller's first attempt
   TimePoint mDeadline;
+  Urgency mUrgency;
   const FleetRoute* mRoute = nullptr; ///< points into mConfig
   FleetConfigPtr mConfig;
   std::string mAccount;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/demandrecord.h"
 #include "fleet/quarantine.h"
 #include "fleet/retrybudget.h"
 #include "fleet/targetchoice.h"
@@ -42,6 +43,7 @@
   const std::atomic<bool>& mStopping;
   const StopWindow& mStopWindow;
   UsualTimes& mUsualTimes;
+  DemandRecord& mDemandRecord;
   const std::atomic<bool>& mExiting; ///< no further request is read
   std::atomic<uint32_t>& mRunning;   ///< requests being read or handled
 };
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -1,12 +1,12 @@
 #include "gateway/requestforwarder.h"
 
-#include "admission/forecast.h"
-#include "admission/shedding.h"
 #include "core/guard.h"
 #include "core/random.h"
 #include "fleet/coldtargets.h"
+#include "fleet/forecast.h"
 #include "gateway/attempt.h"
 #include "gateway/attemptrecord.h"
+#include "gateway/roomcheck.h"
 #include "observe/events.h"
 #include "observe/processuse.h"
 
@@ -169,9 +169,8 @@
       if (mWriter.IsCallerDisconnected()) {
         return AbortForCaller();
       }
-      if (mAttemptsSent == 0 &&
-          mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream) {
-        BOOST_OUTCOME_TRY(AdmitOrShed(*target));
+      if (mAttemptsSent == 0 && mLastEvent == 0 && IsStream()) {
+        BOOST_OUTCOME_TRY(CheckRoom(mDependencies, mRequest, *target));
       }
       if (mAttemptsSent > 0 && !TakeRetry()) {
         if (WaitToResume()) {
@@ -230,6 +229,11 @@
       targets, mDependencies.mLoads, MakeChoiceInput(targets), others);
   }
 
+  bool IsStream() const
+  {
+    return mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream;
+  }
+
   /// @return the targets of the request's service
   std::span<const FleetTarget> TargetsOf(const FleetTargets& aTargets) const
   {
@@ -247,28 +251,10 @@
     return { mDependencies.mZone,
              servesModels ? std::string_view(mRequest.mModel) : "",
              mDependencies.mClock.Now(),
-             NextFraction() };
-  }
-
-  /// Sheds load: refuses the request with a probability that depends on how its
-  /// expected wait for the first event compares to the latency target.
-  ResultOrRefusal<void> AdmitOrShed(const FleetTarget& aTarget)
-  {
-    const TimePoint now = mDependencies.mClock.Now();
-    const double expected =
-      ExpectedFirstEventMillis(mDependencies.mLoads.Get(aTarget.mVmId), now);
-    if (NextFraction() >=
-        ShedProbability(expected, mRequest.mRoute->mLatencyTarget)) {
-      return boost::outcome_v2::success();
-    }
-    mDependencies.mMetrics.CountDenial("expected_wait");
-    const milliseconds retryAfter =
-      RetryAfterDelay(expected, TimeLeft(mRequest.mDeadline, now));
-    return Refusal{ RefusalKind::Overloaded,
-                    "a first event is expected after " +
-                      std::to_string(static_cast<int>(expected)) + " ms",
-                    Ran::No,
-                    static_cast<uint32_t>(retryAfter.count()) };
+             NextFraction(),
+             IsStream() ? OnTimeUntil(mRequest) : TimePoint{},
+             mRequest.mPromptTokens,
+             mDependencies.mDemandRecord.OverheadOf(mRequest.mModel) };
   }
 
   /// Waits a short time for a target or a retry if a started stream may still
@@ -309,7 +295,6 @@
   ExchangeRequest MakeExchange(const FleetTarget& aTarget,
                                const Attempt* aOuter) const
   {
-    const bool stream = mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream;
     // A request that must not run twice gets a new connection, as a pooled one
     // may be stale.
     ExchangeRequest exchange{ aTarget,
@@ -323,7 +308,7 @@
                               kConnectTimeout,
                               mLastEvent,
                               !mRequest.AllowsRetry(),
-                              stream,
+                              IsStream(),
                               mRequest.mPromptTokens,
                               aOuter != nullptr,
                               mRequest.mIsFromPeer };
@@ -349,7 +334,8 @@
       *this,
       aTarget,
       { load.mInFlight,
-        ForecastFirstEvent(aTarget, load, mRequest.mPromptTokens) },
+        ForecastFirstEvent(
+          aTarget.mTimes, aTarget.mSlots, load, mRequest.mPromptTokens) },
       aOuter);
     attempt.mCounted = mSuperseded.contains(aTarget.mVmId);
     ++mAttempts;
@@ -369,6 +355,7 @@
     mMayHaveRun = mMayHaveRun || !notRun;
     --mUnreported;
     RecordOutcome(mDependencies, aTarget, report);
+    RecordOverhead(attempt, report);
     LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mLoad);
     RecordEvidence(mDependencies, mRequest, aTarget, report, sentAt);
     if (WasSent(report)) {
@@ -387,6 +374,19 @@
     return report;
   }
 
+  /// Only the first attempt of an undisturbed stream shows the usual excess
+  /// over the forecast.
+  void RecordOverhead(const Attempt& aAttempt, const ExchangeReport& aReport)
+  {
+    if (mAttempts == 1 && aReport.mStreamed &&
+        aReport.mOutcome == ExchangeOutcome::Answered && IsStream()) {
+      mDependencies.mDemandRecord.RecordOverhead(
+        aAttempt.mTarget.mModel,
+        static_cast<double>(ToMillis(aReport.mTimeToFirstEvent)) -
+          aAttempt.mLoad.mFirstEventMillis);
+    }
+  }
+
   void CountAttempt(Attempt& aAttempt)
   {
     mAttemptsSent += aAttempt.mCounted ? 0 : 1;
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -196,6 +196,7 @@
   std::atomic<bool> mStopping{ false };
   StopWindow mStopWindow;
   UsualTimes mUsualTimes;
+  DemandRecord mDemandRecord;
   std::atomic<bool> mExiting{ false };
   std::atomic<uint32_t> mRunning{ 0 };
   Poco::ThreadPool mThreads;
@@ -229,6 +230,7 @@
              mStopping,
              mStopWindow,
              mUsualTimes,
+             mDemandRecord,
              mExiting,
              mRunning };
   }
