--- a/src/admission/demandrecord.cc
+++ b/src/admission/demandrecord.cc
@@ -108,16 +108,17 @@
   const auto account = model->second.mAccounts.find(aAccount);
   const Work& all = model->second.mAll;
   const double allRecent = ValueOf(all.mRecent, aNow, kRecent);
-  const double allUsual = ValueOf(all.mUsual, aNow, kUsual);
   if (account == model->second.mAccounts.end() ||
       allRecent < kMinRecentTokens) {
     return false;
   }
   const Work& own = account->second;
-  const double recent = ValueOf(own.mRecent, aNow, kRecent) / allRecent;
-  const double usual = ValueOf(own.mUsual, aNow, kUsual) / allUsual;
-  // A surge is part of what is usual as well, so shares are compared without
-  // the recent work.
+  const double ownRecent = ValueOf(own.mRecent, aNow, kRecent);
+  // A surge must not count as usual itself.
+  const double ownBefore = ValueOf(own.mUsual, aNow, kUsual) - ownRecent;
+  const double allBefore = ValueOf(all.mUsual, aNow, kUsual) - allRecent;
+  const double usual = allBefore > 0 ? std::max(0.0, ownBefore) / allBefore : 1;
+  const double recent = ownRecent / allRecent;
   const double equal =
     1.0 / static_cast<double>(model->second.mAccounts.size());
   return recent > kMuch * std::max(usual, equal);
