--- a/src/admission/room.h
+++ b/src/admission/room.h
@@ -2,9 +2,9 @@
 
 #include "core/clock.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
+#include <tuple>
 
 namespace hibiscushold {
 
@@ -14,7 +14,11 @@
   uint32_t mAccount = 0;
   uint32_t mRoute = 0;
 
-  auto operator<=>(const Urgency&) const = default;
+  bool operator<(const Urgency& aOther) const
+  {
+    return std::tie(mAccount, mRoute) <
+           std::tie(aOther.mAccount, aOther.mRoute);
+  }
 };
 
 /// What a caller needs of a request.
@@ -24,10 +28,8 @@
   TimePoint mOnTimeUntil; ///< latest time of a first event that is on time
   TimePoint mGivesUpAt;   ///< the caller waits no longer for a first event
   TimePoint mDeadline;    ///< of the whole response
-  /// How long ago the caller sent the request for the first time; zero at its
-  /// first attempt.
-  TimePoint mFirstSentAt;
-  TimePoint mArrivedAt; ///< this attempt
+  TimePoint mFirstSentAt; ///< the caller's first attempt
+  TimePoint mArrivedAt;   ///< this attempt
 };
 
 /// What a node knows of the room for a request.
