--- a/src/admission/room.cc
+++ b/src/admission/room.cc
@@ -13,14 +13,12 @@
 constexpr double kShareFraction = 0.7;
 /// Some requests are always sent, so that a forecast that is too long corrects
 /// itself.
-constexpr double kMaxDeferral = 0.9;
-/// Bounds of the time after which a deferred request comes back.
+constexpr double kMaxRefusal = 0.8;
+/// Bounds of the time after which a refused request comes back.
 constexpr auto kMinReturn = milliseconds(400);
 constexpr auto kMaxReturn = milliseconds(2500);
 /// Callers wait before they come back for at most this part of the time left.
 constexpr int kReturnDivisor = 3;
-/// A caller that comes back sooner has not waited as it was asked to.
-constexpr auto kPromptRepeat = milliseconds(300);
 
 double
 MillisUntil(TimePoint aTime, TimePoint aNow)
@@ -28,12 +26,6 @@
   return std::chrono::duration<double, std::milli>(aTime - aNow).count();
 }
 
-bool
-HasComeBack(const RequestTerms& aTerms)
-{
-  return aTerms.mArrivedAt - aTerms.mFirstSentAt >= kPromptRepeat;
-}
-
 /// Spreads the returns, those of urgent requests into the earlier half.
 milliseconds
 ReturnAfter(const RequestTerms& aTerms,
@@ -45,7 +37,7 @@
     kMaxReturn,
     milliseconds(ToMillis(TimeLeft(aTerms.mDeadline, aNow)) / kReturnDivisor));
   const milliseconds drained(
-    static_cast<int64_t>(std::min(aState.mFirstEventMillis, 1e6)));
+    static_cast<int64_t>(std::min(aState.mDelayedMillis, 1e6)));
   const milliseconds shortest = std::clamp(drained, kMinReturn, kMaxReturn);
   const auto spread = std::max(longest - shortest, milliseconds(0));
   const double place = aState.mUrgentTarget ? (1 + aFraction) / 2 : aFraction;
@@ -63,8 +55,6 @@
            double aFraction)
 {
   RoomDecision decision;
-  const double wait = aState.mFirstEventMillis;
-  const bool willGiveUp = wait > MillisUntil(aTerms.mGivesUpAt, aNow);
   decision.mLimitMillis = std::max(0.0, MillisUntil(aTerms.mOnTimeUntil, aNow));
   if (aState.mUrgentTarget) {
     const double urgent = static_cast<double>(aState.mUrgentTarget->count());
@@ -74,22 +64,19 @@
   if (aState.mIsAboveShare) {
     decision.mLimitMillis *= kShareFraction;
   }
-  if (wait <= decision.mLimitMillis) {
+  if (aState.mFirstEventMillis <= decision.mLimitMillis) {
     return decision;
   }
-  if (willGiveUp) {
-    decision.mAction = RoomAction::Refuse;
-    decision.mRetryAfter = ReturnAfter(aTerms, aState, aNow, aFraction);
-    return decision;
-  }
-  if (HasComeBack(aTerms)) {
+  decision.mAction = RoomAction::Delay;
+  const double patience = std::max(0.0, MillisUntil(aTerms.mGivesUpAt, aNow));
+  if (aState.mDelayedMillis <= patience) {
     return decision;
   }
   const double chance =
-    std::min(kMaxDeferral, 1 - decision.mLimitMillis / wait);
+    std::min(kMaxRefusal, 1 - patience / aState.mDelayedMillis);
   if (aFraction < chance) {
-    decision.mAction = RoomAction::Defer;
-    // The fractions of deferred requests are below the chance.
+    decision.mAction = RoomAction::Refuse;
+    // The fractions of refused requests are below the chance.
     decision.mRetryAfter =
       ReturnAfter(aTerms, aState, aNow, aFraction / chance);
   }
--- a/src/admission/room.h
+++ b/src/admission/room.h
@@ -36,6 +36,8 @@
 struct RoomState
 {
   double mFirstEventMillis = 0; ///< expected wait for a first event
+  /// The same if the target serves those first that can be on time.
+  double mDelayedMillis = 0;
   /// Shortest latency target of more urgent requests of the same model, if
   /// there are any.
   std::optional<milliseconds> mUrgentTarget;
@@ -46,10 +48,8 @@
 enum class RoomAction
 {
   Send,
-  /// There is too little room now; the caller is to come back.
-  Defer,
-  /// The caller would have given up before the first event.
-  Refuse,
+  Delay,  ///< sent, but the target serves others first
+  Refuse, ///< its caller would give up before the first event
 };
 
 struct RoomDecision
@@ -59,14 +59,14 @@
   milliseconds mRetryAfter{ 0 }; ///< unless it is sent
 };
 
-/// Decides whether a request gets room. Requests that would be on time go
-/// first. What would be late delays others for nothing, so its caller is asked
-/// to come back when there is more room: less urgent requests first, as more
-/// urgent ones need a shorter queue, then those of accounts that take more than
-/// their share, then those with the most work. A request that has come back as
-/// it was asked to is sent, as long as its caller waits.
+/// Decides whether a request gets room. One that would be on time goes first.
+/// One that would be late would delay others for nothing, so it waits until the
+/// target has nothing better to do: less urgent requests first, as more urgent
+/// ones need a shorter queue, then those of accounts that take more than their
+/// share, then those with the most work. One that could not be served before
+/// its caller gives up is refused at once.
 /// @param aFraction random, at least 0 and less than 1; all nodes see about the
-///        same waits, and must not all defer or send at the same moment
+///        same waits, and must not all refuse or send at the same moment
 RoomDecision
 DecideRoom(const RequestTerms& aTerms,
            const RoomState& aState,
--- a/src/fleet/demandaggregator.cc
+++ b/src/fleet/demandaggregator.cc
@@ -38,7 +38,8 @@
   return { aL.mWaiting + aR.mWaiting,
            aL.mWaitingTokens + aR.mWaitingTokens,
            aL.mStreaming + aR.mStreaming,
-           std::max(aL.mProgressAt, aR.mProgressAt) };
+           std::max(aL.mProgressAt, aR.mProgressAt),
+           aL.mDelayedTokens + aR.mDelayedTokens };
 }
 
 std::string
@@ -51,7 +52,8 @@
     out << vm << static_cast<uint16_t>(demand.mWaiting)
         << static_cast<uint32_t>(demand.mWaitingTokens)
         << static_cast<uint16_t>(demand.mStreaming)
-        << AgeOf(demand.mProgressAt, aNow);
+        << AgeOf(demand.mProgressAt, aNow)
+        << static_cast<uint32_t>(demand.mDelayedTokens);
   }
   out.flush();
   return stream.str();
@@ -73,11 +75,12 @@
     uint32_t tokens = 0;
     uint16_t streaming = 0;
     uint16_t age = kNoAge;
+    uint32_t delayed = 0;
     ReadText(in, vm);
-    in >> waiting >> tokens >> streaming >> age;
+    in >> waiting >> tokens >> streaming >> age >> delayed;
     const TimePoint progressAt =
       age == kNoAge ? TimePoint{} : aNow - milliseconds(age);
-    report.mDemands[vm] = { waiting, tokens, streaming, progressAt };
+    report.mDemands[vm] = { waiting, tokens, streaming, progressAt, delayed };
   }
   if (in.fail() || report.mDemands.size() != n) {
     return std::nullopt;
@@ -113,6 +116,7 @@
   total.mSum.mWaiting -= aDemand.mWaiting;
   total.mSum.mWaitingTokens -= aDemand.mWaitingTokens;
   total.mSum.mStreaming -= aDemand.mStreaming;
+  total.mSum.mDelayedTokens -= aDemand.mDelayedTokens;
   if (--total.mNodes == 0) {
     mTotals.erase(it);
   }
@@ -224,6 +228,7 @@
         demand.mWaiting -= it->second.mDemand.mWaiting;
         demand.mWaitingTokens -= it->second.mDemand.mWaitingTokens;
         demand.mStreaming -= it->second.mDemand.mStreaming;
+        demand.mDelayedTokens -= it->second.mDemand.mDelayedTokens;
       }
     }
     sum[vm] = sum[vm] + demand;
--- a/src/fleet/demandaggregator.h
+++ b/src/fleet/demandaggregator.h
@@ -20,6 +20,7 @@
   uint64_t mWaitingTokens = 0; ///< prompt tokens of these
   uint32_t mStreaming = 0;     ///< streams that have had an event
   TimePoint mProgressAt; ///< when a response byte last arrived; zero if never
+  uint64_t mDelayedTokens = 0; ///< of mWaitingTokens, of delayed requests
 
   bool IsIdle() const { return mWaiting == 0 && mStreaming == 0; }
 };
--- a/src/fleet/forecast.cc
+++ b/src/fleet/forecast.cc
@@ -18,16 +18,23 @@
 ForecastFirstEvent(const TargetTimes& aTimes,
                    uint32_t aSlots,
                    const TargetLoad& aLoad,
-                   uint32_t aPromptTokens)
+                   uint32_t aPromptTokens,
+                   bool aIsDelayed)
 {
   if (!(aTimes.mPassMillis > 0)) {
     return 0;
   }
   const TargetDemand& others = aLoad.mOthers;
   const double streams = aLoad.mStreaming + others.mStreaming;
-  const double requests = aLoad.mInFlight + others.mWaiting + others.mStreaming;
-  const auto tokens = static_cast<double>(
-    aLoad.mWaitingTokens + others.mWaitingTokens + aPromptTokens);
+  const double waiting = aLoad.mInFlight - aLoad.mStreaming + others.mWaiting;
+  const auto allTokens =
+    static_cast<double>(aLoad.mWaitingTokens + others.mWaitingTokens);
+  const auto delayed =
+    static_cast<double>(aLoad.mDelayedTokens + others.mDelayedTokens);
+  const double ahead =
+    aIsDelayed || !(allTokens > 0) ? 1 : 1 - std::min(1.0, delayed / allTokens);
+  const double requests = streams + waiting * ahead;
+  const double tokens = allTokens * ahead + aPromptTokens;
   const double fits =
     aTimes.mTokensPerPass > 0 ? aTimes.mTokensPerPass : tokens;
   const double pass =
--- a/src/fleet/targetloads.cc
+++ b/src/fleet/targetloads.cc
@@ -94,7 +94,8 @@
         own[vm] = { load.mInFlight - load.mStreaming,
                     load.mWaitingTokens,
                     load.mStreaming,
-                    load.mLastProgress };
+                    load.mLastProgress,
+                    load.mDelayedTokens };
       }
     }
   }
@@ -102,7 +103,10 @@
 }
 
 void
-TargetLoads::Begin(const std::string& aTarget, TimePoint aNow, uint64_t aTokens)
+TargetLoads::Begin(const std::string& aTarget,
+                   TimePoint aNow,
+                   uint64_t aTokens,
+                   bool aIsDelayed)
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
@@ -111,6 +115,7 @@
     load.mBusySince = aNow;
   }
   load.mWaitingTokens += aTokens;
+  load.mDelayedTokens += aIsDelayed ? aTokens : 0;
   load.mChangedAt = aNow;
 }
 
@@ -118,7 +123,8 @@
 TargetLoads::End(const std::string& aTarget,
                  bool aStreaming,
                  TimePoint aNow,
-                 uint64_t aTokens)
+                 uint64_t aTokens,
+                 bool aIsDelayed)
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
@@ -126,6 +132,7 @@
   --load.mInFlight;
   load.mStreaming -= aStreaming ? 1 : 0;
   load.mWaitingTokens -= aStreaming ? 0 : aTokens;
+  load.mDelayedTokens -= aIsDelayed && !aStreaming ? aTokens : 0;
   load.mChangedAt = std::max(load.mChangedAt, aNow);
 }
 
@@ -133,7 +140,8 @@
 TargetLoads::RecordFirstEvent(const std::string& aTarget,
                               std::optional<Duration> aFirstWait,
                               TimePoint aNow,
-                              uint64_t aTokens)
+                              uint64_t aTokens,
+                              bool aIsDelayed)
 {
   Shard& shard = ShardOf(aTarget);
   const std::lock_guard guard(shard.mLock);
@@ -148,6 +156,7 @@
   load.mAvoidStalledUntil = {};
   ++load.mStreaming;
   load.mWaitingTokens -= aTokens;
+  load.mDelayedTokens -= aIsDelayed ? aTokens : 0;
   load.mChangedAt = aNow;
 }
 
--- a/src/fleet/targetloads.h
+++ b/src/fleet/targetloads.h
@@ -17,6 +17,7 @@
 {
   TargetDemand mOthers;
   uint64_t mWaitingTokens = 0; ///< of prompts of requests without an event yet
+  uint64_t mDelayedTokens = 0; ///< of these, of delayed requests
   TimePoint mChangedAt;        ///< last start, first event or end of a request
   uint32_t mInFlight = 0;
   uint32_t mStreaming = 0; ///< of mInFlight, streams that have had an event
@@ -76,23 +77,31 @@
 
   /// Records that a request is sent to the target.
   /// @param aTokens prompt tokens of the request
-  void Begin(const std::string& aTarget, TimePoint aNow, uint64_t aTokens = 0);
+  /// @param aIsDelayed the target serves others first
+  void Begin(const std::string& aTarget,
+             TimePoint aNow,
+             uint64_t aTokens = 0,
+             bool aIsDelayed = false);
   /// Records the end of a request.
   /// @param aStreaming whether the request has had its first event
   /// @param aTokens as passed to Begin
+  /// @param aIsDelayed likewise
   void End(const std::string& aTarget,
            bool aStreaming,
            TimePoint aNow = {},
-           uint64_t aTokens = 0);
+           uint64_t aTokens = 0,
+           bool aIsDelayed = false);
 
   /// Records the first event of a request.
   /// @param aFirstWait time from sending the request to its first event; none
   ///                   if it is not to change the average
   /// @param aTokens as passed to Begin
+  /// @param aIsDelayed likewise
   void RecordFirstEvent(const std::string& aTarget,
                         std::optional<Duration> aFirstWait,
                         TimePoint aNow,
-                        uint64_t aTokens = 0);
+                        uint64_t aTokens = 0,
+                        bool aIsDelayed = false);
   void RecordProgress(const std::string& aTarget, TimePoint aNow);
 
   /// Records a failure. The target is avoided for a time that doubles with each
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -40,14 +40,16 @@
     : mDependencies(aDependencies)
     , mTarget(aRequest.mTarget.mVmId)
     , mTokens(aRequest.mPromptTokens)
+    , mIsDelayed(aRequest.mIsDelayed)
   {
-    mDependencies.mLoads.Begin(mTarget, mDependencies.mClock.Now(), mTokens);
+    mDependencies.mLoads.Begin(
+      mTarget, mDependencies.mClock.Now(), mTokens, mIsDelayed);
   }
 
   ~InFlightEntry()
   {
     mDependencies.mLoads.End(
-      mTarget, mStreaming, mDependencies.mClock.Now(), mTokens);
+      mTarget, mStreaming, mDependencies.mClock.Now(), mTokens, mIsDelayed);
   }
 
   InFlightEntry(const InFlightEntry&) = delete;
@@ -59,6 +61,7 @@
   const ExchangeDependencies& mDependencies;
   const std::string mTarget;
   const uint64_t mTokens;
+  const bool mIsDelayed;
 };
 
 /// State of one exchange.
@@ -356,7 +359,7 @@
       const auto wait =
         mStallSeen ? std::optional<Duration>() : mReport.mTimeToFirstEvent;
       mDependencies.mLoads.RecordFirstEvent(
-        vm, wait, now, mRequest.mPromptTokens);
+        vm, wait, now, mRequest.mPromptTokens, mRequest.mIsDelayed);
       mInFlightEntry->mStreaming = true;
       if (!mSink.OnHead(mReport.mResponse.mStatus, mReport.mResponse.mFields)) {
         SetOutcome(ExchangeOutcome::CallerDisconnected, "");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -61,6 +61,7 @@
   bool mIgnoresEarlierSilence = false;
   /// The response is for another node, and names the target (kTargetField).
   bool mNamesTarget = false;
+  bool mIsDelayed = false; ///< the target serves others first
 };
 
 /// A complete response that is not an event stream.
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -170,7 +170,9 @@
         return AbortForCaller();
       }
       if (mAttemptsSent == 0 && mLastEvent == 0 && IsStream()) {
-        BOOST_OUTCOME_TRY(CheckRoom(mDependencies, mRequest, *target));
+        BOOST_OUTCOME_TRY(isDelayed,
+                          CheckRoom(mDependencies, mRequest, *target));
+        mIsDelayed = isDelayed;
       }
       if (mAttemptsSent > 0 && !TakeRetry()) {
         if (WaitToResume()) {
@@ -311,7 +313,14 @@
                               IsStream(),
                               mRequest.mPromptTokens,
                               aOuter != nullptr,
-                              mRequest.mIsFromPeer };
+                              mRequest.mIsFromPeer,
+                              mIsDelayed };
+    if (IsStream() && !aTarget.mModel.empty()) {
+      exchange.mFields.push_back(
+        { mDependencies.mProtocol.mPriority,
+          std::to_string(EnginePriority(mRequest.mUrgency,
+                                        mIsDelayed && mLastEvent == 0)) });
+    }
     if (mLastEvent > 0) {
       exchange.mFields.push_back(
         { mDependencies.mProtocol.mLastEvent, std::to_string(mLastEvent) });
@@ -378,7 +387,7 @@
   /// over the forecast.
   void RecordOverhead(const Attempt& aAttempt, const ExchangeReport& aReport)
   {
-    if (mAttempts == 1 && aReport.mStreamed &&
+    if (mAttempts == 1 && !mIsDelayed && aReport.mStreamed &&
         aReport.mOutcome == ExchangeOutcome::Answered && IsStream()) {
       mDependencies.mDemandRecord.RecordOverhead(
         aAttempt.mTarget.mModel,
@@ -564,6 +573,7 @@
   bool mMayHaveRun = false;
   uint32_t mUnreported = 0; ///< exchanges that have begun and not returned
   bool mBudgetDenied = false;
+  bool mIsDelayed = false; ///< targets serve others first
   TimePoint mNextTakeoverAt;
   /// Of the attempt that has taken over from the outermost one.
   std::optional<ExchangeReport> mTakeover;
--- a/src/gateway/roomcheck.cc
+++ b/src/gateway/roomcheck.cc
@@ -12,6 +12,10 @@
 /// Time of a first event on the way to the caller, with that of the request to
 /// the node.
 constexpr auto kTransferTime = milliseconds(15);
+/// Engines serve priorities 0 to 9, and 5 for requests without one. The upper
+/// part is for delayed requests.
+constexpr int kDelayedPriority = 6;
+constexpr uint32_t kMaxEngineRank = 3;
 
 RequestTerms
 TermsOf(const GatewayRequest& aRequest)
@@ -25,26 +29,14 @@
            aRequest.mArrivedAt };
 }
 
-std::string
-MessageOf(const RoomState& aState, const RoomDecision& aDecision)
-{
-  return "a first event is expected after " +
-         std::to_string(static_cast<int>(aState.mFirstEventMillis)) +
-         " ms, the limit is " +
-         std::to_string(static_cast<int>(aDecision.mLimitMillis)) + " ms" +
-         (aState.mUrgentTarget ? ", more urgent requests go first" : "") +
-         (aState.mIsAboveShare ? ", the account takes more than its share"
-                               : "");
-}
-
 /// @return a stable name for metrics
 const char*
 ReasonOf(const RoomState& aState, const RoomDecision& aDecision)
 {
   return aDecision.mAction == RoomAction::Refuse ? "no_room_in_time"
-         : aState.mIsAboveShare                  ? "above_share"
-         : aState.mUrgentTarget                  ? "less_urgent"
-                                                 : "expected_wait";
+         : aState.mIsAboveShare                  ? "delayed_above_share"
+         : aState.mUrgentTarget                  ? "delayed_less_urgent"
+                                                 : "delayed_late";
 }
 
 } // namespace
@@ -56,7 +48,7 @@
          kTransferTime;
 }
 
-ResultOrRefusal<void>
+ResultOrRefusal<bool>
 CheckRoom(const GatewayDependencies& aDependencies,
           const GatewayRequest& aRequest,
           const FleetTarget& aTarget)
@@ -70,24 +62,42 @@
              aRequest.mPromptTokens,
              now);
   const TargetLoad load = aDependencies.mLoads.Get(aTarget.mVmId);
-  const double forecast = ForecastFirstEvent(
-    aTarget.mTimes, aTarget.mSlots, load, aRequest.mPromptTokens);
+  const auto expected = [&](bool aIsDelayed) {
+    return ForecastFirstEvent(aTarget.mTimes,
+                              aTarget.mSlots,
+                              load,
+                              aRequest.mPromptTokens,
+                              aIsDelayed) +
+           record.OverheadOf(aTarget.mModel);
+  };
   const RoomState state{
-    std::max(forecast + record.OverheadOf(aTarget.mModel),
-             MeasuredFirstEventMillis(load, now)),
+    expected(false),
+    expected(true),
     record.ShortestTargetAbove(aTarget.mModel, aRequest.mUrgency, now),
     record.IsAboveShare(aTarget.mModel, aRequest.mAccount, now)
   };
   const RoomDecision decision =
     DecideRoom(TermsOf(aRequest), state, now, NextFraction());
   if (decision.mAction == RoomAction::Send) {
-    return boost::outcome_v2::success();
+    return false;
   }
   aDependencies.mMetrics.CountDenial(ReasonOf(state, decision));
+  if (decision.mAction == RoomAction::Delay) {
+    return true;
+  }
   return Refusal{ RefusalKind::Overloaded,
-                  MessageOf(state, decision),
+                  "a first event is expected after " +
+                    std::to_string(static_cast<int>(state.mDelayedMillis)) +
+                    " ms, when the caller has given up",
                   Ran::No,
                   static_cast<uint32_t>(decision.mRetryAfter.count()) };
 }
 
+int
+EnginePriority(const Urgency& aUrgency, bool aIsDelayed)
+{
+  const auto rank = static_cast<int>(std::min(aUrgency.mRoute, kMaxEngineRank));
+  return rank + (aIsDelayed ? kDelayedPriority : 0);
+}
+
 } // namespace hibiscushold
--- a/src/gateway/roomcheck.h
+++ b/src/gateway/roomcheck.h
@@ -12,10 +12,16 @@
 
 /// Decides whether a stream gets room at the target that was chosen for it
 /// (admission/room.h).
-/// @return a refusal if it doesn't, and has not run
-ResultOrRefusal<void>
+/// @return whether the target is to serve others first, or a refusal, in which
+///         case the request has not run
+ResultOrRefusal<bool>
 CheckRoom(const GatewayDependencies& aDependencies,
           const GatewayRequest& aRequest,
           const FleetTarget& aTarget);
 
+/// @param aIsDelayed the engine is to serve others first
+/// @return the priority for an engine, 0 (first) to 9
+int
+EnginePriority(const Urgency& aUrgency, bool aIsDelayed);
+
 } // namespace hibiscushold
