--- a/src/admission/room.cc
+++ b/src/admission/room.cc
@@ -36,9 +36,7 @@
   const auto longest = std::min<milliseconds>(
     kMaxReturn,
     milliseconds(ToMillis(TimeLeft(aTerms.mDeadline, aNow)) / kReturnDivisor));
-  const milliseconds drained(
-    static_cast<int64_t>(std::min(aState.mDelayedMillis, 1e6)));
-  const milliseconds shortest = std::clamp(drained, kMinReturn, kMaxReturn);
+  const milliseconds shortest = std::max(kMinReturn, longest / 2);
   const auto spread = std::max(longest - shortest, milliseconds(0));
   const double place = aState.mUrgentTarget ? (1 + aFraction) / 2 : aFraction;
   const milliseconds after =
--- a/test/forecast-test.cc
+++ b/test/forecast-test.cc
@@ -51,6 +51,17 @@
   CHECK(queued > 5 * full);
 }
 
+// Engines serve what can be on time before what is delayed.
+TEST(Forecast, DelayedRequestsDelayOnlyEachOther)
+{
+  TargetLoad load = MakeLoad(9, 9000, 0);
+  load.mOthers.mDelayedTokens = 9000;
+  DOUBLES_EQUAL(Forecast({}), Forecast(load), 0.1);
+  DOUBLES_EQUAL(Forecast(MakeLoad(9, 9000, 0)),
+                ForecastFirstEvent(kTimes, kSlots, load, 1000, true),
+                0.1);
+}
+
 TEST(Forecast, OwnRequestsCountLikeThoseOfOthers)
 {
   TargetLoad own;
