--- a/src/admission/demandrecord.cc
+++ b/src/admission/demandrecord.cc
@@ -16,9 +16,8 @@
 /// Requests, in tokens of a usual prompt, that a share is measured from.
 constexpr double kMinRecentTokens = 8000;
 constexpr double kMinTokens = 100; ///< of any request
-constexpr double kOverheadWeight = 0.05;
-constexpr size_t kFirstOverheads = 20;
-constexpr double kMaxOverheadMillis = 400;
+constexpr double kLeastWeight = 0.05;
+constexpr double kMaxLeastMillis = 400;
 /// Bound on what a node keeps of models and accounts that come and go.
 constexpr size_t kMaxEntries = 1000;
 
@@ -125,24 +124,31 @@
 }
 
 void
-DemandRecord::RecordOverhead(std::string_view aModel, double aMillis)
+DemandRecord::RecordFirstEvent(std::string_view aModel,
+                               double aMillis,
+                               double aForecastMillis)
 {
-  const double sample = std::clamp(aMillis, 0.0, kMaxOverheadMillis);
   const std::lock_guard guard(mLock);
   Model& model = EntryOf(mModels, aModel);
-  const double weight = model.mOverheads < kFirstOverheads
-                          ? 1.0 / static_cast<double>(model.mOverheads + 1)
-                          : kOverheadWeight;
-  ++model.mOverheads;
-  model.mOverheadMillis += weight * (sample - model.mOverheadMillis);
+  // A longer forecast explains the wait by the load.
+  const bool isUnexplained =
+    model.mFirstEvents == 0 || aForecastMillis < model.mLeastMillis;
+  if (!isUnexplained) {
+    return;
+  }
+  const double sample = std::clamp(aMillis, 0.0, kMaxLeastMillis);
+  const double weight =
+    std::max(kLeastWeight, 1.0 / static_cast<double>(model.mFirstEvents + 1));
+  ++model.mFirstEvents;
+  model.mLeastMillis += weight * (sample - model.mLeastMillis);
 }
 
 double
-DemandRecord::OverheadOf(std::string_view aModel) const
+DemandRecord::LeastFirstEvent(std::string_view aModel) const
 {
   const std::lock_guard guard(mLock);
   const auto model = mModels.find(aModel);
-  return model == mModels.end() ? 0 : model->second.mOverheadMillis;
+  return model == mModels.end() ? 0 : model->second.mLeastMillis;
 }
 
 } // namespace hibiscushold
--- a/src/admission/demandrecord.h
+++ b/src/admission/demandrecord.h
@@ -53,11 +53,14 @@
                     std::string_view aAccount,
                     TimePoint aNow) const;
 
-  /// Records how much longer than forecast a first event took.
-  void RecordOverhead(std::string_view aModel, double aMillis);
+  /// Records how long a first event took, and what was forecast for it.
+  void RecordFirstEvent(std::string_view aModel,
+                        double aMillis,
+                        double aForecastMillis);
 
-  /// @return the usual excess over the forecast, in milliseconds
-  double OverheadOf(std::string_view aModel) const;
+  /// @return the usual wait for a first event at a target with little load, in
+  ///         milliseconds, of which the forecast knows only a part
+  double LeastFirstEvent(std::string_view aModel) const;
 
 private:
   struct Class
@@ -77,8 +80,8 @@
     std::map<Urgency, Class> mClasses;
     std::map<std::string, Work, std::less<>> mAccounts;
     Work mAll;
-    double mOverheadMillis = 0;
-    size_t mOverheads = 0; ///< that were recorded
+    double mLeastMillis = 0; ///< see LeastFirstEvent
+    size_t mFirstEvents = 0; ///< that mLeastMillis is derived from
   };
 
   mutable std::mutex mLock; ///< guards mModels
--- a/src/fleet/targetchoice.cc
+++ b/src/fleet/targetchoice.cc
@@ -146,11 +146,11 @@
   if (aInput.mOnTimeUntil == TimePoint{}) {
     return false;
   }
-  const double wait = ForecastFirstEvent(aTarget.mTarget->mTimes,
-                                         aTarget.mTarget->mSlots,
-                                         aTarget.mLoad,
-                                         aInput.mPromptTokens) +
-                      aInput.mOverheadMillis;
+  const double wait = std::max(ForecastFirstEvent(aTarget.mTarget->mTimes,
+                                                  aTarget.mTarget->mSlots,
+                                                  aTarget.mLoad,
+                                                  aInput.mPromptTokens),
+                               aInput.mLeastFirstEventMillis);
   return aInput.mNow + std::chrono::duration<double, std::milli>(wait) >
          aInput.mOnTimeUntil;
 }
--- a/src/fleet/targetchoice.h
+++ b/src/fleet/targetchoice.h
@@ -78,7 +78,7 @@
   /// Latest time of a first event that is on time; zero if there is none.
   TimePoint mOnTimeUntil{};
   uint32_t mPromptTokens = 0;
-  double mOverheadMillis = 0; ///< of first events, beyond the forecast
+  double mLeastFirstEventMillis = 0; ///< at a target with little load
 };
 
 /// @return whether the first event is expected after aInput.mOnTimeUntil
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -256,7 +256,7 @@
              NextFraction(),
              IsStream() ? OnTimeUntil(mRequest) : TimePoint{},
              mRequest.mPromptTokens,
-             mDependencies.mDemandRecord.OverheadOf(mRequest.mModel) };
+             mDependencies.mDemandRecord.LeastFirstEvent(mRequest.mModel) };
   }
 
   /// Waits a short time for a target or a retry if a started stream may still
@@ -364,7 +364,7 @@
     mMayHaveRun = mMayHaveRun || !notRun;
     --mUnreported;
     RecordOutcome(mDependencies, aTarget, report);
-    RecordOverhead(attempt, report);
+    RecordFirstEvent(attempt, report);
     LogAttempt(mDependencies, mRequest, aTarget, report, attempt.mLoad);
     RecordEvidence(mDependencies, mRequest, aTarget, report, sentAt);
     if (WasSent(report)) {
@@ -383,16 +383,16 @@
     return report;
   }
 
-  /// Only the first attempt of an undisturbed stream shows the usual excess
-  /// over the forecast.
-  void RecordOverhead(const Attempt& aAttempt, const ExchangeReport& aReport)
+  /// Only the first attempt of an undisturbed stream shows how long a first
+  /// event usually takes.
+  void RecordFirstEvent(const Attempt& aAttempt, const ExchangeReport& aReport)
   {
     if (mAttempts == 1 && !mIsDelayed && aReport.mStreamed &&
         aReport.mOutcome == ExchangeOutcome::Answered && IsStream()) {
-      mDependencies.mDemandRecord.RecordOverhead(
+      mDependencies.mDemandRecord.RecordFirstEvent(
         aAttempt.mTarget.mModel,
-        static_cast<double>(ToMillis(aReport.mTimeToFirstEvent)) -
-          aAttempt.mLoad.mFirstEventMillis);
+        static_cast<double>(ToMillis(aReport.mTimeToFirstEvent)),
+        aAttempt.mLoad.mFirstEventMillis);
     }
   }
 
--- a/src/gateway/roomcheck.cc
+++ b/src/gateway/roomcheck.cc
@@ -63,12 +63,12 @@
              now);
   const TargetLoad load = aDependencies.mLoads.Get(aTarget.mVmId);
   const auto expected = [&](bool aIsDelayed) {
-    return ForecastFirstEvent(aTarget.mTimes,
-                              aTarget.mSlots,
-                              load,
-                              aRequest.mPromptTokens,
-                              aIsDelayed) +
-           record.OverheadOf(aTarget.mModel);
+    return std::max(ForecastFirstEvent(aTarget.mTimes,
+                                       aTarget.mSlots,
+                                       load,
+                                       aRequest.mPromptTokens,
+                                       aIsDelayed),
+                    record.LeastFirstEvent(aTarget.mModel));
   };
   const RoomState state{
     expected(false),
