Test cold targets at the forwarder, and play their numbers from outside

No test showed that requests through a whole node keep to a cold target's turns. OutsideNumbers.EachDecodedNumberIsPlayed failed for new numbers (priority, chunk, cold_left_ms, cold_per_s); they are played now, and what marks and chooses cold targets runs with them.

--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -92,6 +92,15 @@
     mTargets.mByService["engines"][aIndex].mStartedMillis = aStartedMillis;
   }
 
+  /// Makes a target cold; aIndex counts from 0.
+  void SetTargetCold(size_t aIndex, TimePoint aUntil, double aPerSecond)
+  {
+    const std::lock_guard guard(mTargetsLock);
+    FleetTarget& target = mTargets.mByService["engines"][aIndex];
+    target.mColdUntil = aUntil;
+    target.mColdPerSecond = aPerSecond;
+  }
+
   /// Opens the callers' port; the configuration and targets are fixed then.
   void Start()
   {
--- a/test/gatewaysettings-test.cc
+++ b/test/gatewaysettings-test.cc
@@ -32,6 +32,29 @@
   CHECK(!settings.mFirstStart);
 }
 
+TEST(GatewaySettings, ReadsTheBoundsOfColdTargetsAndOfZones)
+{
+  const GatewaySettings none =
+    ParseGatewaySettings("f", kRequiredSettings).value();
+  CHECK(!none.mFollowsZones);
+  DOUBLES_EQUAL(1, none.mColdTolerance.mFactor, 1e-9);
+  DOUBLES_EQUAL(0, none.mColdTolerance.mExtraRequests, 1e-9);
+  const GatewaySettings settings =
+    ParseGatewaySettings("f",
+                         kRequiredSettings + "[limits]\ncold_factor = 1.5\n"
+                                             "cold_extra_requests = 5\n"
+                                             "[zones]\nout_within_ms = 5000\n")
+      .value();
+  CHECK(settings.mFollowsZones);
+  DOUBLES_EQUAL(1.5, settings.mColdTolerance.mFactor, 1e-9);
+  DOUBLES_EQUAL(5, settings.mColdTolerance.mExtraRequests, 1e-9);
+  // A platform without the bound leaves the value empty.
+  CHECK(
+    !ParseGatewaySettings("f", kRequiredSettings + "[zones]\nout_within_ms =\n")
+       .value()
+       .mFollowsZones);
+}
+
 TEST(GatewaySettings, ReportsTheFirstError)
 {
   const std::pair<std::string, Error> cases[] = {
@@ -58,7 +81,9 @@
     "[node]\ncapacity",           "[node]\nmax_connections",
     "[limits]\nkey_freshness_ms", "[limits]\ngrace_s",
     "[limits]\nrepeat_ratio",     "[limits]\nrepeat_window_s",
-    "[limits]\nrepeat_slack",     "[groups]\nstall_ms"
+    "[limits]\nrepeat_slack",     "[groups]\nstall_ms",
+    "[limits]\ncold_factor",      "[limits]\ncold_extra_requests",
+    "[zones]\nout_within_ms"
   };
   const std::string values[] = { "2147483648",
                                  "4294967296",
--- a/test/outsidenumbers-test.cc
+++ b/test/outsidenumbers-test.cc
@@ -1,6 +1,6 @@
 #include "core/ini.h"
 #include "core/json.h"
-#include "fleet/targetchoice.h"
+#include "fleet/coldtargets.h"
 #include "placement/planner.h"
 #include "platform/decode.h"
 
@@ -23,7 +23,9 @@
   Config, ///< the configuration
   Limits, ///< of the configuration
   Route,
-  Share, ///< of a route's split
+  Share,   ///< of a route's split
+  Account, ///< of the configuration
+  Service,
   Engine,
   Usual, ///< sizes of an engine's requests
   Model,
@@ -40,6 +42,7 @@
   { "born", Place::Vm },
   { "seq", Place::Vm },
   { "slots", Place::Vm },
+  { "cold_left_ms", Place::Vm },
   { "epoch", Place::Group },
   { "rank", Place::Group },
   { "version", Place::Config },
@@ -50,6 +53,9 @@
   { "slo_ms", Place::Route },
   { "gap_slo_ms", Place::Route },
   { "attempts", Place::Route },
+  { "priority", Place::Route },
+  { "priority", Place::Account },
+  { "cold_per_s", Place::Service },
   { "weight", Place::Share },
   { "slots", Place::Engine },
   { "kv_tokens", Place::Engine },
@@ -57,6 +63,7 @@
   { "per_seq_ms", Place::Engine },
   { "read_per_s", Place::Engine },
   { "stride", Place::Engine },
+  { "chunk", Place::Engine },
   { "loads_per_s", Place::Engine },
   { "loads_at_once", Place::Engine },
   { "form_ms", Place::Engine },
@@ -136,6 +143,7 @@
         "path_prefix":"/","kind":"streaming","service":"engines",
         "split":[{"service":"engines","weight":1},
                  {"service":"engines","weight":1}]}],
+        "tenants":[{"name":"t","keys":["k"]}],
         "services":[{"name":"engines","engine":{"slots":26,"kv_tokens":1000,
         "step_ms":6,"per_seq_ms":0.04,"read_per_s":50000,"stride":7,
         "loads_per_s":4,"loads_at_once":6,"form_ms":300,
@@ -180,6 +188,12 @@
       route["split"][0][aField.mName] = aValue;
       route["split"][1][aField.mName] = aValue;
       break;
+    case Place::Account:
+      made.mConfig["tenants"][0][aField.mName] = aValue;
+      break;
+    case Place::Service:
+      made.mConfig["services"][0][aField.mName] = aValue;
+      break;
     case Place::Engine:
       engine[aField.mName] = aValue;
       break;
@@ -214,6 +228,27 @@
   return vms;
 }
 
+/// Does what a node does with cold targets.
+void
+UseCold(FleetTargets aTargets, const FleetConfig& aConfig, TimePoint aNow)
+{
+  const std::vector<std::string> others{ "n1", "n2" };
+  TargetLoads loads;
+  for (const ColdTolerance& it :
+       { ColdTolerance{}, ColdTolerance{ 0, 0 }, ColdTolerance{ 1e9, 1e9 } }) {
+    MarkColdTargets(aTargets,
+                    aConfig,
+                    { {}, { { "", aNow } } },
+                    { "n0", others, true, TimePoint::min(), it });
+    for (const auto& [service, list] : aTargets.mByService) {
+      const ChoiceInput input{ "a", "m", aNow, 0.5 };
+      (void)ChooseWithTurn(list, loads, input, {});
+      const std::optional<TimePoint> end = EndOfQuiet(list, loads, input);
+      CHECK(!end || (*end > aNow && *end < aNow + kLongestTime));
+    }
+  }
+}
+
 /// Does what a node does with a list of VMs and a configuration.
 void
 Use(const FleetVms& aVms, const FleetConfig& aConfig)
@@ -221,6 +256,7 @@
   const TimePoint start{ std::chrono::hours(1) };
   const FleetTargets targets = FindTargets(aVms, aConfig);
   (void)FindOddRanks(aVms, aConfig);
+  UseCold(targets, aConfig, start);
   TargetLoads loads;
   loads.Begin("v0", start, 1000);
   for (const auto& [service, list] : targets.mByService) {
