--- a/test/coldforward-test.cc
+++ b/test/coldforward-test.cc
@@ -94,17 +94,17 @@
 // The load: as above, over several turns.
 TEST(ColdForward, ATargetGetsNoMoreThanItsShareOverTime)
 {
-  constexpr double perSecond = 100;
+  constexpr double kPerSecond = 100;
   ScriptedServer only(Repeat(kAnswered, kCallers * kRequestsPerCaller));
   mGateway.AddTarget(only);
-  mGateway.SetTargetCold(0, mGateway.mClock.Now() + kColdTime, perSecond);
+  mGateway.SetTargetCold(0, mGateway.mClock.Now() + kColdTime, kPerSecond);
   mGateway.Start();
   const TimePoint begin = mGateway.mClock.Now();
   (void)AskByMany();
   const std::chrono::duration<double> time = mGateway.mClock.Now() - begin;
-  CHECK(only.Requests().size() >= 1);
+  CHECK(!only.Requests().empty());
   CHECK(static_cast<double>(only.Requests().size()) <=
-        time.count() * perSecond + 1);
+        time.count() * kPerSecond + 1);
 }
 
 // Guards against requests of a node that is none of the target's senders.
