Notice a second return of the store while the zones are listed again

A zone came back into service although nobody put it back: when the entries were due to be listed again after the store's return from an older copy, the revision was forgotten, and with it the era. If that listing failed as the store was away again, a second return from an older copy was taken for the whole truth.

The era of the last read is kept by itself, also when a read could not be applied.

--- a/src/fleet/zonesout.cc
+++ b/src/fleet/zonesout.cc
@@ -127,9 +127,8 @@
 void
 ZoneFollower::Apply(const Listing& aListing, bool aIsFull, TimePoint aAsOf)
 {
-  const bool isRestored =
-    mRevision != 0 && EraOf(mRevision) != EraOf(aListing.mRevision);
-  if (isRestored) {
+  const uint64_t era = EraOf(aListing.mRevision);
+  if (mEra && *mEra != era) {
     mCompleteFrom = mClock.Now() + kStoreRecoveryTime;
   }
   const ZonesOutPtr before = Zones();
@@ -150,6 +149,7 @@
     mAsOf = std::max(mAsOf, aAsOf);
   }
   mRevision = aListing.mRevision;
+  mEra = era;
 }
 
 void
--- a/src/fleet/zonesout.h
+++ b/src/fleet/zonesout.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -75,7 +76,8 @@
   Platform& mPlatform;
   const std::string mPrefix;
   const Clock& mClock;
-  uint64_t mRevision = 0; ///< 0 if the entries have to be listed
+  uint64_t mRevision = 0;       ///< 0 if the entries have to be listed
+  std::optional<uint64_t> mEra; ///< of the last read
   bool mIsUnreachable = false;
   /// Entries may be missing until then, after the store's return from an older
   /// copy; they are listed again afterwards.
--- a/test/zonesout-test.cc
+++ b/test/zonesout-test.cc
@@ -165,6 +165,24 @@
   STRCMP_EQUAL("", Poll().c_str());
 }
 
+// Guards against a second return that goes unnoticed, as it comes while the
+// entries are due to be listed again.
+TEST(ZonesOut, StayWhenTheStoreReturnsASecondTime)
+{
+  STRCMP_EQUAL("", Poll().c_str());
+  const FakePlatform::Copy copy = mStore.Save();
+  mStore.Put("zones/a", "{}");
+  STRCMP_EQUAL("a ", Poll().c_str());
+  mStore.Restore(copy);
+  STRCMP_EQUAL("a ", Poll().c_str());
+  mStore.Put("zones/a", "{}"); // written again
+  mClock.Advance(kStoreRecoveryTime);
+  mStore.mNextReadFault = StoreFault::Unavailable;
+  STRCMP_EQUAL("a ", Poll().c_str());
+  mStore.Restore(copy);
+  STRCMP_EQUAL("a ", Poll().c_str());
+}
+
 TEST(ZonesOut, TakeTargetsAndWholeGroupsAway)
 {
   FleetVms vms;
