Plan groups only once the zones out of service are known

A planner whose node had not read the operators' entries yet formed and loaded groups in a zone out of service, as unknown zones counted as none.

PlanRunner waits for them; a node that follows no zones gives it an empty list.

--- a/src/placement/planrunner.cc
+++ b/src/placement/planrunner.cc
@@ -108,7 +108,8 @@
     mLeaseTakenAt = mDependencies.mClock.Now();
   }
   const FleetConfigPtr config = mDependencies.mWatcher.Config();
-  if (config == nullptr) {
+  const ZonesOutPtr zones = mDependencies.mZones();
+  if (config == nullptr || zones == nullptr) {
     return;
   }
   const FleetVmsPtr vms = FreshVms();
@@ -122,7 +123,7 @@
   }
   for (const auto& [name, service] : config->mServices) {
     if (service.mEngine && !service.mEngine->mModels.empty()) {
-      PlanService(service, vms);
+      PlanService(service, vms, *zones);
     }
   }
 }
@@ -160,7 +161,9 @@
 }
 
 void
-PlanRunner::PlanService(const FleetService& aService, const FleetVmsPtr& aVms)
+PlanRunner::PlanService(const FleetService& aService,
+                        const FleetVmsPtr& aVms,
+                        const ZonesOut& aZones)
 {
   const TimePoint now = mDependencies.mClock.Now();
   auto [it, isNew] = mServices.try_emplace(aService.mName);
@@ -173,12 +176,11 @@
   if (IsCutOff()) {
     return;
   }
-  const ZonesOutPtr zones = mDependencies.mZones();
   const PlannerView view{ *aVms,
                           aService.mName,
                           *aService.mEngine,
                           mDependencies.mIsBeforeTraffic(),
-                          zones.get() };
+                          &aZones };
   PlannerStep step = PlanStep(service.mState, view, mLimits, now);
   for (FleetOrder& order : step.mOrders) {
     SendOrder(aService.mName, std::move(order));
--- a/src/placement/planrunner.h
+++ b/src/placement/planrunner.h
@@ -28,7 +28,7 @@
     Metrics& mMetrics;
     const Clock& mClock;
     std::function<bool()> mIsBeforeTraffic;
-    /// The zones out of service; null if they are unknown or never are.
+    /// The zones out of service; null while they are unknown.
     std::function<ZonesOutPtr()> mZones;
     /// Whether this node's requests reach targets.
     std::function<bool()> mReachesTargets;
@@ -77,7 +77,9 @@
   bool IsCutOff() const;
   /// @return a list of the VMs that is newer than the lease, or null
   FleetVmsPtr FreshVms();
-  void PlanService(const FleetService& aService, const FleetVmsPtr& aVms);
+  void PlanService(const FleetService& aService,
+                   const FleetVmsPtr& aVms,
+                   const ZonesOut& aZones);
   static void LogUnformable(Service& aService, const PlannerView& aView);
   void LogCounts(const std::string& aName,
                  Service& aService,
--- a/test/planrunner-test.cc
+++ b/test/planrunner-test.cc
@@ -122,6 +122,7 @@
                              return MakeConfig();
                            } },
                          mClock };
+  ZonesOutPtr mZones = std::make_shared<const ZonesOut>();
   std::unique_ptr<PlanRunner> mRunner;
 
   static FleetConfig MakeConfig()
@@ -162,7 +163,7 @@
                                 mMetrics,
                                 mClock,
                                 [] { return true; },
-                                [] { return ZonesOutPtr(); },
+                                [this] { return mZones; },
                                 [this] { return mReachesTargets.load(); },
                                 mStopping },
       PlannerLimits{});
@@ -333,6 +334,23 @@
   CHECK_EQUAL(kThreads, mEngines.CountOrders());
 }
 
+// The failure: a planner that starts while the store turns it away for the
+// zones only, and forms groups in a zone out of service.
+TEST(PlanRunner, FormsNothingBeforeItKnowsTheZones)
+{
+  mZones = nullptr;
+  AddFreeVms(2);
+  CHECK(RunUntilItHoldsTheLease(true));
+  RunFor(milliseconds(1500));
+  CHECK_EQUAL(0U, mEngines.CountOrders());
+  mZones = std::make_shared<const ZonesOut>();
+  const TimePoint end = mClock.Now() + kGivenUpWithin;
+  while (mClock.Now() < end && mEngines.CountOrders() == 0) {
+    RunFor(milliseconds(50));
+  }
+  CHECK(mEngines.CountOrders() > 0);
+}
+
 TEST_GROUP(CutSuggestion){};
 
 // Guards against a planner that takes the loss of a domain, a zone or half of
