Play zones out of service and cold targets in the emulator

The emulator's operator takes a zone out of service and puts it back, at scripted or drawn times; targets of a zone that is back, and those that start during the run, are cold for 3 s, state it in their entries, and end at six times their rate. The judge counts requests that reach a zone later than 5 s after the store has taken the entry (EVAC; a restart of the node excuses nothing), and requests beyond the rate of a cold target in any second (FAILBACK). All of it is off without a scenario's section [zones].

--- a/emulator/configs.cc
+++ b/emulator/configs.cc
@@ -111,7 +111,7 @@
 }
 
 Json::Value
-MakeConfig(uint64_t aVersion)
+MakeConfig(uint64_t aVersion, double aColdPerSecond)
 {
   Json::Value config;
   config["version"] = Json::UInt64(aVersion * kVersionStep);
@@ -132,6 +132,9 @@
   for (size_t it = 0; it < kServices; ++it) {
     Json::Value service;
     service["name"] = ServiceName(it);
+    if (aColdPerSecond > 0) {
+      service["cold_per_s"] = aColdPerSecond;
+    }
     config["services"].append(service);
   }
   config["services"].append(MakeEngineService());
--- a/emulator/configs.h
+++ b/emulator/configs.h
@@ -38,8 +38,9 @@
 std::string
 AnswerBody(size_t aService, uint64_t aRequestId);
 
+/// @param aColdPerSecond rate of cold targets, 0 for none
 /// @return the specification of the version, as the operator writes it
 Json::Value
-MakeConfig(uint64_t aVersion);
+MakeConfig(uint64_t aVersion, double aColdPerSecond);
 
 } // namespace hibiscushold::emulator
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -19,6 +19,9 @@
   int64_t mRollbackMillis = 250;
   int64_t mRevokeMillis = 5000;
   int64_t mDrainMillis = 2000;
+  int64_t mZoneOutMillis = 5000;
+  double mColdFactor = 1.5;
+  double mColdExtraRequests = 5;
 };
 
 /// A request that breaks a rule.
@@ -57,4 +60,18 @@
 std::vector<Breach>
 JudgeBudget(const Lines& aLines, const JudgeBounds& aBounds);
 
+/// No request reaches a target of a zone out of service later than a bound
+/// after the store has acknowledged it, from a node that reaches the store,
+/// also one that has just started (EVAC).
+std::vector<Breach>
+JudgeZonesOut(const Lines& aLines, const JudgeBounds& aBounds);
+
+/// No cold target gets more requests of all nodes in any second than it
+/// tolerates (FAILBACK).
+/// @param aColdPerSecond rate of cold targets, 0 for none
+std::vector<Breach>
+JudgeCold(const Lines& aLines,
+          double aColdPerSecond,
+          const JudgeBounds& aBounds);
+
 } // namespace hibiscushold::emulator
--- a/emulator/lines.cc
+++ b/emulator/lines.cc
@@ -101,6 +101,8 @@
   json["id"] = Json::UInt64(aLine.mId);
   json["target"] = aLine.mTarget;
   json["at_ms"] = Json::Int64(aLine.mAt);
+  json["zone"] = aLine.mZone;
+  json["cold"] = aLine.mIsCold;
   const std::lock_guard guard(mLock);
   WriteLine(mFile, "arrival", std::move(json));
   mLines.mArrivals.push_back(aLine);
@@ -153,6 +155,18 @@
   mLines.mEnds.push_back(aLine);
 }
 
+void
+Recorder::Record(const ZoneLine& aLine)
+{
+  Json::Value json;
+  json["zone"] = aLine.mZone;
+  json["acked_ms"] = Json::Int64(aLine.mAckedAt);
+  json["back_ms"] = Json::Int64(aLine.mBackAt);
+  const std::lock_guard guard(mLock);
+  WriteLine(mFile, "zone", std::move(json));
+  mLines.mZones.push_back(aLine);
+}
+
 Lines
 Recorder::All() const
 {
--- a/emulator/lines.h
+++ b/emulator/lines.h
@@ -52,6 +52,16 @@
   uint64_t mId = 0;
   std::string mTarget;
   int64_t mAt = 0;
+  std::string mZone{};
+  bool mIsCold = false;
+};
+
+/// A zone that was out of service.
+struct ZoneLine
+{
+  std::string mZone;
+  int64_t mAckedAt = 0; ///< of the entry
+  int64_t mBackAt = 0;  ///< when the operator began to remove it
 };
 
 /// A version of the configuration that the store has acknowledged.
@@ -102,6 +112,7 @@
   std::vector<LeavingLine> mLeavings;
   std::vector<DisturbanceLine> mDisturbances;
   std::vector<EndLine> mEnds;
+  std::vector<ZoneLine> mZones;
 };
 
 /// Records lines in memory, and as one JSON object per line in a file.
@@ -118,6 +129,7 @@
   void Record(const LeavingLine& aLine);
   void Record(const DisturbanceLine& aLine);
   void Record(const EndLine& aLine);
+  void Record(const ZoneLine& aLine);
 
   Lines All() const;
 
--- a/emulator/main.cc
+++ b/emulator/main.cc
@@ -61,10 +61,13 @@
   std::filesystem::create_directories(folder);
   const Lines lines = Play(aScenario, aProgram, folder);
   std::vector<Breach> breaches = JudgeConfig(lines, {});
-  for (const std::vector<Breach>& it : { JudgeEnds(lines),
-                                         JudgeDrain(lines, {}),
-                                         JudgeAnswers(lines),
-                                         JudgeBudget(lines, {}) }) {
+  for (const std::vector<Breach>& it :
+       { JudgeEnds(lines),
+         JudgeDrain(lines, {}),
+         JudgeAnswers(lines),
+         JudgeBudget(lines, {}),
+         JudgeZonesOut(lines, {}),
+         JudgeCold(lines, aScenario.mColdPerSecond, {}) }) {
     breaches.insert(breaches.end(), it.begin(), it.end());
   }
   std::cout << "seed " << aSeed << ": " << Count(lines, Verdict::Accepted)
--- a/emulator/nodeprocess.cc
+++ b/emulator/nodeprocess.cc
@@ -1,5 +1,7 @@
 #include "emulator/nodeprocess.h"
 
+#include "emulator/judge.h"
+
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
@@ -42,6 +44,12 @@
        << "\nfirst_start = " << (aIsFirstStart ? "true" : "false")
        << "\ncapacity = 0.25\n[store]\naddress = " << aOptions.mStoreAddress
        << "\n[limits]\nkey_freshness_ms = 5000\ngrace_s = 8\n";
+  if (aOptions.mFollowsZones) {
+    const JudgeBounds bounds;
+    file << "cold_factor = " << bounds.mColdFactor
+         << "\ncold_extra_requests = " << bounds.mColdExtraRequests
+         << "\n[zones]\nout_within_ms = " << bounds.mZoneOutMillis << "\n";
+  }
   return path;
 }
 
--- a/emulator/nodeprocess.h
+++ b/emulator/nodeprocess.h
@@ -26,6 +26,7 @@
   uint16_t mReadyPort = 0;
   uint16_t mPeerPort = 0;
   size_t mMaxAddressSpace = 0; ///< bytes; 0 for no bound
+  bool mFollowsZones = false;
 };
 
 /// A node of the system as a process. Signals go only to the process that this
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -73,6 +73,8 @@
   void LeaveOddEntry(const Fault& aFault);
   void RestartEndedNodes() const;
   std::unique_ptr<Caller> MakeCaller(size_t aIndex);
+  void TakeZoneOut(const Fault& aFault);
+  void AwaitStore() const;
   void Change();
   void SetAccess(StoreAccess aAccess);
   void WaitUntil(int64_t aTime) const;
@@ -85,6 +87,7 @@
   Targets mTargets;
   std::vector<Node> mNodes;
   std::mutex mStoreLock;              ///< one return at a time
+  std::mutex mZoneLock;               ///< one zone out at a time
   std::atomic<uint64_t> mNextId{ 1 }; ///< of the requests
   std::atomic<bool> mIsStoreAway{ false };
   std::atomic<bool> mStopping{ false };
@@ -96,12 +99,8 @@
   : mScenario(aScenario)
   , mRecorder(aFolder + "/lines.jsonl")
   , mStore(mTimeline, kFirstEra, kFirstRevision)
-  , mOperator(mStore, mTimeline, mRecorder)
-  , mTargets(aScenario.mTargetsPerService,
-             aScenario.mSeed,
-             mStore,
-             mTimeline,
-             mRecorder)
+  , mOperator(mStore, aScenario.mColdPerSecond, mTimeline, mRecorder)
+  , mTargets(aScenario, mStore, mTimeline, mRecorder)
 {
   for (size_t i = 0; i < aScenario.mNodes; ++i) {
     Node node{ std::make_unique<StorePort>(mStore, mTimeline),
@@ -117,7 +116,8 @@
                          port,
                          static_cast<uint16_t>(port + 1),
                          static_cast<uint16_t>(port + 2),
-                         aScenario.mAddressSpaceMb * kBytesPerMb };
+                         aScenario.mAddressSpaceMb * kBytesPerMb,
+                         aScenario.mFollowsZones };
     node.mProcess =
       std::make_unique<NodeProcess>(std::move(options), mTimeline, mRecorder);
     mNodes.push_back(std::move(node));
@@ -256,14 +256,34 @@
 }
 
 void
-World::Change()
+World::AwaitStore() const
 {
   while (mIsStoreAway) {
     std::this_thread::sleep_for(kRetryInterval);
   }
+}
+
+void
+World::Change()
+{
+  AwaitStore();
   mOperator.Change();
 }
 
+void
+World::TakeZoneOut(const Fault& aFault)
+{
+  // A zone that is out can't be taken out again.
+  const std::lock_guard guard(mZoneLock);
+  const std::string zone = "zone-" + std::to_string(aFault.mZone);
+  AwaitStore();
+  mOperator.TakeOut(zone);
+  std::this_thread::sleep_for(milliseconds(aFault.mFor));
+  AwaitStore();
+  mTargets.TurnCold(zone);
+  mOperator.PutBack(zone);
+}
+
 void
 World::Cause(const Fault& aFault)
 {
@@ -297,6 +317,9 @@
     case FaultKind::OddEntry:
       LeaveOddEntry(aFault);
       return;
+    case FaultKind::ZoneOut:
+      TakeZoneOut(aFault);
+      return;
     default:
       break;
   }
--- a/emulator/scenario.cc
+++ b/emulator/scenario.cc
@@ -31,6 +31,7 @@
   Calls,
   Crashes,
   OddEntries,
+  ZoneOuts,
 };
 
 template<class Value>
@@ -56,6 +57,7 @@
     { "node-stop", FaultKind::NodeStop },
     { "node-freeze", FaultKind::NodeFreeze },
     { "odd-entry", FaultKind::OddEntry },
+    { "zone-out", FaultKind::ZoneOut },
   };
   return names;
 }
@@ -126,6 +128,10 @@
     { "sizes.targets_per_service", ToNumber(&Scenario::mTargetsPerService) },
     { "sizes.callers_per_node", ToNumber(&Scenario::mCallersPerNode) },
     { "sizes.address_space_mb", ToNumber(&Scenario::mAddressSpaceMb) },
+    { "zones.with_targets", ToNumber(&Scenario::mTargetZones) },
+    { "zones.cold_per_s", ToNumber(&Scenario::mColdPerSecond) },
+    { "zones.outs", ToNumber(&Scenario::mZoneOuts) },
+    { "zones.followed", ToName(&Scenario::mFollowsZones, Flags()) },
   };
   return setters;
 }
@@ -138,6 +144,7 @@
     { "at_ms", ToNumber(&Fault::mAt) },
     { "for_ms", ToNumber(&Fault::mFor) },
     { "node", ToNumber(&Fault::mNode) },
+    { "zone", ToNumber(&Fault::mZone) },
     { "mode", ToName(&Fault::mMode, AwayModes()) },
     { "lost_ms", ToNumber(&Fault::mLost) },
     { "rewrite_ms", ToNumber(&Fault::mRewriteAfter) },
@@ -384,6 +391,23 @@
   return faults;
 }
 
+std::vector<Fault>
+DrawZoneOuts(const Scenario& aScenario)
+{
+  Draw draw(aScenario.mSeed, Stream::ZoneOuts);
+  std::vector<Fault> faults;
+  for (size_t i = 0; i < aScenario.mZoneOuts; ++i) {
+    Fault fault =
+      FaultAt(FaultKind::ZoneOut,
+              draw.Between(kFirstFaultAt, aScenario.mRunTime - 2 * kQuietEnd));
+    fault.mFor = draw.Between(50, 9000);
+    fault.mZone = static_cast<size_t>(
+      draw.Between(0, static_cast<int64_t>(aScenario.mTargetZones) - 1));
+    faults.push_back(fault);
+  }
+  return faults;
+}
+
 } // namespace
 
 Scenario
@@ -404,6 +428,9 @@
           aErrors);
     }
   }
+  if (scenario.mTargetZones == 0) {
+    aErrors.push_back({ 0, { Error::SettingInvalid, "with_targets '0'", "" } });
+  }
   for (const Fault& it : scenario.mFaults) {
     if (it.mNode >= scenario.mNodes) {
       aErrors.push_back({ 0,
@@ -428,7 +455,8 @@
                                         DrawHistories(aScenario),
                                         DrawCallFaults(aScenario),
                                         DrawCrashes(aScenario),
-                                        DrawOddEntries(aScenario) }) {
+                                        DrawOddEntries(aScenario),
+                                        DrawZoneOuts(aScenario) }) {
     all.insert(all.end(), it.begin(), it.end());
   }
   std::stable_sort(
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -27,6 +27,7 @@
   NodeStop,     ///< a node is asked to stop and starts again
   NodeFreeze,   ///< a node is suspended
   OddEntry,     ///< another writer leaves an entry in the list of VMs
+  ZoneOut,      ///< the operator takes a zone out of service and puts it back
 };
 
 /// How the store is away.
@@ -42,8 +43,9 @@
 {
   FaultKind mKind = FaultKind::Change;
   int64_t mAt = 0;
-  int64_t mFor = 0; ///< how long the node or the store is away
+  int64_t mFor = 0; ///< how long the node, the store or the zone is away
   size_t mNode = 0; ///< for faults of one node
+  size_t mZone = 0; ///< for faults of one zone
   AwayMode mMode = AwayMode::Busy;
   int64_t mLost = 0;         ///< age of the copy that the store returns from
   int64_t mRewriteAfter = 0; ///< until the operator writes its part again
@@ -62,6 +64,10 @@
   size_t mTargetsPerService = 3;
   size_t mCallersPerNode = 2;
   size_t mAddressSpaceMb = 0; ///< of each node; 0 for no bound
+  size_t mTargetZones = 1;    ///< zones that have targets
+  double mColdPerSecond = 0;  ///< rate of a cold target; 0 if none is cold
+  size_t mZoneOuts = 0;       ///< drawn times at which a zone is taken out
+  bool mFollowsZones = false; ///< the nodes' settings have a bound for zones
   std::vector<Fault> mFaults; ///< besides those drawn from the seed
   bool mDrawsFaults = true;
 };
--- a/emulator/target.cc
+++ b/emulator/target.cc
@@ -19,6 +19,7 @@
 constexpr auto kCopyDelay = milliseconds(3);
 /// Time from the start of a request that ends its target to that end.
 constexpr auto kCrashDelay = milliseconds(50);
+constexpr int64_t kSecond = 1000;
 constexpr int kSlots = 8;
 constexpr int kMisdirected = 421;
 /// Headers of answers that nodes need not know.
@@ -41,8 +42,11 @@
 
 } // namespace
 
-TargetAddress::TargetAddress(const Timeline& aTimeline, Recorder& aRecorder)
-  : mTimeline(aTimeline)
+TargetAddress::TargetAddress(double aFatalColdRate,
+                             const Timeline& aTimeline,
+                             Recorder& aRecorder)
+  : mFatalColdRate(aFatalColdRate)
+  , mTimeline(aTimeline)
   , mRecorder(aRecorder)
   , mServer(0,
             [this](HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) {
@@ -68,6 +72,28 @@
   }
 }
 
+void
+TargetAddress::TurnCold(int64_t aUntil)
+{
+  const std::lock_guard guard(mLock);
+  if (mOccupant) {
+    mOccupant->mColdUntil = aUntil;
+    ++mOccupant->mSequence;
+  }
+}
+
+bool
+TargetAddress::IsOverrun()
+{
+  const std::lock_guard guard(mLock);
+  const int64_t now = mTimeline.Now();
+  mColdArrivals.push_back(now);
+  while (mColdArrivals.front() <= now - kSecond) {
+    mColdArrivals.pop_front();
+  }
+  return static_cast<double>(mColdArrivals.size()) > mFatalColdRate;
+}
+
 void
 TargetAddress::End()
 {
@@ -106,7 +132,11 @@
   Json::Value entry;
   entry["service"] = ServiceName(aTarget.mService);
   entry["addr"] = ToString(mServer.Address());
-  entry["zone"] = "zone-0";
+  entry["zone"] = aTarget.mZone;
+  const int64_t coldTime = aTarget.mColdUntil - mTimeline.Now();
+  if (coldTime > 0) {
+    entry["cold_left_ms"] = Json::Int64(coldTime);
+  }
   entry["version"] = 1;
   entry["slots"] = kSlots;
   entry["state"] = aTarget.mIsLeaving ? "draining" : "ready";
@@ -136,9 +166,11 @@
     standin::SendReply(aResponse, kMisdirected, "{}");
     return;
   }
+  const int64_t now = mTimeline.Now();
+  const bool isCold = now < target->mColdUntil;
   mRecorder.Record(
-    ArrivalLine{ std::stoull(id), target->mId, mTimeline.Now() });
-  if (IsCrashPath(aRequest.getURI())) {
+    ArrivalLine{ std::stoull(id), target->mId, now, target->mZone, isCold });
+  if (IsCrashPath(aRequest.getURI()) || (isCold && IsOverrun())) {
     Crash(target->mId);
     standin::CutConnection(aRequest);
     return;
--- a/emulator/target.h
+++ b/emulator/target.h
@@ -5,6 +5,7 @@
 #include "standin/server.h"
 
 #include <atomic>
+#include <deque>
 #include <memory>
 #include <optional>
 
@@ -20,6 +21,8 @@
   size_t mService = 0;
   uint64_t mBorn = 0; ///< Unix time in ms
   uint64_t mSequence = 1;
+  std::string mZone{};
+  int64_t mColdUntil = 0; ///< time of the timeline in ms
   bool mIsLeaving = false;
   bool mAnnouncesLeaving = false; ///< in its answers, while it leaves
 };
@@ -37,12 +40,17 @@
 class TargetAddress
 {
 public:
-  TargetAddress(const Timeline& aTimeline, Recorder& aRecorder);
+  /// @param aFatalColdRate requests in a second that end a cold target
+  TargetAddress(double aFatalColdRate,
+                const Timeline& aTimeline,
+                Recorder& aRecorder);
 
   /// Starts a target here, in place of the one that is here.
   void Start(Target aTarget);
   /// The target says from now on that it leaves.
   void Leave();
+  /// The target is cold for a time.
+  void TurnCold(int64_t aUntil);
   /// Ends the target; connections to the address are closed from then on.
   void End();
 
@@ -61,16 +69,20 @@
 private:
   /// Ends the target a moment after it has begun to work on a request.
   void Crash(const std::string& aTarget);
+  /// @return whether the target, which is cold, gets far too many requests
+  bool IsOverrun();
   void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse);
   void Answer(HTTPServerRequest& aRequest,
               HTTPServerResponse& aResponse,
               const std::string& aBody) const;
 
+  const double mFatalColdRate;
   const Timeline& mTimeline;
   Recorder& mRecorder;
   mutable std::mutex mLock; ///< guards the members below
   std::optional<Target> mOccupant;
   std::optional<size_t> mCrashedService;
+  std::deque<int64_t> mColdArrivals; ///< within the last second
   std::atomic<AnswerFault> mAnswerFault{ AnswerFault::None };
   standin::Server mServer;
 };
--- a/emulator/targets.cc
+++ b/emulator/targets.cc
@@ -19,6 +19,9 @@
 constexpr int64_t kRestartMillis = 3000;
 constexpr size_t kSparePlaces = 4;
 constexpr double kSpoiledShare = 0.3;
+constexpr int64_t kColdMillis = 3000;
+/// A cold target ends at this multiple of the rate that it tolerates.
+constexpr double kFatalFactor = 6;
 
 std::string
 VmKind()
@@ -39,29 +42,36 @@
 
 } // namespace
 
-Targets::Targets(size_t aPerService,
-                 uint64_t aSeed,
+Targets::Targets(const Scenario& aScenario,
                  Store& aStore,
                  const Timeline& aTimeline,
                  Recorder& aRecorder)
   : mStore(aStore)
+  , mAreColdFirst(aScenario.mColdPerSecond > 0)
   , mTimeline(aTimeline)
   , mRecorder(aRecorder)
-  , mRandom(aSeed)
+  , mRandom(aScenario.mSeed)
 {
-  for (size_t i = 0; i < aPerService * kServices + kSparePlaces; ++i) {
+  const size_t count = aScenario.mTargetsPerService * kServices;
+  for (size_t i = 0; i < count + kSparePlaces; ++i) {
+    // Each service has targets in each zone.
+    const size_t zone = i / kServices % aScenario.mTargetZones;
     mPlaces.push_back(
-      { std::make_unique<TargetAddress>(aTimeline, aRecorder) });
+      { std::make_unique<TargetAddress>(
+          kFatalFactor * aScenario.mColdPerSecond, aTimeline, aRecorder),
+        "zone-" + std::to_string(zone) });
   }
-  for (size_t i = 0; i < aPerService * kServices; ++i) {
-    StartAt(mPlaces[i], i % kServices);
+  for (size_t i = 0; i < count; ++i) {
+    StartAt(mPlaces[i], i % kServices, 0);
   }
 }
 
 void
-Targets::StartAt(Place& aPlace, size_t aService)
+Targets::StartAt(Place& aPlace, size_t aService, int64_t aColdUntil)
 {
   Target target;
+  target.mZone = aPlace.mZone;
+  target.mColdUntil = aColdUntil;
   target.mId = "target-" + std::to_string(mNextId++);
   target.mService = aService;
   target.mBorn = UnixMillis();
@@ -103,7 +113,7 @@
   }
   std::uniform_int_distribution<size_t> draw(0, staying.size() - 1);
   Place& leaving = *staying[draw(mRandom)];
-  StartAt(*free, leaving.mAddress->Occupant()->mService);
+  StartAt(*free, leaving.mAddress->Occupant()->mService, ColdUntil());
   leaving.mAddress->Leave();
   leaving.mNextBeatAt = mTimeline.Now();
   leaving.mEndsAt =
@@ -111,6 +121,23 @@
     std::uniform_int_distribution<int64_t>(500, kMaxExtraDrainMillis)(mRandom);
 }
 
+int64_t
+Targets::ColdUntil() const
+{
+  return mAreColdFirst ? mTimeline.Now() + kColdMillis : 0;
+}
+
+void
+Targets::TurnCold(const std::string& aZone)
+{
+  const std::lock_guard guard(mLock);
+  for (const Place& it : mPlaces) {
+    if (it.mZone == aZone) {
+      it.mAddress->TurnCold(ColdUntil());
+    }
+  }
+}
+
 void
 Targets::SpoilAnswers(AnswerFault aFault)
 {
@@ -136,7 +163,7 @@
     aPlace.mRestartedService = crashed;
   }
   if (aPlace.mRestartedService && now >= aPlace.mRestartsAt) {
-    StartAt(aPlace, *aPlace.mRestartedService);
+    StartAt(aPlace, *aPlace.mRestartedService, ColdUntil());
     aPlace.mRestartedService.reset();
   }
   const std::optional<Target> target = aPlace.mAddress->Occupant();
--- a/emulator/targets.h
+++ b/emulator/targets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "emulator/scenario.h"
 #include "emulator/target.h"
 
 #include <memory>
@@ -13,8 +14,7 @@
 class Targets
 {
 public:
-  Targets(size_t aPerService,
-          uint64_t aSeed,
+  Targets(const Scenario& aScenario,
           Store& aStore,
           const Timeline& aTimeline,
           Recorder& aRecorder);
@@ -23,6 +23,10 @@
   /// which a target of another service may have had.
   void ReplaceOne();
 
+  /// The targets of a zone turn cold. Their entries show it with their next
+  /// reports.
+  void TurnCold(const std::string& aZone);
+
   /// Some addresses spoil their answers from now on.
   /// @param aFault None for sound answers everywhere
   void SpoilAnswers(AnswerFault aFault);
@@ -40,6 +44,7 @@
   struct Place
   {
     std::unique_ptr<TargetAddress> mAddress;
+    std::string mZone;
     int64_t mNextBeatAt = 0;
     int64_t mEndsAt = 0;   ///< of a target that leaves
     int64_t mFreeFrom = 0; ///< another target may start here from this time
@@ -51,12 +56,15 @@
   /// When an entry without a living target was first seen.
   using Orphans = std::map<std::string, int64_t>;
 
-  void StartAt(Place& aPlace, size_t aService);
+  void StartAt(Place& aPlace, size_t aService, int64_t aColdUntil);
+  /// @return until when a target is cold that turns cold now, 0 if none does
+  int64_t ColdUntil() const;
   void SyncPlace(Place& aPlace, bool aIsStoreAway);
   void RemoveOrphans();
   Place* FindFree();
 
   Store& mStore;
+  const bool mAreColdFirst; ///< targets that start during the run
   const Timeline& mTimeline;
   Recorder& mRecorder;
   std::mutex mLock; ///< guards the members below
