--- a/test/coldtargets-test.cc
+++ b/test/coldtargets-test.cc
@@ -1,4 +1,5 @@
 #include "fleet/coldtargets.h"
+#include "platform/decode.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -234,3 +235,40 @@
   CHECK_EQUAL(1U, ShareColdRate(4, {}).mSenders);
   CHECK(ShareColdRate(1e9, { 1e9, 1e9 }).mSenders <= 4);
 }
+
+TEST_GROUP(ColdDecode){};
+
+// Guards against requests at the usual rate to a VM that says it is cold, and
+// against one that is taken for cold forever.
+TEST(ColdDecode, ReadsForHowLongAVmIsCold)
+{
+
+  const std::pair<const char*, TimePoint> rows[] = {
+    { "1500", kNow + milliseconds(1500) },
+    { "0", TimePoint{} },
+    { "-1", TimePoint{} },
+    { "null", TimePoint{} },
+    { "\"1500\"", TimePoint{} },
+    { "1e300", kNow + std::chrono::minutes(1) },
+  };
+  for (const auto& [value, until] : rows) {
+    const std::string spec =
+      R"({"service":"s","addr":"10.0.0.9:80","state":"ready","cold_left_ms":)" +
+      std::string(value) + "}";
+    const FleetVm vm = DecodeVm({ "servers/i-1", 3, spec }, kNow).value();
+    CHECK_TEXT(vm.mColdUntil == until, value);
+  }
+}
+
+TEST(ColdDecode, ReadsTheRateThatColdVmsTolerate)
+{
+  const FleetConfig config =
+    DecodeConfig({ "config/main", 9, R"({"version":7,"services":[
+      {"name":"s","cold_per_s":17.5},{"name":"t"},
+      {"name":"u","cold_per_s":-1},{"name":"v","cold_per_s":"17"},7]})" })
+      .value();
+  DOUBLES_EQUAL(17.5, config.mServices.at("s").mColdRequestsPerSecond, 1e-9);
+  for (const char* it : { "t", "u", "v" }) {
+    DOUBLES_EQUAL(0, config.mServices.at(it).mColdRequestsPerSecond, 1e-9);
+  }
+}
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -66,41 +66,6 @@
   }
 }
 
-// Guards against requests at the usual rate to a VM that says it is cold, and
-// against one that is taken for cold forever.
-TEST(Decode, ReadsForHowLongAVmIsCold)
-{
-  constexpr TimePoint now{ std::chrono::hours(1) };
-  const std::pair<const char*, TimePoint> rows[] = {
-    { "1500", now + milliseconds(1500) },
-    { "0", TimePoint{} },
-    { "-1", TimePoint{} },
-    { "null", TimePoint{} },
-    { "\"1500\"", TimePoint{} },
-    { "1e300", now + std::chrono::minutes(1) },
-  };
-  for (const auto& [value, until] : rows) {
-    const std::string spec =
-      R"({"service":"s","addr":"10.0.0.9:80","state":"ready","cold_left_ms":)" +
-      std::string(value) + "}";
-    const FleetVm vm = DecodeVm(MakeVmObject(spec), now).value();
-    CHECK_TEXT(vm.mColdUntil == until, value);
-  }
-}
-
-TEST(Decode, ReadsTheRateThatColdVmsTolerate)
-{
-  const FleetConfig config =
-    DecodeConfig({ "config/main", 9, R"({"version":7,"services":[
-      {"name":"s","cold_per_s":17.5},{"name":"t"},
-      {"name":"u","cold_per_s":-1},{"name":"v","cold_per_s":"17"},7]})" })
-      .value();
-  DOUBLES_EQUAL(17.5, config.mServices.at("s").mColdRequestsPerSecond, 1e-9);
-  for (const char* it : { "t", "u", "v" }) {
-    DOUBLES_EQUAL(0, config.mServices.at(it).mColdRequestsPerSecond, 1e-9);
-  }
-}
-
 // Guards against an entry that counts as a group's head because its rank can't
 // be read.
 TEST(Decode, IgnoresAGroupWithoutAReadableRankOrEpoch)
