Keep VMs whose entry has gone in the list for a time

VMs that are cut off from the store, but not from the nodes, lost their entry after three missed reports, and every node dropped their groups at once though they served on.

The list keeps a live VM whose entry has gone as lapsed (fleet/lapse.h): a head or plain VM for half of limits.leave_within_ms, another member for five sixths, never beyond the bound after the list was last current; then as leaving, then not at all. The deadlines are applied when the list is read, so they hold while the store doesn't respond. What was kept while the list is unsettled uses the same state, as before. The setting isn't in the template yet, so nothing changes. OnVms had no caller and goes.

--- a/src/fleet/vm.cc
+++ b/src/fleet/vm.cc
@@ -42,6 +42,12 @@
   return aVm != nullptr && aVm->mMembership && aVm->mMembership->mKey == aKey;
 }
 
+bool
+IsLapsed(const FleetVm* aVm)
+{
+  return aVm != nullptr && aVm->mLapse.has_value();
+}
+
 bool
 IsServingHead(const FleetVm* aHead)
 {
--- a/src/fleet/vm.h
+++ b/src/fleet/vm.h
@@ -50,6 +50,13 @@
   std::string mModel;
 };
 
+/// The time for which a VM is kept in the list after its entry has gone.
+struct VmLapse
+{
+  TimePoint mLeavesAt; ///< the VM counts as leaving from then on
+  TimePoint mEndsAt;   ///< the VM is gone from then on
+};
+
 /// A VM as its entry in the platform's list describes it.
 struct FleetVm
 {
@@ -63,7 +70,8 @@
   uint32_t mSlots = 1;
   std::vector<std::string> mStaged; ///< models on the VM's host
   std::optional<GroupMembership> mMembership;
-  TimePoint mColdUntil{}; ///< tolerates few requests before then
+  TimePoint mColdUntil{};        ///< tolerates few requests before then
+  std::optional<VmLapse> mLapse; ///< none while the VM has an entry
 };
 
 /// A snapshot of the VMs, by id.
@@ -83,6 +91,11 @@
 bool
 IsMemberOf(const FleetVm* aVm, const GroupKey& aKey);
 
+/// @param aVm may be null
+/// @return whether the VM is kept although its entry has gone
+bool
+IsLapsed(const FleetVm* aVm);
+
 /// @param aHead may be null
 /// @return whether the VM is the head of a group that is open or closing
 bool
--- a/src/fleet/watcher.cc
+++ b/src/fleet/watcher.cc
@@ -19,29 +19,17 @@
 constexpr auto kRetryInterval = milliseconds(250);
 /// How often a watcher that has started looks whether its wait can end.
 constexpr auto kRecordCheckInterval = milliseconds(200);
-/// A VM whose entry goes after the store is available again has probably left.
-/// It gets no new work from about this time on.
-constexpr auto kMaxLapseTime = milliseconds(1200);
-
-bool
-IsListed(const Listing& aListing, std::string_view aKey)
-{
-  for (const Object& it : aListing.mObjects) {
-    if (it.mKey == aKey) {
-      return true;
-    }
-  }
-  return false;
-}
 
 } // namespace
 
 FleetWatcher::FleetWatcher(Platform& aPlatform,
                            FleetSource aSource,
-                           const Clock& aClock)
+                           const Clock& aClock,
+                           milliseconds aLeaveBound)
   : mPlatform(aPlatform)
   , mSource(std::move(aSource))
   , mClock(aClock)
+  , mLeaveBound(aLeaveBound)
   , mWatchedVms{ mSource.mVmPrefix, "vms" }
   , mWatchedConfig{ mSource.mConfigPrefix, "config" }
   , mVms(std::make_shared<FleetVms>())
@@ -196,81 +184,59 @@
 void
 FleetWatcher::ApplyVms(const Listing& aListing, bool aIsFull, TimePoint aAsOf)
 {
-  // Most watches end without a change. A new list of a thousand VMs, and what
-  // is derived from it, would take most of a small node's processor.
-  const bool isChanged = aIsFull || !aListing.mObjects.empty() ||
-                         !aListing.mDeleted.empty() || !mExpiring.empty();
-  if (!isChanged) {
+  FleetVms vms;
+  LapseEvidence evidence{ mClock.Now(), {}, mLeaveBound };
+  {
     const std::lock_guard guard(mLock);
-    mVmsAsOf = std::max(mVmsAsOf, aAsOf);
-    return;
-  }
-  FleetVms vms = *Vms();
-  std::vector<std::string> deleted;
-  for (const std::string& it : aListing.mDeleted) {
-    deleted.push_back(it.substr(mSource.mVmPrefix.size()));
-  }
-  if (aIsFull) {
-    for (const auto& [id, vm] : vms) {
-      if (!IsListed(aListing, mSource.mVmPrefix + id)) {
-        deleted.push_back(id);
-      }
-    }
-  }
-  const TimePoint settledAt = SettledAt();
-  for (const std::string& it : deleted) {
-    const auto found = vms.find(it);
-    const bool mayReappear = found != vms.end() &&
-                             found->second.mState == VmState::Live &&
-                             aAsOf < settledAt;
-    if (mayReappear) {
-      const bool isLapsed = aIsFull || mWatchedVms.mIsCatchingUp;
-      mExpiring.emplace(it,
-                        isLapsed ? std::nullopt
-                                 : std::optional(mClock.Now() + kMaxLapseTime));
-    } else if (found != vms.end()) {
-      vms.erase(found);
-      LogEvent(EventId::VmGone, { { "vm", it } });
+    evidence.mListedAt = mVmsAsOf;
+    evidence.mIsSettled = aAsOf >= mSettledAt;
+    // Most watches end without a change. A new list of a thousand VMs, and what
+    // is derived from it, would take most of a small node's processor.
+    const bool isChanged = aIsFull || !aListing.mObjects.empty() ||
+                           !aListing.mDeleted.empty() || mAwaitsSettling;
+    if (!isChanged) {
+      mVmsAsOf = std::max(mVmsAsOf, aAsOf);
+      return;
     }
+    vms = *mVms;
   }
+  evidence.mWasStoreDown = aIsFull || mWatchedVms.mIsCatchingUp;
+  LapseOrRemove(
+    vms, FindRemoved(vms, aListing, mSource.mVmPrefix, aIsFull), evidence);
   for (const Object& it : aListing.mObjects) {
-    const std::string id = it.mKey.substr(mSource.mVmPrefix.size());
-    Result<FleetVm> vm = mSource.mReadVm(it);
-    if (!vm) {
-      const std::string reason = Describe(vm.error());
-      if (std::exchange(mUnreadable[id], reason) != reason) {
-        LogEvent(EventId::VmUnreadable, { { "vm", id }, { "reason", reason } });
-      }
-      vms.erase(id);
-      continue;
-    }
-    mExpiring.erase(id);
-    vms[id] = std::move(vm.value());
+    ApplyEntry(vms, it);
   }
-  DropExpired(vms, aAsOf);
-  auto next = std::make_shared<const FleetVms>(std::move(vms));
-  {
-    const std::lock_guard guard(mLock);
-    mVms = next;
-    mVmsAsOf = std::max(mVmsAsOf, aAsOf);
+  if (evidence.mIsSettled) {
+    DropUnsettled(vms);
   }
-  if (mListener) {
-    mListener(next);
+  const std::lock_guard guard(mLock);
+  SetVms(std::move(vms));
+  mVmsAsOf = std::max(mVmsAsOf, aAsOf);
+}
+
+void
+FleetWatcher::ApplyEntry(FleetVms& aVms, const Object& aObject)
+{
+  const std::string id = aObject.mKey.substr(mSource.mVmPrefix.size());
+  Result<FleetVm> vm = mSource.mReadVm(aObject);
+  if (vm) {
+    aVms[id] = std::move(vm.value());
+    return;
+  }
+  const std::string reason = Describe(vm.error());
+  if (std::exchange(mUnreadable[id], reason) != reason) {
+    LogEvent(EventId::VmUnreadable, { { "vm", id }, { "reason", reason } });
   }
+  aVms.erase(id);
 }
 
 void
-FleetWatcher::DropExpired(FleetVms& aVms, TimePoint aAsOf)
+FleetWatcher::SetVms(FleetVms aVms) const
 {
-  const TimePoint settledAt = SettledAt();
-  std::erase_if(mExpiring, [&](const auto& it) {
-    if (it.second ? mClock.Now() < *it.second : aAsOf < settledAt) {
-      return false;
-    }
-    aVms.erase(it.first);
-    LogEvent(EventId::VmGone, { { "vm", it.first } });
-    return true;
-  });
+  ApplyLapses(aVms, mClock.Now());
+  mNextLapseChange = NextLapseChange(aVms);
+  mAwaitsSettling = AwaitSettling(aVms);
+  mVms = std::make_shared<const FleetVms>(std::move(aVms));
 }
 
 void
@@ -329,6 +295,9 @@
 FleetWatcher::Vms() const
 {
   const std::lock_guard guard(mLock);
+  if (mClock.Now() >= mNextLapseChange) {
+    SetVms(*mVms);
+  }
   return mVms;
 }
 
@@ -346,13 +315,16 @@
     }
   }
   FleetVms vms;
+  FleetVms known = mLeaveBound > Duration::zero() ? *Vms() : FleetVms();
   for (const Object& it : listing.mObjects) {
+    known.erase(it.mKey.substr(mSource.mVmPrefix.size()));
     Result<FleetVm> vm = mSource.mReadVm(it);
     if (vm) {
       std::string id = vm.value().mId;
       vms.emplace(std::move(id), std::move(vm.value()));
     }
   }
+  AddLapsed(vms, known, { mClock.Now(), VmsAsOf(), mLeaveBound });
   return vms;
 }
 
@@ -369,13 +341,6 @@
   return !mVmsUnreachable && mClock.Now() >= mSettledAt;
 }
 
-TimePoint
-FleetWatcher::SettledAt() const
-{
-  const std::lock_guard guard(mLock);
-  return mSettledAt;
-}
-
 TimePoint
 FleetWatcher::VmsAsOf() const
 {
@@ -404,10 +369,4 @@
   return mConfigAsOf;
 }
 
-void
-FleetWatcher::OnVms(std::function<void(const FleetVmsPtr&)> aListener)
-{
-  mListener = std::move(aListener);
-}
-
 } // namespace hibiscushold
--- a/src/fleet/watcher.h
+++ b/src/fleet/watcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fleet/config.h"
-#include "fleet/vm.h"
+#include "fleet/lapse.h"
 
 #include <functional>
 #include <mutex>
@@ -24,7 +24,8 @@
 };
 
 /// Watches the platform's list of VMs and the operator's configuration. A
-/// configuration older than the one in force is ignored. Thread-safe.
+/// configuration older than the one in force is ignored. A VM whose entry has
+/// gone may be kept for a time (fleet/lapse.h). Thread-safe.
 ///
 /// After the store has returned from an older copy, VMs may be missing and the
 /// configuration may lack a change until they are written again. For that time
@@ -35,7 +36,12 @@
 class FleetWatcher
 {
 public:
-  FleetWatcher(Platform& aPlatform, FleetSource aSource, const Clock& aClock);
+  /// @param aLeaveBound how long a VM serves after its entry has gone; 0 if it
+  ///        must get no request then
+  FleetWatcher(Platform& aPlatform,
+               FleetSource aSource,
+               const Clock& aClock,
+               milliseconds aLeaveBound = {});
 
   /// Waits for a change of the VMs, up to a timeout, and applies it.
   /// @param aPause pause afterwards, so that changes in quick succession cost a
@@ -46,10 +52,11 @@
   /// @param aPause pause afterwards
   void PollConfig(Duration aPause);
 
+  /// @return the VMs, as of now where deadlines of lapses have passed
   FleetVmsPtr Vms() const;
 
   /// Lists the VMs directly, without changing the watched list. Unreadable
-  /// entries are left out.
+  /// entries are left out; VMs that are kept without an entry are added.
   /// @return the VMs, or StoreHistoryGone if the store has returned from an
   ///         older copy that the watched list doesn't show yet
   Result<FleetVms> ReadVms() const;
@@ -72,9 +79,6 @@
   ///         the last successful request was sent, less the age of its data
   TimePoint ConfigAsOf() const;
 
-  /// @param aListener called after each change of the VMs
-  void OnVms(std::function<void(const FleetVmsPtr&)> aListener);
-
 private:
   /// Objects under a prefix, which are listed once and then watched.
   struct WatchedPrefix
@@ -106,25 +110,26 @@
   static void ApplyOrListAgain(WatchedPrefix& aWatched,
                                const std::function<void()>& aApply);
   void ApplyVms(const Listing& aListing, bool aIsFull, TimePoint aAsOf);
-  void DropExpired(FleetVms& aVms, TimePoint aAsOf);
+  /// Adds, changes or removes a VM as its entry says.
+  void ApplyEntry(FleetVms& aVms, const Object& aObject);
+  /// Makes the list the one in use. Call with mLock held.
+  void SetVms(FleetVms aVms) const;
   void RecordRevision(WatchedPrefix& aWatched, uint64_t aRevision);
-  TimePoint SettledAt() const;
   bool IsSettledLocked() const; ///< mLock is held
   void ApplyConfig(const Object& aObject);
 
   Platform& mPlatform;
   const FleetSource mSource;
   const Clock& mClock;
+  const Duration mLeaveBound;
   WatchedPrefix mWatchedVms;
   WatchedPrefix mWatchedConfig;
-  /// VMs that disappeared from the list but may reappear, as their entries
-  /// expired while the store was unavailable; with the time at which they are
-  /// removed, none if that is once the list is settled.
-  std::map<std::string, std::optional<TimePoint>> mExpiring;
   std::map<std::string, std::string> mUnreadable; ///< last error by entry
-  std::function<void(const FleetVmsPtr&)> mListener;
-  mutable std::mutex mLock; ///< guards the members below
-  FleetVmsPtr mVms;
+  mutable std::mutex mLock;                       ///< guards the members below
+  mutable FleetVmsPtr mVms;
+  mutable TimePoint mNextLapseChange = TimePoint::max(); ///< of mVms
+  /// Whether mVms has VMs that are kept until it is settled.
+  mutable bool mAwaitsSettling = false;
   TimePoint mVmsAsOf;
   TimePoint mSettledAt; ///< end of the wait for restored entries
   uint64_t mVmsRevision = 0;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -122,6 +122,10 @@
     { "limits.grace_s", { false, Number([](Settings& aInto, double aValue) {
                             aInto.mShutdownGrace = Millis(aValue * 1000);
                           }) } },
+    { "limits.leave_within_ms",
+      { false, Number([](Settings& aInto, double aValue) {
+          aInto.mLeaveBound = Millis(aValue);
+        }) } },
     { "limits.repeat_ratio",
       { false, Number([](Settings& aInto, double aValue) {
           aInto.mRetryLimits.mRatio = aValue;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -23,6 +23,9 @@
   bool mFirstStart = false; ///< true when the whole system is first started
   milliseconds mMaxConfigAge{ 5000 };
   milliseconds mShutdownGrace{ 8000 }; ///< from the stop signal to the exit
+  /// How long a VM serves after its entry has gone from the list, in which it
+  /// may get requests; 0: none.
+  milliseconds mLeaveBound{ 0 };
   PlannerLimits mPlanner;
   RetryLimits mRetryLimits;
   bool mFollowsZones = false; ///< operators may take zones out of service
--- a/src/observe/events.cc
+++ b/src/observe/events.cc
@@ -85,6 +85,7 @@
   EventType{ EventId::VmRankIgnored,
              "vm_rank_ignored",
              log4cplus::WARN_LOG_LEVEL },
+  EventType{ EventId::VmLapsed, "vm_lapsed", log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::ZoneOut, "zone_out", log4cplus::WARN_LOG_LEVEL },
   EventType{ EventId::ZoneBack, "zone_back", log4cplus::INFO_LOG_LEVEL },
   EventType{ EventId::LeaseTaken, "lease_taken", log4cplus::INFO_LOG_LEVEL },
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -38,6 +38,7 @@
   VmUnreadable = 3202,
   VmAsked = 3203,
   VmRankIgnored = 3204,
+  VmLapsed = 3205,
   ZoneOut = 3301,
   ZoneBack = 3302,
   LeaseTaken = 4001,
--- a/test/gatewaysettings-test.cc
+++ b/test/gatewaysettings-test.cc
@@ -23,10 +23,12 @@
                          kRequiredSettings +
                            "[limits]\nkey_freshness_ms = 4000\n"
                            "repeat_ratio = 0.2\ngrace_s =\n"
+                           "leave_within_ms = 3000\n"
                            "[groups]\nstall_ms = 6000\n")
       .value();
   CHECK(milliseconds(4000) == settings.mMaxConfigAge);
   CHECK(milliseconds(8000) == settings.mShutdownGrace);
+  CHECK(milliseconds(3000) == settings.mLeaveBound);
   DOUBLES_EQUAL(0.2, settings.mRetryLimits.mRatio, 1e-9);
   CHECK(milliseconds(6000) == settings.mPlanner.mStallTimeout);
   CHECK(!settings.mFirstStart);
@@ -58,7 +60,8 @@
     "[node]\ncapacity",           "[node]\nmax_connections",
     "[limits]\nkey_freshness_ms", "[limits]\ngrace_s",
     "[limits]\nrepeat_ratio",     "[limits]\nrepeat_window_s",
-    "[limits]\nrepeat_slack",     "[groups]\nstall_ms"
+    "[limits]\nrepeat_slack",     "[groups]\nstall_ms",
+    "[limits]\nleave_within_ms"
   };
   const std::string values[] = { "2147483648",
                                  "4294967296",
