Keep groups whose members have no entry but respond

A lapsed member of a serving group is probed at once and then twice a second; its group is kept while it responds, and closed like that of a leaving member at the lapse's first deadline, so that its requests end. Three calls without response in a row, also from before the lapse, show that it is lost. A lapsed VM gets no join and is no spare; a group isn't opened with one, and one that forms is given up.

What chooses the VMs to probe moves from the runner to placement/suspects as functions without state, so that tests cover it.

--- a/src/fleet/silence.cc
+++ b/src/fleet/silence.cc
@@ -71,6 +71,14 @@
          aNow - aSilence.mLastMissAt <= kMaxTimeBetweenCalls;
 }
 
+bool
+IsLostAfterLapse(const VmSilence& aSilence, TimePoint aNow)
+{
+  return IsUnresponsive(aSilence, aNow) ||
+         (aSilence.mMisses > kMinMissesOfSummary &&
+          aNow - aSilence.mLastMissAt <= kMaxTimeBetweenCalls);
+}
+
 void
 Summarize(const VmSilence& aSilence, TimePoint aNow, CallSummary& aInto)
 {
--- a/src/fleet/silence.h
+++ b/src/fleet/silence.h
@@ -52,6 +52,13 @@
 bool
 IsInDoubt(const VmSilence& aSilence, TimePoint aNow);
 
+/// @return whether a VM whose entry has lapsed counts as lost. Its reports are
+///         missing as well, so fewer calls without response are enough than
+///         for others; one more than SuggestsCut looks at, so that a cut of
+///         this node is noticed first.
+bool
+IsLostAfterLapse(const VmSilence& aSilence, TimePoint aNow);
+
 /// How the VMs of a service, or some of them, respond to this node's calls.
 struct CallSummary
 {
--- a/src/placement/formationcontext.cc
+++ b/src/placement/formationcontext.cc
@@ -74,7 +74,7 @@
       continue;
     }
     ++aContext.mLive;
-    if (!unavailable.contains(id) && !IsServingHead(&vm) &&
+    if (!unavailable.contains(id) && !IsLapsed(&vm) && !IsServingHead(&vm) &&
         !IsInDoubt(planned.mSilence, aContext.mNow) &&
         !IsLocked(aContext.mState, aContext.mView.mVms, id, aContext.mNow)) {
       aContext.mFree[vm.mDomain].push_back(&vm);
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -103,6 +103,7 @@
     }
     const auto stage = stages.find(id);
     ++counts.mListed;
+    counts.mLapsed += IsLapsed(&vm) ? 1 : 0;
     if (vm.mState == VmState::Leaving) {
       ++counts.mLeaving;
     } else if (IsUnresponsive(planned->second.mSilence, aNow)) {
@@ -114,7 +115,7 @@
                                               : counts.mForming);
     } else if (IsLocked(aState, aView.mVms, id, aNow)) {
       ++counts.mLocked;
-    } else {
+    } else if (!IsLapsed(&vm)) {
       ++counts.mFree;
       const std::string model = vm.mStaged.empty() ? "" : vm.mStaged.back();
       ++counts.mFreeByModel[{ vm.mDomain, model }];
@@ -123,6 +124,34 @@
   return counts;
 }
 
+bool
+IsLost(const PlannerState& aState,
+       const FleetVms& aVms,
+       const std::string& aVmId,
+       TimePoint aNow)
+{
+  const auto it = aState.mVms.find(aVmId);
+  if (it == aState.mVms.end()) {
+    return false;
+  }
+  const VmSilence& silence = it->second.mSilence;
+  return IsLapsed(FindVm(aVms, aVmId)) ? IsLostAfterLapse(silence, aNow)
+                                       : IsUnresponsive(silence, aNow);
+}
+
+bool
+IsLostMember(const PlannerState& aState,
+             const FleetVms& aVms,
+             const GroupKey& aKey,
+             const std::string& aVmId,
+             TimePoint aNow)
+{
+  const FleetVm* vm = FindVm(aVms, aVmId);
+  return !IsMemberOf(vm, aKey) ||
+         vm->mMembership->mPhase == MembershipPhase::Broken ||
+         IsLost(aState, aVms, aVmId, aNow);
+}
+
 void
 RecordOutcome(PlannerState& aState,
               const FleetOrder& aOrder,
@@ -186,7 +215,7 @@
     return true;
   }
   const FleetVm* listedHead = FindVm(aVms, planned.mLockedHead);
-  if (listedHead != nullptr) {
+  if (listedHead != nullptr && !IsLapsed(listedHead)) {
     return IsMemberOf(listedHead, planned.mLockedGroup);
   }
   // A head that is neither listed nor responds may be cut off from the planner
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -115,6 +115,7 @@
   size_t mFree = 0;    ///< in no group, and not locked
   size_t mUnresponsive = 0;
   size_t mLeaving = 0;
+  size_t mLapsed = 0; ///< without an entry; in a group they count above too
   /// Free VMs by domain and by the model staged on their host.
   std::map<std::pair<std::string, std::string>, size_t> mFreeByModel;
 
@@ -144,6 +145,21 @@
          const PlannerLimits& aLimits,
          TimePoint aNow);
 
+/// @return whether the VM counts as lost, as it doesn't respond
+bool
+IsLost(const PlannerState& aState,
+       const FleetVms& aVms,
+       const std::string& aVmId,
+       TimePoint aNow);
+
+/// @return whether the VM is no sound member of the group any more
+bool
+IsLostMember(const PlannerState& aState,
+             const FleetVms& aVms,
+             const GroupKey& aKey,
+             const std::string& aVmId,
+             TimePoint aNow);
+
 /// Updates the state with the outcome of an order.
 void
 RecordOutcome(PlannerState& aState,
--- a/src/placement/planrunner.cc
+++ b/src/placement/planrunner.cc
@@ -1,8 +1,8 @@
 #include "placement/planrunner.h"
 
-#include "fleet/targetchoice.h"
 #include "observe/events.h"
 #include "observe/taskfailure.h"
+#include "placement/suspects.h"
 
 namespace hibiscushold {
 
@@ -27,25 +27,8 @@
 constexpr auto kCountsLogInterval = milliseconds(1000);
 /// A live VM responds within milliseconds, however busy it is.
 constexpr auto kProbeTimeout = milliseconds(120);
-/// Interval of the probes of a suspected VM that does not respond.
-constexpr auto kProbeInterval = milliseconds(160);
 /// Interval of the probes of a suspected VM that responds. Probes are priced.
 constexpr auto kResponsiveProbeInterval = milliseconds(480);
-/// The planner probes the members of a group once its head shows no progress
-/// for these times.
-constexpr StallLimits kSuspicionLimits{ milliseconds(200),
-                                        milliseconds(250),
-                                        milliseconds(450) };
-
-CallSummary
-SummarizeCalls(const PlannerState& aState, TimePoint aNow)
-{
-  CallSummary summary;
-  for (const auto& [id, vm] : aState.mVms) {
-    Summarize(vm.mSilence, aNow, summary);
-  }
-  return summary;
-}
 
 } // namespace
 
@@ -168,7 +151,7 @@
   if (isNew) {
     service.mState = MakePlannerState(mFence);
   }
-  ProbeSuspects(aService, service);
+  ProbeSuspects(aService, *aVms, service);
   RecordCut(aService.mName, service.mState);
   if (IsCutOff()) {
     return;
@@ -230,53 +213,10 @@
              { "spare", std::to_string(counts.mFree) },
              { "silent", std::to_string(counts.mUnresponsive) },
              { "leaving", std::to_string(counts.mLeaving) },
+             { "lapsed", std::to_string(counts.mLapsed) },
              { "spares", spares } });
 }
 
-std::set<std::string>
-PlanRunner::FindSuspects(const FleetService& aService,
-                         const PlannerState& aState,
-                         TimePoint aNow) const
-{
-  std::set<std::string> suspects;
-  for (const auto& [key, group] : aState.mGroups) {
-    const TargetLoad load = mDependencies.mLoads.Get(group.mMembers[0]);
-    const FleetModel* model = aService.mEngine->FindModel(group.mModel);
-    const bool stalled =
-      IsStalled(load, aNow, kSuspicionLimits) ||
-      EndOfAvoidance(load) > aNow + kProbeInterval ||
-      (model != nullptr &&
-       IsSilentToAllNodes(aService.mEngine->TimesOf(*model), load, aNow));
-    if (group.mStage == GroupStage::Serving && stalled) {
-      suspects.insert(group.mMembers.begin(), group.mMembers.end());
-    }
-  }
-  for (const auto& [id, vm] : aState.mVms) {
-    if (IsInDoubt(vm.mSilence, aNow)) {
-      suspects.insert(id);
-    }
-  }
-  AddControls(aState, aNow, suspects);
-  return suspects;
-}
-
-void
-PlanRunner::AddControls(const PlannerState& aState,
-                        TimePoint aNow,
-                        std::set<std::string>& aToProbe)
-{
-  if (SummarizeCalls(aState, aNow).mMissing < kManyMissing) {
-    return;
-  }
-  const size_t step = aState.mVms.size() / kControlCalls + 1;
-  size_t n = 0;
-  for (const auto& [id, vm] : aState.mVms) {
-    if (n++ % step == 0) {
-      aToProbe.insert(id);
-    }
-  }
-}
-
 void
 PlanRunner::RecordCut(const std::string& aService, const PlannerState& aState)
 {
@@ -301,10 +241,13 @@
 }
 
 void
-PlanRunner::ProbeSuspects(const FleetService& aService, Service& aState)
+PlanRunner::ProbeSuspects(const FleetService& aService,
+                          const FleetVms& aVms,
+                          Service& aState)
 {
   const TimePoint now = mDependencies.mClock.Now();
-  for (const std::string& it : FindSuspects(aService, aState.mState, now)) {
+  for (const std::string& it : FindSuspects(
+         aState.mState, *aService.mEngine, aVms, mDependencies.mLoads, now)) {
     const auto vm = aState.mState.mVms.find(it);
     if (vm == aState.mState.mVms.end() || vm->second.mAddress.mHost.empty() ||
         mDependencies.mLoads.Get(it).mQuietUntil > now) {
--- a/src/placement/planrunner.h
+++ b/src/placement/planrunner.h
@@ -63,11 +63,6 @@
     std::set<std::string> mUnformable; ///< models in the log
   };
 
-  /// Adds some VMs from all over the service if many suspects don't respond.
-  /// Their responses tell the loss of VMs from a cut of this node.
-  static void AddControls(const PlannerState& aState,
-                          TimePoint aNow,
-                          std::set<std::string>& aToProbe);
   /// Records whether the calls to a service's VMs suggest that this node is cut
   /// off from them.
   void RecordCut(const std::string& aService, const PlannerState& aState);
@@ -82,14 +77,10 @@
   void LogCounts(const std::string& aName,
                  Service& aService,
                  const PlannerView& aView);
-  /// @return the members of the groups whose head shows no progress, and the
-  ///         VMs that did not respond to recent calls; if those are many, also
-  ///         some of the others
-  std::set<std::string> FindSuspects(const FleetService& aService,
-                                     const PlannerState& aState,
-                                     TimePoint aNow) const;
   /// Probes the VMs that are suspected to be unresponsive.
-  void ProbeSuspects(const FleetService& aService, Service& aState);
+  void ProbeSuspects(const FleetService& aService,
+                     const FleetVms& aVms,
+                     Service& aState);
   void Probe(const std::string& aService,
              const std::string& aVmId,
              Endpoint aTo);
--- a/src/placement/planstep.cc
+++ b/src/placement/planstep.cc
@@ -93,7 +93,9 @@
     if (dissolved == mState.mDissolved.end()) {
       return false;
     }
-    return mNow < dissolved->second || !IsServingHead(HeadOf(aGroup));
+    // The entry of a lapsed head doesn't show that it has left.
+    const FleetVm* head = HeadOf(aGroup);
+    return mNow < dissolved->second || !IsServingHead(head) || IsLapsed(head);
   }
 
   /// Adds a group to the plan. Any group with a head and other members may be
@@ -158,7 +160,7 @@
         Lock(vm->mId, mState.mUnreachableHeads[aGroup.mKey], aGroup.mKey);
       }
       if (!planned.mHasLeft && mNow >= planned.mRepeatLeaveAt &&
-          !IsLost(vm->mId)) {
+          !IsLost(mState, mView.mVms, vm->mId, mNow)) {
         Order(OrderKind::Leave, vm->mId, aGroup.mKey);
       }
     }
@@ -189,12 +191,6 @@
     return mStep.mOrders.back();
   }
 
-  bool IsLost(const std::string& aVmId) const
-  {
-    const auto it = mState.mVms.find(aVmId);
-    return it != mState.mVms.end() && IsUnresponsive(it->second.mSilence, mNow);
-  }
-
   /// Orders what the group's stage requires and moves the group to its next
   /// stage.
   /// @return whether the group remains planned
@@ -218,7 +214,8 @@
     size_t ready = 0;
     for (const std::string& it : aGroup.mMembers) {
       const FleetVm* vm = FindVm(mView.mVms, it);
-      if (vm == nullptr || vm->mState != VmState::Live || IsLost(it)) {
+      if (vm == nullptr || vm->mState != VmState::Live || IsLapsed(vm) ||
+          IsLost(mState, mView.mVms, it, mNow)) {
         return Dissolve(aKey, aGroup, "lost_while_forming", it);
       }
       const bool isMember = IsMemberOf(vm, aKey);
@@ -297,11 +294,13 @@
   {
     const std::string& headId = aGroup.mMembers[0];
     const FleetVm* head = FindVm(mView.mVms, headId);
+    const bool opened = IsMemberOf(head, aKey) &&
+                        head->mMembership->mPhase == MembershipPhase::Open;
     bool leaving = false;
     for (const std::string& it : aGroup.mMembers) {
       const FleetVm* vm = FindVm(mView.mVms, it);
-      if (!IsMemberOf(vm, aKey) ||
-          vm->mMembership->mPhase == MembershipPhase::Broken || IsLost(it)) {
+      if (IsLostMember(mState, mView.mVms, aKey, it, mNow) ||
+          (IsLapsed(vm) && !opened)) {
         return StartLeaving(aKey, aGroup, "lost_vm", it);
       }
       leaving = leaving || vm->mState == VmState::Leaving;
@@ -313,7 +312,6 @@
       aGroup.mRepeatOrderAt = mNow;
       return AdvanceClosing(aKey, aGroup);
     }
-    const bool opened = head->mMembership->mPhase == MembershipPhase::Open;
     if (!opened && mNow >= aGroup.mRepeatOrderAt) {
       Order(OrderKind::Open, headId, aKey);
       aGroup.mRepeatOrderAt =
@@ -327,7 +325,8 @@
     const std::string& headId = aGroup.mMembers[0];
     const FleetVm* head = FindVm(mView.mVms, headId);
     const bool isMember = IsMemberOf(head, aKey);
-    if (!isMember || IsLost(headId) || mNow >= aGroup.mDeadline) {
+    if (!isMember || IsLost(mState, mView.mVms, headId, mNow) ||
+        mNow >= aGroup.mDeadline) {
       return StartLeaving(aKey, aGroup, "not_closed", headId);
     }
     if (head->mMembership->mPhase == MembershipPhase::Ready) {
--- a/test/plannerworld.h
+++ b/test/plannerworld.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/lapse.h"
 #include "placement/planner.h"
 
 #include <algorithm>
@@ -51,6 +52,7 @@
   std::vector<FleetOrder> Step(Duration aElapsed = milliseconds(50))
   {
     mNow += aElapsed;
+    ApplyLapses(mVms, mNow);
     PlannerStep step =
       PlanStep(mState,
                { mVms, kService, mEngine, mBeforeTraffic, &mZones },
@@ -82,6 +84,21 @@
     }
   }
 
+  /// Removes the VM's entry, though the VM may still respond. It is listed with
+  /// what it reported last.
+  void Unlist(const std::string& aVmId)
+  {
+    mUnlisted[aVmId] = mVms.at(aVmId);
+    LapseOrRemove(mVms, std::vector{ aVmId }, { mNow, mNow, kLeaveBound });
+  }
+
+  /// Lists an unlisted VM again as it is now.
+  void ListAgain(const std::string& aVmId)
+  {
+    mVms[aVmId] = mUnlisted.at(aVmId);
+    mUnlisted.erase(aVmId);
+  }
+
   /// Records a probe of the VM that has just ended.
   void Probe(const std::string& aVmId)
   {
@@ -129,6 +146,7 @@
   }
 
   static constexpr const char* kService = "drafting";
+  static constexpr auto kLeaveBound = milliseconds(3000);
   static constexpr auto kProbeTimeout = milliseconds(120);
   static constexpr auto kProbeInterval = milliseconds(160);
 
@@ -141,12 +159,14 @@
   ZonesOut mZones;                     ///< out of service
   bool mLoadsNeverEnd = false;         ///< otherwise they take no time
   std::set<std::string> mUnresponsive; ///< VMs that do not respond
+  FleetVms mUnlisted;                  ///< VMs without an entry, as they are
 
 private:
   OrderOutcome CarryOut(const FleetOrder& aOrder)
   {
-    const auto it = mVms.find(aOrder.mVmId);
-    if (it == mVms.end() || mUnresponsive.contains(aOrder.mVmId)) {
+    FleetVms& vms = mUnlisted.contains(aOrder.mVmId) ? mUnlisted : mVms;
+    const auto it = vms.find(aOrder.mVmId);
+    if (it == vms.end() || mUnresponsive.contains(aOrder.mVmId)) {
       return OrderOutcome::NoResponse;
     }
     FleetVm& vm = it->second;
