Keep the spares of a mixed domain for the model that would lose most

A domain with groups of 8, 4 and 4 and three spares kept one for the wide model and two for the narrow one: the second loss of the wide group left its other VMs idle until another VM had loaded. Spares beyond the first of each model went to the model that lacks the smaller part of a group.

They now go, one by one, to the model that they keep most VMs in use for: the chance of more losses during a load than spares, times the size of the group. Only spares that no group can use are concerned; the groups of the first plan are the same.

--- a/src/placement/formationcontext.cc
+++ b/src/placement/formationcontext.cc
@@ -19,7 +19,8 @@
 constexpr auto kJoinTimeoutMargin = milliseconds(1500);
 /// Before the first request, a load takes this fraction of its configured time.
 constexpr double kEarlyLoadTimeFraction = 0.1;
-/// Spares to keep in a domain for each VM that serves the model there.
+/// VMs expected to be lost while a load runs, for each VM that serves the
+/// model.
 constexpr double kSpareRatio = 0.1;
 
 /// @return whether the group is a single spare that is joining without a load,
@@ -153,15 +154,23 @@
   return std::min(free, left);
 }
 
+double
+ExpectedLosses(FormationContext& aContext,
+               const std::string& aDomain,
+               const FleetModel& aModel)
+{
+  const size_t members =
+    aContext.mGroupCounts[{ aDomain, aModel.mName }] * aModel.mSize;
+  return static_cast<double>(members) * kSpareRatio;
+}
+
 size_t
 WantedSpares(FormationContext& aContext,
              const std::string& aDomain,
              const FleetModel& aModel)
 {
-  const size_t members =
-    aContext.mGroupCounts[{ aDomain, aModel.mName }] * aModel.mSize;
   return static_cast<size_t>(
-    std::ceil(static_cast<double>(members) * kSpareRatio));
+    std::ceil(ExpectedLosses(aContext, aDomain, aModel)));
 }
 
 void
--- a/src/placement/formationcontext.h
+++ b/src/placement/formationcontext.h
@@ -70,6 +70,13 @@
 size_t
 LoadsAllowed(FormationContext& aContext);
 
+/// @return number of VMs that the model's groups in the domain are expected to
+///         lose while a load runs
+double
+ExpectedLosses(FormationContext& aContext,
+               const std::string& aDomain,
+               const FleetModel& aModel);
+
 /// @return number of free VMs to keep in reserve for the model's groups in the
 ///         domain
 size_t
--- a/src/placement/spares.cc
+++ b/src/placement/spares.cc
@@ -1,6 +1,7 @@
 #include "placement/spares.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace hibiscushold {
@@ -115,10 +116,31 @@
   return left >= 0;
 }
 
+/// @param aKept spares that have the model or load it
+/// @return expected number of VMs that one more spare keeps in use while a load
+///         runs: a group that can't replace a lost VM leaves all of its VMs
+///         idle. Losses count as independent.
+double
+SpareGain(FormationContext& aContext,
+          const std::string& aDomain,
+          const FleetModel& aModel,
+          size_t aKept)
+{
+  const double losses = ExpectedLosses(aContext, aDomain, aModel);
+  double chance = std::exp(-losses); // of n losses
+  double unmet = 1;                  // chance of more than n losses
+  for (size_t n = 0; n <= aKept; ++n) {
+    unmet -= chance;
+    chance *= losses / static_cast<double>(n + 1);
+  }
+  return std::max(unmet, 0.0) * static_cast<double>(aModel.mSize);
+}
+
 /// The cost of the next load of a model in a domain. Completing a group of VMs
 /// that are idle goes first, then replacing the next lost VM, then beginning a
-/// group, and last what completes none. Among these, the load that puts most
-/// VMs to use goes first, for models with a low fill ratio.
+/// group, and last what completes none and is kept for the domain's groups.
+/// Among these, the load that puts most VMs to use, or keeps most in use, goes
+/// first, for models with a low fill ratio.
 double
 LoadCost(FormationContext& aContext,
          DomainSpares& aSpares,
@@ -126,16 +148,24 @@
 {
   const NextGroup group = FindNextGroup(aContext, aSpares, aModel);
   const size_t spares = WantedSpares(aContext, aSpares.mDomain, aModel);
-  const double priority = IsAlmostComplete(group, aModel) ? 0
-                          : group.mCovered < spares       ? kPriorityStep
-                          : IsPossible(aContext, aSpares, aModel, group)
-                            ? 2 * kPriorityStep
-                          : spares > 0 ? 3 * kPriorityStep
-                                       : 4 * kPriorityStep;
-  return priority +
-         static_cast<double>(group.mLacking) /
-           static_cast<double>(aModel.mSize) +
-         FillRatio(aContext, aModel);
+  const double order =
+    static_cast<double>(group.mLacking) / static_cast<double>(aModel.mSize) +
+    FillRatio(aContext, aModel);
+  if (IsAlmostComplete(group, aModel)) {
+    return order;
+  }
+  if (group.mCovered < spares) {
+    return kPriorityStep + order;
+  }
+  if (IsPossible(aContext, aSpares, aModel, group)) {
+    return 2 * kPriorityStep + order;
+  }
+  if (spares == 0) {
+    return 4 * kPriorityStep + order;
+  }
+  const size_t kept = group.mCovered - group.mComplete;
+  return 3 * kPriorityStep +
+         1 / (1 + SpareGain(aContext, aSpares.mDomain, aModel, kept));
 }
 
 /// Chooses the model that a VM of the domain should load.
--- a/test/spares-test.cc
+++ b/test/spares-test.cc
@@ -87,6 +87,90 @@
 
 } // namespace
 
+/// One domain of 19 VMs: a group of eight, two of four, three spares.
+TEST_GROUP(MixedDomain)
+{
+  PlannerWorld mWorld;
+
+  void setup() override
+  {
+    mWorld.mEngine.mModels[0] = { "wide", 8,           0.5,
+                                  1,      seconds(16), milliseconds(1600) };
+    mWorld.mEngine.mModels[1] = { "narrow", 4,           0.5,
+                                  0.6,      seconds(12), milliseconds(1100) };
+    mWorld.mBeforeTraffic = true;
+    mWorld.Add("d0", 19);
+    mWorld.Step();
+    mWorld.Settle();
+    mWorld.mBeforeTraffic = false;
+    mWorld.mLoadsNeverEnd = true;
+    CHECK_EQUAL(1U, mWorld.OpenHeads("wide").size());
+    CHECK_EQUAL(2U, mWorld.OpenHeads("narrow").size());
+  }
+
+  size_t CountStaged(const std::string& aModel) const
+  {
+    return static_cast<size_t>(
+      std::count_if(mWorld.mVms.begin(), mWorld.mVms.end(), [&](auto& it) {
+        return it.second.mStaged == std::vector<std::string>{ aModel };
+      }));
+  }
+
+  void Lose(const std::string& aVmId)
+  {
+    mWorld.MakeUnresponsive(aVmId);
+    mWorld.mVms.erase(aVmId);
+    mWorld.Settle();
+  }
+
+  void AddEmpty(const char* aVmId)
+  {
+    FleetVm vm = mWorld.mVms.begin()->second;
+    vm.mId = aVmId;
+    vm.mStaged.clear();
+    vm.mMembership.reset();
+    mWorld.mVms[vm.mId] = vm;
+  }
+};
+
+// Guards against a stock that leaves eight VMs idle rather than four.
+TEST(MixedDomain, ThreeSparesAreTwoOfTheWideModelAndOneOfTheNarrow)
+{
+  CHECK_EQUAL(10U, CountStaged("wide"));
+  CHECK_EQUAL(9U, CountStaged("narrow"));
+}
+
+// Losses of a wide group, one after the other, sooner than any load ends.
+TEST(MixedDomain, AWideGroupOutlivesTwoLosses)
+{
+  for (int n = 0; n < 2; ++n) {
+    Lose(mWorld.MembersOf(mWorld.OpenHeads("wide").front()).back());
+    CHECK_EQUAL(1U, mWorld.OpenHeads("wide").size());
+  }
+  CHECK_EQUAL(2U, mWorld.OpenHeads("narrow").size());
+}
+
+TEST(MixedDomain, ANarrowGroupOutlivesALoss)
+{
+  Lose(mWorld.MembersOf(mWorld.OpenHeads("narrow").front()).back());
+  CHECK_EQUAL(2U, mWorld.OpenHeads("narrow").size());
+  CHECK_EQUAL(1U, mWorld.OpenHeads("wide").size());
+}
+
+// Empty VMs that arrive after losses: guards against narrow spares while the
+// wide group has but one.
+TEST(MixedDomain, EmptyVmsReplaceTheWideModelsSpares)
+{
+  for (int n = 0; n < 2; ++n) {
+    Lose(mWorld.MembersOf(mWorld.OpenHeads("wide").front()).back());
+  }
+  AddEmpty("new-0");
+  AddEmpty("new-1");
+  mWorld.Step();
+  STRCMP_EQUAL("wide", mWorld.mState.mVms["new-0"].mLoadingModel.c_str());
+  STRCMP_EQUAL("wide", mWorld.mState.mVms["new-1"].mLoadingModel.c_str());
+}
+
 /// Losses that outrun the loads.
 TEST_GROUP(LossyFleets){};
 
@@ -116,6 +200,27 @@
   CHECK(means.mNarrow > 16.3);
 }
 
+// The same with three losses, where twenty VMs aren't listed for 2.4 s.
+TEST(LossyFleets, TwentyVmsAreCutOffAmongLosses)
+{
+  const Means means =
+    Play([](LossyFleet& aFleet, size_t aStep, unsigned /*aSeed*/) {
+      LoseTwo(aFleet, aStep);
+      AddTwo(aFleet, aStep);
+      if (aStep % 30 == 20 && aStep < 300) {
+        aFleet.LoseMembers(aStep / 30 % 3, 1);
+      }
+      if (aStep == 148) {
+        aFleet.CutOff(20);
+      }
+      if (aStep == 172) {
+        aFleet.EndCut();
+      }
+    });
+  CHECK(means.mWide > 7.95);
+  CHECK(means.mNarrow > 16.8);
+}
+
 /// What a planner step costs, and what it must not change.
 TEST_GROUP(PlannerStep){};
 
