--- a/src/fleet/zonesout.cc
+++ b/src/fleet/zonesout.cc
@@ -53,7 +53,10 @@
     zones.mOut = std::move(kept);
   }
   for (const Object& it : aRead.mListing.mObjects) {
-    zones.mOut.emplace(ZoneOf(it.mKey, aRead.mPrefix));
+    const std::string_view zone = ZoneOf(it.mKey, aRead.mPrefix);
+    if (!zone.empty()) {
+      zones.mOut.emplace(zone);
+    }
   }
   for (const std::string& it : aZones.mOut) {
     if (!zones.mOut.contains(it)) {
--- a/test/zonesout-test.cc
+++ b/test/zonesout-test.cc
@@ -101,6 +101,14 @@
   CHECK(BackSince(*mFollower.Zones(), "b") == TimePoint::min());
 }
 
+// Guards against VMs that state no zone and go out of service by an entry
+// without a name.
+TEST(ZonesOut, EntryWithoutANameCountsForNoZone)
+{
+  mStore.Put(kPrefix, "{}");
+  STRCMP_EQUAL("", Poll().c_str());
+}
+
 TEST(ZonesOut, EntryThatIsTakenBackAtOnceLeavesTheZoneInService)
 {
   STRCMP_EQUAL("", Poll().c_str());
