--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -101,6 +101,18 @@
     target.mColdPerSecond = aPerSecond;
   }
 
+  /// Makes a target the head of a group; aIndex counts from 0.
+  void SetTargetEngine(size_t aIndex,
+                       const std::string& aModel,
+                       const TargetTimes& aTimes)
+  {
+    const std::lock_guard guard(mTargetsLock);
+    FleetTarget& target = mTargets.mByService["engines"][aIndex];
+    target.mModel = aModel;
+    target.mTimes = aTimes;
+    target.mSlots = 30;
+  }
+
   /// Opens the callers' port; the configuration and targets are fixed then.
   void Start()
   {
