--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -34,6 +34,7 @@
 {
   uint32_t mInFlight = 0;       ///< requests of this node
   double mFirstEventMillis = 0; ///< forecast of the wait for the first event
+  bool mIsDelayed = false;      ///< the target serves others first
 };
 
 /// One attempt of a request at one target.
--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -157,6 +157,7 @@
       { "in_flight", std::to_string(aLoad.mInFlight) },
       { "expected_ms",
         std::to_string(static_cast<int>(aLoad.mFirstEventMillis)) },
+      { "delayed", aLoad.mIsDelayed ? "yes" : "no" },
       { "version", std::to_string(aRequest.mConfig->mVersion) },
       { "detail", aReport.mDetail } });
 }
--- a/src/gateway/requestforwarder.cc
+++ b/src/gateway/requestforwarder.cc
@@ -344,7 +344,8 @@
       aTarget,
       { load.mInFlight,
         ForecastFirstEvent(
-          aTarget.mTimes, aTarget.mSlots, load, mRequest.mPromptTokens) },
+          aTarget.mTimes, aTarget.mSlots, load, mRequest.mPromptTokens),
+        mIsDelayed },
       aOuter);
     attempt.mCounted = mSuperseded.contains(aTarget.mVmId);
     ++mAttempts;
