--- a/src/admission/room.h
+++ b/src/admission/room.h
@@ -55,7 +55,7 @@
 struct RoomDecision
 {
   RoomAction mAction = RoomAction::Send;
-  double mLimitMillis = 0; ///< longest wait at which it would surely be sent
+  double mLimitMillis = 0;       ///< longest wait at which it is not delayed
   milliseconds mRetryAfter{ 0 }; ///< unless it is sent
 };
 
