--- /dev/null
+++ b/test/resetanswer-test.cc
@@ -0,0 +1,61 @@
+#include "callers.h"
+
+using namespace hibiscushold;
+
+namespace {
+
+/// Head of a response whose body ends with its connection.
+std::string
+OpenHead(const std::string& aFields = "")
+{
+  return "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n" + aFields + "\r\n";
+}
+
+const std::string kOpenStreamHead =
+  OpenHead("Content-Type: text/event-stream\r\n");
+
+/// Time from the first bytes to the reset: none, and enough for another attempt
+/// to run beside the first.
+constexpr milliseconds kPauses[] = { milliseconds(0), kSilence };
+
+} // namespace
+
+TEST_GROUP(ResetAnswer){
+  /// Asks a node whose first target sends bytes and resets its connection after
+  /// a pause, while the second one is silent for longer and fails.
+  static ReceivedResponse AskReset(const std::string& aRequest,
+                                   const std::string& aBytes,
+                                   milliseconds aPause){ GatewayFixture gateway;
+ScriptedServer first({ { aBytes, false, true, "", aPause } });
+ScriptedServer second({ { "", true, false, "", aPause + milliseconds(600) } });
+gateway.AddTarget(first);
+gateway.AddTarget(second);
+gateway.Start();
+return gateway.Ask(aRequest, "}");
+}
+}
+;
+
+// Guards against a plain answer without a length that is cut off by a reset and
+// reaches the caller as a whole one, as another attempt has peeked at the
+// socket and taken its error.
+TEST(ResetAnswer, PlainAnswerThatEndsWithItsConnectionIsNotWhole)
+{
+  for (const milliseconds it : kPauses) {
+    const ReceivedResponse got =
+      AskReset(kLookupRequest, OpenHead() + "half of", it);
+    STRCMP_CONTAINS("HTTP/1.1 502", got.mBytes.c_str());
+    STRCMP_CONTAINS("\"ran\":\"unknown\"", got.mBytes.c_str());
+  }
+}
+
+// Guards against a stream that a reset cuts off and that ends as complete for
+// the same reason.
+TEST(ResetAnswer, StreamThatEndsWithItsConnectionIsNotComplete)
+{
+  for (const milliseconds it : kPauses) {
+    const ReceivedResponse got =
+      AskReset(kStreamRequest, kOpenStreamHead + "id: 1\n\n", it);
+    STRCMP_EQUAL(Event(1).c_str(), BodyOf(got.mBytes).c_str());
+  }
+}
--- a/test/scriptedserver.h
+++ b/test/scriptedserver.h
@@ -28,9 +28,9 @@
   struct Response
   {
     std::string mBytes;
-    bool mClose = false; ///< closes the connection after the bytes
-    bool mReset = false; ///< resets it after the bytes
-    std::string mRest{}; ///< sent after mPause, unless closed or reset
+    bool mClose = false; ///< closes the connection after all bytes
+    bool mReset = false; ///< resets it after all bytes
+    std::string mRest{}; ///< sent after mPause
     std::chrono::milliseconds mPause{ 0 };
   };
 
@@ -78,7 +78,7 @@
   struct PendingRest
   {
     Poco::Net::StreamSocket mConnection;
-    std::string mBytes;
+    Response mResponse;
     SteadyClock::time_point mDueAt;
   };
 
@@ -121,20 +121,38 @@
 
   void SendDueRests()
   {
-    std::erase_if(mPending, [](PendingRest& aIt) {
+    std::erase_if(mPending, [this](PendingRest& aIt) {
       if (SteadyClock::now() < aIt.mDueAt) {
         return false;
       }
       try {
-        aIt.mConnection.sendBytes(aIt.mBytes.data(),
-                                  static_cast<int>(aIt.mBytes.size()));
+        aIt.mConnection.sendBytes(aIt.mResponse.mRest.data(),
+                                  static_cast<int>(aIt.mResponse.mRest.size()));
       } catch (const Poco::Exception&) {
         return true; // the client has closed the connection
       }
+      if (Ends(aIt.mResponse)) {
+        End(aIt.mConnection, aIt.mResponse);
+        std::erase(mConnections, aIt.mConnection);
+      }
       return true;
     });
   }
 
+  static bool Ends(const Response& aResponse)
+  {
+    return aResponse.mClose || aResponse.mReset;
+  }
+
+  /// Prepares the connection for being closed once its last copy is gone.
+  static void End(Poco::Net::StreamSocket& aConnection,
+                  const Response& aResponse)
+  {
+    if (aResponse.mReset) {
+      aConnection.setLinger(true, 0);
+    }
+  }
+
   /// @return whether a body of up to a few kilobytes has not arrived whole; it
   ///         is sent after the head
   static bool LacksShortBody(const std::string& aRequest)
@@ -179,14 +197,13 @@
     FillAttemptId(response.mRest, mRequests.back());
     aConnection.sendBytes(response.mBytes.data(),
                           static_cast<int>(response.mBytes.size()));
-    if (!response.mRest.empty()) {
+    if (!response.mRest.empty() || response.mPause.count() > 0) {
       mPending.push_back(
-        { aConnection, response.mRest, SteadyClock::now() + response.mPause });
-    }
-    if (response.mReset) {
-      aConnection.setLinger(true, 0);
+        { aConnection, response, SteadyClock::now() + response.mPause });
+      return true;
     }
-    return !response.mClose && !response.mReset;
+    End(aConnection, response);
+    return !Ends(response);
   }
 
   const std::vector<Response> mScript;
