--- a/src/gateway/attemptrecord.cc
+++ b/src/gateway/attemptrecord.cc
@@ -159,6 +159,9 @@
         std::to_string(static_cast<int>(aLoad.mFirstEventMillis)) },
       { "delayed", aLoad.mIsDelayed ? "yes" : "no" },
       { "version", std::to_string(aRequest.mConfig->mVersion) },
+      { "framing", aReport.mFraming ? NameOf(*aReport.mFraming) : "" },
+      { "body", std::to_string(aReport.mBodyBytes) },
+      { "stalled", aReport.mWasStalled ? "yes" : "no" },
       { "detail", aReport.mDetail } });
 }
 
--- a/src/gateway/bodyreader.cc
+++ b/src/gateway/bodyreader.cc
@@ -51,6 +51,22 @@
 
 } // namespace
 
+const char*
+NameOf(BodyFraming aFraming)
+{
+  switch (aFraming) {
+    case BodyFraming::None:
+      return "none";
+    case BodyFraming::Length:
+      return "length";
+    case BodyFraming::Chunked:
+      return "chunked";
+    case BodyFraming::UntilClose:
+      return "until_close";
+  }
+  return "";
+}
+
 BodyReader::BodyReader(HttpSession& aSession,
                        const HTTPResponse& aHead,
                        bool aNoBody)
--- a/src/gateway/bodyreader.h
+++ b/src/gateway/bodyreader.h
@@ -19,6 +19,10 @@
   UntilClose, ///< by the end of the connection
 };
 
+/// @return the stable name of the framing, for logs
+const char*
+NameOf(BodyFraming aFraming);
+
 /// Reads bytes from a connection.
 /// @return bytes read, 0 at the end of the connection
 /// @throw Poco::Exception when the connection fails
@@ -45,6 +49,8 @@
   /// @throw Poco::Exception if the body is truncated or malformed
   size_t Read(std::span<char> aInto);
 
+  BodyFraming Framing() const { return mFraming; }
+
   /// @return whether the body was read to its end
   bool IsComplete() const { return mComplete; }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -2,7 +2,6 @@
 
 #include "core/textstream.h"
 #include "gateway/announcements.h"
-#include "gateway/bodyreader.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/peers.h"
 #include "gateway/progress.h"
@@ -175,7 +174,7 @@
       }
       stalled = stalled || IsStalled(mRequest.mTarget, load, now);
     }
-    mStallSeen = mStallSeen || stalled;
+    mReport.mWasStalled = mReport.mWasStalled || stalled;
     return stalled;
   }
 
@@ -250,6 +249,7 @@
     mAwaited.mStatus = status;
     mAwaited.mEndsWithConnection = !aBody.KeepsConnectionOpen();
     mReport.mMarksItsEnd = aBody.KeepsConnectionOpen();
+    mReport.mFraming = aBody.Framing();
     if (mRequest.mStream && success &&
         aHead.getContentType().starts_with("text/event-stream")) {
       ReceiveEvents(aHead, aBody);
@@ -284,11 +284,13 @@
   }
 
   /// @param aHeld grows with the body
-  static std::string ReadAll(BodyReader& aBody, BudgetedBytes& aHeld)
+  std::string ReadAll(BodyReader& aBody, BudgetedBytes& aHeld)
   {
     std::string body;
     std::array<char, 16384> buf;
+    mReport.mBodyBytes = 0;
     for (size_t n = aBody.Read(buf); n > 0; n = aBody.Read(buf)) {
+      mReport.mBodyBytes += n;
       if (body.size() + n > kMaxResponseBytes) {
         throw Poco::Net::MessageException("the answer is too large");
       }
@@ -305,6 +307,7 @@
     BudgetedBytes held(mDependencies.mBuffers);
     std::array<char, 16384> buf;
     for (size_t n = aBody.Read(buf); n > 0; n = aBody.Read(buf)) {
+      mReport.mBodyBytes += n;
       splitter.Add({ buf.data(), n });
       if (splitter.PendingBytes() > kMaxEventBytes ||
           !held.TryGrowTo(splitter.PendingBytes())) {
@@ -356,8 +359,8 @@
     } else {
       mReport.mTimeToFirstEvent = now - mStartedAt;
       // The silence of a stalled target says nothing about its queue.
-      const auto wait =
-        mStallSeen ? std::optional<Duration>() : mReport.mTimeToFirstEvent;
+      const auto wait = mReport.mWasStalled ? std::optional<Duration>()
+                                            : mReport.mTimeToFirstEvent;
       mDependencies.mLoads.RecordFirstEvent(
         vm, wait, now, mRequest.mPromptTokens, mRequest.mIsDelayed);
       mInFlightEntry->mStreaming = true;
@@ -425,7 +428,6 @@
   TimePoint mLastEventAt;
   ExchangeOutcome mAbandonedAs = ExchangeOutcome::Stalled;
   AwaitedResponse mAwaited;
-  bool mStallSeen = false; ///< the target has been stalled
   bool mSentCompletely = false;
   bool mNoStaleResponse = true; ///< no response to another request was received
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,6 +7,7 @@
 #include "fleet/reach.h"
 #include "fleet/targetchoice.h"
 #include "fleet/targetloads.h"
+#include "gateway/bodyreader.h"
 #include "gateway/protocolnames.h"
 
 #include <Poco/Net/HTTPResponse.h>
@@ -87,7 +88,10 @@
   uint64_t mSentBytes = 0; ///< zero: the target cannot have run the request
   /// The end of the connection alone would not have ended the response.
   bool mMarksItsEnd = false;
-  std::string mDetail; ///< what went wrong, for the log
+  std::optional<BodyFraming> mFraming; ///< of the response, once it has begun
+  uint64_t mBodyBytes = 0;             ///< received of the response's body
+  bool mWasStalled = false; ///< another attempt may have run beside this one
+  std::string mDetail;      ///< what went wrong, for the log
 };
 
 /// @return whether a byte of the request may have reached the target
