--- a/src/core/guardedsocket.cc
+++ b/src/core/guardedsocket.cc
@@ -39,6 +39,7 @@
                const Poco::Timespan& aTimeout) override
   {
     mLimiter.SetAtEnd(false);
+    mLimiter.SetSocketError(0);
     StreamSocketImpl::connect(aAddress, aTimeout);
     setRawOption(IPPROTO_TCP,
                  TCP_USER_TIMEOUT,
@@ -49,6 +50,10 @@
   int receiveBytes(void* aBuffer, int aLength, int aFlags) override
   {
     WaitForSocket(POLLIN);
+    // It may have been set during the wait.
+    if (mLimiter.SocketError() != 0) {
+      error(mLimiter.SocketError());
+    }
     const int n = SocketImpl::receiveBytes(aBuffer, aLength, aFlags);
     if (n == 0) {
       mLimiter.SetAtEnd(true);
--- a/src/core/guardedsocket.h
+++ b/src/core/guardedsocket.h
@@ -70,6 +70,13 @@
   /// @return whether a read has met the end of the connection
   bool IsAtEnd() const { return mIsAtEnd; }
 
+  /// Keeps an error that was taken from the socket without a read. The socket
+  /// doesn't report it again, but the end of the connection instead.
+  void SetSocketError(int aError) { mSocketError = aError; }
+
+  /// @return the error that the next read must report, or 0
+  int SocketError() const { return mSocketError; }
+
 private:
   const Clock& mClock;
   TimePoint mDeadline = TimePoint::max();
@@ -80,6 +87,7 @@
   uint64_t mSent = 0;
   TransferStop mStop = TransferStop::None;
   bool mIsAtEnd = false;
+  int mSocketError = 0;
 };
 
 /// A TCP socket whose transfers are limited by a TransferLimiter.
--- a/src/core/sessionpool.cc
+++ b/src/core/sessionpool.cc
@@ -123,6 +123,9 @@
                            aBuffer.size(),
                            MSG_PEEK | MSG_DONTWAIT);
   if (n < 0) {
+    if (errno != EAGAIN && errno != EINTR) {
+      mLimiter.SetSocketError(errno);
+    }
     return std::nullopt;
   }
   return std::string_view(aBuffer.data(), static_cast<size_t>(n));
--- a/src/core/sessionpool.h
+++ b/src/core/sessionpool.h
@@ -80,15 +80,15 @@
   bool SendRaw(std::string_view aBytes);
 
   /// Reads the bytes after the head of a response without decoding its framing.
-  /// @return bytes read, 0 at the end of the connection
-  /// @throw Poco::Exception when the connection fails or a limit ends the
-  ///        transfer
+  /// @return bytes read, 0 at the orderly end of the connection
+  /// @throw Poco::Exception when the connection fails, which PeekRaw may have
+  ///        met before, or a limit ends the transfer
   size_t ReadRaw(std::span<char> aBuffer);
 
   /// Copies bytes that have arrived at the socket and were not read yet. They
   /// stay unread.
-  /// @return the bytes, which are none at the end of the connection; nothing if
-  ///         none have arrived or the connection failed
+  /// @return the bytes, which are none at the orderly end of the connection;
+  ///         nothing if none have arrived or the connection failed
   std::optional<std::string_view> PeekRaw(std::span<char> aBuffer);
 
   /// @return when the session object was created, which precedes its connecting
