--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -1,13 +1,15 @@
 #include "bench/caller.h"
 
+#include "core/bodyreader.h"
 #include "core/json.h"
 #include "standin/engine.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPRequest.h>
 
-#include <istream>
+#include <array>
 #include <ostream>
+#include <sstream>
 
 namespace hibiscushold::bench {
 
@@ -17,10 +19,11 @@
 
 /// Reads events until the end of the stream; [DONE] marks a complete answer.
 void
-ReadEvents(std::istream& aIn, CallResult& aResult)
+ReadEvents(const std::string& aBody, CallResult& aResult)
 {
+  std::istringstream in(aBody);
   std::string line;
-  while (std::getline(aIn, line)) {
+  while (std::getline(in, line)) {
     if (!line.starts_with(kDataPrefix)) {
       continue;
     }
@@ -38,10 +41,10 @@
 }
 
 void
-ReadPlain(std::istream& aIn, int64_t aLength, CallResult& aResult)
+ReadPlain(std::string aBody, bool aIsMarked, CallResult& aResult)
 {
-  aResult.mBody.assign(std::istreambuf_iterator<char>(aIn), {});
-  aResult.mComplete = static_cast<int64_t>(aResult.mBody.size()) == aLength;
+  aResult.mBody = std::move(aBody);
+  aResult.mComplete = aIsMarked;
   Result<Json::Value> json = ParseJsonObject(aResult.mBody);
   if (json && json.value().isMember("choices")) {
     const Json::Value& choice = json.value()["choices"][0];
@@ -90,16 +93,24 @@
   }
   head.setContentLength64(static_cast<int64_t>(aCall.mBody.size()));
   aSession.sendRequest(head) << aCall.mBody << std::flush;
-  Poco::Net::HTTPResponse reply;
-  std::istream& in = aSession.receiveResponse(reply);
+  const ResponseHead reply = aSession.ReceiveHead();
   aResult.mFirstByteAt = mClock.Now();
-  aResult.mStatus = reply.getStatus();
-  aResult.mRanHeader = reply.get("X-Hibiscushold-Ran", "");
-  aResult.mRequestId = reply.get("X-Request-Id", "");
-  if (reply.getContentType().starts_with("text/event-stream")) {
-    ReadEvents(in, aResult);
+  aResult.mStatus = reply.mStatus;
+  aResult.mRanHeader = FindField(reply, "X-Hibiscushold-Ran").value_or("");
+  aResult.mRequestId = FindField(reply, "X-Request-Id").value_or("");
+  BodyReader reader(aSession, reply);
+  std::string body;
+  std::array<char, 16384> buf;
+  for (size_t n = reader.Read(buf); n > 0; n = reader.Read(buf)) {
+    body.append(buf.data(), n);
+  }
+  if (!reply.mKeepsConnection) {
+    aSession.reset();
+  }
+  if (ContentTypeOf(reply).starts_with("text/event-stream")) {
+    ReadEvents(body, aResult);
   } else {
-    ReadPlain(in, reply.getContentLength64(), aResult);
+    ReadPlain(std::move(body), reader.MarksItsEnd(), aResult);
   }
 }
 
--- a/src/cluster/peerclient.cc
+++ b/src/cluster/peerclient.cc
@@ -14,12 +14,12 @@
 Result<std::string>
 OriginalBody(HttpReply aReply)
 {
-  if (FindField(aReply, "Content-Encoding") != kDeflateEncoding) {
+  if (FindField(aReply.mFields, "Content-Encoding") != kDeflateEncoding) {
     return std::move(aReply.mBody);
   }
   size_t length = 0;
   const std::optional<std::string> text =
-    FindField(aReply, kOriginalLengthField);
+    FindField(aReply.mFields, kOriginalLengthField);
   if (!text || !ParseNumber(*text, length) || length > kMaxReplyBytes) {
     return Failure{ Error::ReplyInvalid, kOriginalLengthField, "" };
   }
--- a/src/gateway/bodyreader.cc
+++ b/src/core/bodyreader.cc
@@ -1,4 +1,4 @@
-#include "gateway/bodyreader.h"
+#include "core/bodyreader.h"
 
 #include <Poco/Net/NetException.h>
 
@@ -9,8 +9,6 @@
 
 namespace {
 
-using Poco::Net::HTTPResponse;
-
 constexpr size_t kMaxLineBytes = 1024;
 
 [[noreturn]] void
@@ -19,61 +17,13 @@
   throw Poco::Net::MessageException(aWhat);
 }
 
-BodyFraming
-FramingOf(const HTTPResponse& aHead, bool aNoBody)
-{
-  const int status = aHead.getStatus();
-  if (aNoBody || status == 204 || status == 304) {
-    return BodyFraming::None;
-  }
-  if (aHead.getChunkedTransferEncoding()) {
-    return BodyFraming::Chunked;
-  }
-  if (aHead.has(HTTPResponse::TRANSFER_ENCODING)) {
-    Fail("unknown transfer encoding");
-  }
-  return aHead.hasContentLength() ? BodyFraming::Length
-                                  : BodyFraming::UntilClose;
-}
-
-uint64_t
-LengthOf(const HTTPResponse& aHead)
-{
-  if (!aHead.hasContentLength()) {
-    return 0;
-  }
-  const int64_t length = aHead.getContentLength64();
-  if (length < 0) {
-    Fail("invalid length");
-  }
-  return static_cast<uint64_t>(length);
-}
-
 } // namespace
 
-const char*
-NameOf(BodyFraming aFraming)
-{
-  switch (aFraming) {
-    case BodyFraming::None:
-      return "none";
-    case BodyFraming::Length:
-      return "length";
-    case BodyFraming::Chunked:
-      return "chunked";
-    case BodyFraming::UntilClose:
-      return "until_close";
-  }
-  return "";
-}
-
-BodyReader::BodyReader(HttpSession& aSession,
-                       const HTTPResponse& aHead,
-                       bool aNoBody)
+BodyReader::BodyReader(HttpSession& aSession, const ResponseHead& aHead)
   : BodyReader(
       [&aSession](std::span<char> aInto) { return aSession.ReadRaw(aInto); },
-      FramingOf(aHead, aNoBody),
-      LengthOf(aHead))
+      aHead.mFraming,
+      aHead.mLength)
 {
 }
 
@@ -138,22 +88,35 @@
   }
 }
 
-uint64_t
-BodyReader::ReadChunkSize()
+std::string
+BodyReader::ReadLine(size_t aMaxBytes)
 {
   std::string line;
   for (char it = ReadByte(); it != '\n'; it = ReadByte()) {
     line += it;
-    if (line.size() > kMaxLineBytes) {
-      Fail("the length of a chunk is too long");
+    if (line.size() > aMaxBytes) {
+      Fail("a line between chunks is too long");
     }
   }
+  if (!line.ends_with('\r')) {
+    Fail("a line between chunks has no end");
+  }
+  line.pop_back();
+  return line;
+}
+
+uint64_t
+BodyReader::ReadChunkSize()
+{
+  const std::string line = ReadLine(kMaxLineBytes);
   uint64_t size = 0;
-  const auto [end, ec] =
-    std::from_chars(line.data(), line.data() + line.size(), size, 16);
-  const bool ended = end != line.data() + line.size() &&
-                     (*end == '\r' || *end == ';' || *end == ' ');
-  if (ec != std::errc() || !ended) {
+  const char* last = line.data() + line.size();
+  const auto [end, ec] = std::from_chars(line.data(), last, size, 16);
+  const std::string_view rest(end, static_cast<size_t>(last - end));
+  const size_t extension = rest.find_first_not_of(" \t");
+  const bool ended = rest.empty() || (extension != std::string_view::npos &&
+                                      rest[extension] == ';');
+  if (ec != std::errc() || !ended || !IsFieldText(rest)) {
     Fail("the length of a chunk is invalid");
   }
   return size;
@@ -162,19 +125,14 @@
 void
 BodyReader::ReadTrailers()
 {
-  size_t inLine = 0;
-  for (size_t n = 0; n < kMaxLineBytes; ++n) {
-    const char byte = ReadByte();
-    if (byte == '\n') {
-      if (inLine == 0) {
-        return;
-      }
-      inLine = 0;
-    } else if (byte != '\r') {
-      ++inLine;
+  size_t left = kMaxLineBytes;
+  for (std::string line = ReadLine(left); !line.empty();
+       line = ReadLine(left)) {
+    if (!ParseFieldLine(line)) {
+      Fail("a trailer is no field");
     }
+    left -= line.size();
   }
-  Fail("the trailers are too long");
 }
 
 size_t
--- a/src/core/guardedsocket.cc
+++ b/src/core/guardedsocket.cc
@@ -38,7 +38,6 @@
   void connect(const Poco::Net::SocketAddress& aAddress,
                const Poco::Timespan& aTimeout) override
   {
-    mLimiter.SetAtEnd(false);
     mLimiter.SetSocketError(0);
     StreamSocketImpl::connect(aAddress, aTimeout);
     setRawOption(IPPROTO_TCP,
@@ -54,11 +53,7 @@
     if (mLimiter.SocketError() != 0) {
       error(mLimiter.SocketError());
     }
-    const int n = SocketImpl::receiveBytes(aBuffer, aLength, aFlags);
-    if (n == 0) {
-      mLimiter.SetAtEnd(true);
-    }
-    return n;
+    return SocketImpl::receiveBytes(aBuffer, aLength, aFlags);
   }
 
   int sendBytes(const void* aBuffer, int aLength, int aFlags) override
--- a/src/core/guardedsocket.h
+++ b/src/core/guardedsocket.h
@@ -63,13 +63,6 @@
 
   void AddSent(uint64_t aBytes) { mSent += aBytes; }
 
-  /// @param aIsAtEnd whether the peer has closed the connection and all its
-  ///        bytes were read
-  void SetAtEnd(bool aIsAtEnd) { mIsAtEnd = aIsAtEnd; }
-
-  /// @return whether a read has met the end of the connection
-  bool IsAtEnd() const { return mIsAtEnd; }
-
   /// Keeps an error that was taken from the socket without a read. The socket
   /// doesn't report it again, but the end of the connection instead.
   void SetSocketError(int aError) { mSocketError = aError; }
@@ -86,7 +79,6 @@
   std::function<bool()> mIsAbandoned;
   uint64_t mSent = 0;
   TransferStop mStop = TransferStop::None;
-  bool mIsAtEnd = false;
   int mSocketError = 0;
 };
 
--- a/src/core/http.cc
+++ b/src/core/http.cc
@@ -1,21 +1,18 @@
 #include "core/http.h"
 
+#include "core/bodyreader.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/String.h>
 
 #include <array>
-#include <istream>
 #include <ostream>
 
 namespace hibiscushold {
 
 namespace {
 
-using Poco::Net::HTTPClientSession;
-
 /// Estimate of the header bytes of a request and its reply, which aren't
 /// counted.
 constexpr uint64_t kEstimatedHeaderBytes = 200;
@@ -27,7 +24,7 @@
 }
 
 Result<void>
-Send(HTTPClientSession& aSession, const HttpRequest& aRequest)
+Send(HttpSession& aSession, const HttpRequest& aRequest)
 {
   Poco::Net::HTTPRequest head(
     aRequest.mMethod, aRequest.mPath, Poco::Net::HTTPMessage::HTTP_1_1);
@@ -48,39 +45,45 @@
   return boost::outcome_v2::success();
 }
 
-/// Reads a reply. It must state its length, so that truncation is detected.
+/// Reads a reply. Its body must mark its end, so that truncation is detected.
 Result<HttpReply>
-Receive(HTTPClientSession& aSession,
+Receive(HttpSession& aSession,
         const Endpoint& aEndpoint,
-        size_t aMaxBytes,
+        const HttpRequest& aRequest,
         const Clock& aClock,
         TimePoint aDeadline)
 {
-  // The library bounds the number and the length of a head's fields.
-  Poco::Net::HTTPResponse head;
-  std::istream& in = aSession.receiveResponse(head);
-  HttpReply reply;
-  reply.mStatus = head.getStatus();
-  for (const auto& [name, value] : head) {
-    reply.mFields.push_back({ name, value });
-  }
-  const int64_t length = head.getContentLength64();
-  if (length < 0 || length > static_cast<int64_t>(aMaxBytes)) {
+  ResponseHead head = aSession.ReceiveHead(aRequest.mMethod == "HEAD");
+  BodyReader body(aSession, head);
+  const auto tooLong = [&] {
     return Failure{ Error::ReplyInvalid,
-                    ToString(aEndpoint) + ": no length, or over " +
-                      std::to_string(aMaxBytes) + " bytes",
+                    ToString(aEndpoint) + ": over " +
+                      std::to_string(aRequest.mMaxReplyBytes) + " bytes",
                     "" };
+  };
+  if (!body.MarksItsEnd()) {
+    return Failure{ Error::ReplyInvalid,
+                    ToString(aEndpoint) + ": the reply has no length",
+                    "" };
+  }
+  if (head.mLength > aRequest.mMaxReplyBytes) {
+    return tooLong();
   }
+  HttpReply reply;
+  reply.mStatus = head.mStatus;
+  reply.mFields = std::move(head.mFields);
   std::array<char, 16384> buf;
-  while (in.good() && reply.mBody.size() < static_cast<size_t>(length)) {
+  for (size_t n = body.Read(buf); n > 0; n = body.Read(buf)) {
+    if (reply.mBody.size() + n > aRequest.mMaxReplyBytes) {
+      return tooLong();
+    }
     if (aClock.Now() >= aDeadline) {
       return TimedOut(aEndpoint);
     }
-    in.read(buf.data(), buf.size());
-    reply.mBody.append(buf.data(), static_cast<size_t>(in.gcount()));
+    reply.mBody.append(buf.data(), n);
   }
-  if (reply.mBody.size() != static_cast<size_t>(length)) {
-    return Failure{ Error::ReplyTruncated, ToString(aEndpoint), "" };
+  if (!head.mKeepsConnection) {
+    aSession.reset();
   }
   return reply;
 }
@@ -110,11 +113,10 @@
   try {
     BOOST_OUTCOME_TRY(Send(*session, aRequest));
     BOOST_OUTCOME_TRY(
-      reply,
-      Receive(*session, aEndpoint, aRequest.mMaxReplyBytes, mClock, aDeadline));
+      reply, Receive(*session, aEndpoint, aRequest, mClock, aDeadline));
     mBytesTransferred +=
       aRequest.mBody.size() + reply.mBody.size() + kEstimatedHeaderBytes;
-    if (session->connected()) {
+    if (session->connected() && !session->HasUnreadBytes()) {
       mPool.Release(aEndpoint, std::move(session));
     }
     return std::move(reply);
@@ -131,17 +133,6 @@
   }
 }
 
-std::optional<std::string>
-FindField(const HttpReply& aReply, const std::string& aName)
-{
-  for (const HttpField& it : aReply.mFields) {
-    if (Poco::icompare(it.mName, aName) == 0) {
-      return it.mValue;
-    }
-  }
-  return std::nullopt;
-}
-
 uint64_t
 HttpClient::BytesTransferred() const
 {
--- a/src/core/http.h
+++ b/src/core/http.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/errors.h"
+#include "core/httpfield.h"
 #include "core/sessionpool.h"
 #include "core/settings.h"
 
@@ -12,12 +13,6 @@
 
 namespace hibiscushold {
 
-struct HttpField
-{
-  std::string mName;
-  std::string mValue;
-};
-
 /// Most bytes of a reply's body, such as a list of all VMs from another node.
 inline constexpr size_t kMaxReplyBytes = 64'000'000;
 
@@ -39,10 +34,6 @@
   std::string mBody;
 };
 
-/// @return the value of the first field of that name in any case, or nothing
-std::optional<std::string>
-FindField(const HttpReply& aReply, const std::string& aName);
-
 /// HTTP client for small control calls to the platform, to peers and to
 /// engines. Connections are kept alive for a short time and reused; a failed
 /// one is closed. Thread-safe.
--- /dev/null
+++ b/src/core/httpfield.cc
@@ -0,0 +1,40 @@
+#include "core/httpfield.h"
+
+#include <strings.h>
+
+#include <algorithm>
+
+namespace hibiscushold {
+
+namespace {
+
+bool
+HasName(const HttpField& aField, std::string_view aName)
+{
+  return aField.mName.size() == aName.size() &&
+         ::strncasecmp(aField.mName.data(), aName.data(), aName.size()) == 0;
+}
+
+} // namespace
+
+std::optional<std::string>
+FindField(std::span<const HttpField> aFields, std::string_view aName)
+{
+  for (const HttpField& it : aFields) {
+    if (HasName(it, aName)) {
+      return it.mValue;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+HasConflict(std::span<const HttpField> aFields, std::string_view aName)
+{
+  const std::optional<std::string> first = FindField(aFields, aName);
+  return std::any_of(aFields.begin(), aFields.end(), [&](const HttpField& aIt) {
+    return HasName(aIt, aName) && aIt.mValue != *first;
+  });
+}
+
+} // namespace hibiscushold
--- a/src/core/sessionpool.cc
+++ b/src/core/sessionpool.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 namespace hibiscushold {
 
@@ -16,6 +17,7 @@
 
 constexpr auto kIdleTimeout = seconds(4);
 constexpr size_t kMaxIdlePerEndpoint = 32;
+constexpr int kMaxInterimResponses = 8;
 
 Poco::Net::StreamSocket
 CreateSocket(const TlsContext* aTls, TransferLimiter& aLimiter)
@@ -36,6 +38,7 @@
   , mClock(aClock)
   , mIsGuarded(aTls == nullptr)
   , mCreatedAt(aClock.Now())
+  , mParser(false)
 {
   setHost(aEndpoint.mHost);
   setPort(aEndpoint.mPort);
@@ -70,16 +73,34 @@
          !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
 }
 
-std::istream&
-HttpSession::receiveResponse(Poco::Net::HTTPResponse& aHead)
+ResponseHead
+HttpSession::ReceiveHead(bool aIsBodyless)
 {
-  std::istream& body = HTTPClientSession::receiveResponse(aHead);
-  // Nothing is read beyond a whole head unless it arrived with it. With TLS,
-  // which the limiter doesn't see, an unexpected end is an error by itself.
-  if (mLimiter.IsAtEnd()) {
-    throw Poco::Net::ConnectionAbortedException("the head was cut off");
+  flushRequest();
+  for (int n = 0; n <= kMaxInterimResponses; ++n) {
+    ResponseHead head = ReceiveAnyHead(aIsBodyless);
+    if (!IsInterim(head)) {
+      return head;
+    }
   }
-  return body;
+  throw Poco::Net::MessageException("too many interim responses");
+}
+
+ResponseHead
+HttpSession::ReceiveAnyHead(bool aIsBodyless)
+{
+  mParser = ResponseHeadParser(aIsBodyless);
+  for (int byte = get(); byte >= 0; byte = get()) {
+    const Result<bool> isComplete = mParser.Add(static_cast<char>(byte));
+    if (!isComplete) {
+      throw Poco::Net::MessageException(isComplete.error().mDetail);
+    }
+    if (isComplete.value()) {
+      return std::exchange(mParser, ResponseHeadParser(false)).Head();
+    }
+  }
+  throw Poco::Net::ConnectionAbortedException(
+    mParser.IsWithinHead() ? "the head was cut off" : "no response");
 }
 
 bool
@@ -112,12 +133,18 @@
 {
   const int n =
     read(aBuffer.data(), static_cast<std::streamsize>(aBuffer.size()));
-  return n > 0 ? static_cast<size_t>(n) : 0;
+  if (n < 0) {
+    throw Poco::Net::ConnectionResetException("while reading");
+  }
+  return static_cast<size_t>(n);
 }
 
 std::optional<std::string_view>
 HttpSession::PeekRaw(std::span<char> aBuffer)
 {
+  if (!mIsGuarded) {
+    return std::nullopt;
+  }
   const ssize_t n = ::recv(socket().impl()->sockfd(),
                            aBuffer.data(),
                            aBuffer.size(),
--- a/src/core/sessionpool.h
+++ b/src/core/sessionpool.h
@@ -3,11 +3,11 @@
 #include "core/clock.h"
 #include "core/errors.h"
 #include "core/guardedsocket.h"
+#include "core/responsehead.h"
 #include "core/settings.h"
 #include "core/tls.h"
 
 #include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Timespan.h>
 
 #include <map>
@@ -33,12 +33,19 @@
 };
 
 /// An HTTP connection that is opened explicitly, to distinguish a failure to
-/// connect from a failure after bytes were sent.
+/// connect from a failure after bytes were sent. Responses are read with
+/// ReceiveHead and a BodyReader only, as POCO's own parser takes much for a
+/// response that is none.
 class HttpSession final
   : private TransferLimiterBase
-  , public Poco::Net::HTTPClientSession
+  , private Poco::Net::HTTPClientSession
 {
 public:
+  using HTTPClientSession::connected;
+  using HTTPClientSession::reset;
+  using HTTPClientSession::sendRequest;
+  using HTTPClientSession::socket;
+
   /// @param aTls context for TLS, null for plain HTTP
   HttpSession(const Endpoint& aEndpoint,
               const Clock& aClock,
@@ -67,11 +74,12 @@
   /// @return whether the receive buffer of the session holds unread bytes
   bool HasUnreadBytes() const { return buffered() > 0; }
 
-  /// Receives the head of a response, as the base class does, which takes the
-  /// end of the connection for the end of the head.
-  /// @throw Poco::Net::ConnectionAbortedException when the connection ends
-  ///        within the head
-  std::istream& receiveResponse(Poco::Net::HTTPResponse& aHead) override;
+  /// Receives the head of the final response; interim ones are skipped.
+  /// @param aIsBodyless whether responses to the request have no body (HEAD)
+  /// @throw Poco::Net::MessageException when the peer sends no valid head
+  /// @throw Poco::Exception when the connection ends or fails before the end of
+  ///        the head, or a limit ends the transfer
+  ResponseHead ReceiveHead(bool aIsBodyless = false);
 
   /// Sends bytes without framing until all are sent or the peer responds.
   /// @return whether all bytes were sent
@@ -82,22 +90,30 @@
   /// Reads the bytes after the head of a response without decoding its framing.
   /// @return bytes read, 0 at the orderly end of the connection
   /// @throw Poco::Exception when the connection fails, which PeekRaw may have
-  ///        met before, or a limit ends the transfer
+  ///        seen before, or a limit ends the transfer
   size_t ReadRaw(std::span<char> aBuffer);
 
   /// Copies bytes that have arrived at the socket and were not read yet. They
   /// stay unread.
   /// @return the bytes, which are none at the orderly end of the connection;
-  ///         nothing if none have arrived or the connection failed
+  ///         nothing if none have arrived, the connection has failed or is a
+  ///         TLS connection
   std::optional<std::string_view> PeekRaw(std::span<char> aBuffer);
 
+  /// @return the head that ReceiveHead has read in part, or a new one
+  const ResponseHeadParser& PartialHead() const { return mParser; }
+
   /// @return when the session object was created, which precedes its connecting
   TimePoint CreatedAt() const { return mCreatedAt; }
 
 private:
+  /// Receives the head of the next response, which may be an interim one.
+  ResponseHead ReceiveAnyHead(bool aIsBodyless);
+
   const Clock& mClock;
   const bool mIsGuarded;
   const TimePoint mCreatedAt;
+  ResponseHeadParser mParser;
 };
 
 /// Keeps idle connections for a short time for reuse. Thread-safe.
--- a/src/gateway/announcements.cc
+++ b/src/gateway/announcements.cc
@@ -10,11 +10,11 @@
 
 namespace {
 
-using Poco::Net::HTTPResponse;
-
 /// Longest time for which a target can keep requests away.
 constexpr double kMaxQuietSeconds = 3600;
 constexpr size_t kMaxLoggedValueBytes = 100;
+/// Status of a target that takes no request now.
+constexpr int kBusy = 503;
 
 /// @param aText seconds, which may have a fraction
 /// @return the time, at most kMaxQuietSeconds, or nothing if aText is invalid
@@ -34,25 +34,24 @@
 void
 RecordAnnouncements(const ExchangeDependencies& aDependencies,
                     const FleetTarget& aTarget,
-                    const HTTPResponse& aHead)
+                    const ResponseHead& aHead)
 {
   const ProtocolNames& names = aDependencies.mProtocol;
   TargetLoads& loads = aDependencies.mLoads;
-  if (!names.mLeaving.empty() && aHead.get(names.mLeaving, "") == "1") {
+  if (!names.mLeaving.empty() && FindField(aHead, names.mLeaving) == "1") {
     loads.RecordLeaving(aTarget.mVmId, aTarget.mStartedMillis);
   }
-  if (aHead.getStatus() != HTTPResponse::HTTP_SERVICE_UNAVAILABLE ||
-      names.mRetryAfter.empty() || !aHead.has(names.mRetryAfter)) {
+  const std::optional<std::string> text = FindField(aHead, names.mRetryAfter);
+  if (aHead.mStatus != kBusy || names.mRetryAfter.empty() || !text) {
     return;
   }
-  const std::string& text = aHead.get(names.mRetryAfter);
-  if (const std::optional<Duration> time = ParseQuietTime(text)) {
+  if (const std::optional<Duration> time = ParseQuietTime(*text)) {
     loads.RecordQuiet(aTarget.mVmId, aDependencies.mClock.Now() + *time);
   } else if (loads.RecordBadHeader(aTarget.mVmId)) {
     LogEvent(EventId::HeaderInvalid,
              { { "vm", aTarget.mVmId },
                { "header", names.mRetryAfter },
-               { "value", text.substr(0, kMaxLoggedValueBytes) } });
+               { "value", text->substr(0, kMaxLoggedValueBytes) } });
   }
 }
 
--- a/src/gateway/announcements.h
+++ b/src/gateway/announcements.h
@@ -10,6 +10,6 @@
 void
 RecordAnnouncements(const ExchangeDependencies& aDependencies,
                     const FleetTarget& aTarget,
-                    const Poco::Net::HTTPResponse& aHead);
+                    const ResponseHead& aHead);
 
 } // namespace hibiscushold
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -1,8 +1,8 @@
 #include "gateway/callerrequest.h"
 
+#include "core/bodyreader.h"
 #include "core/hash.h"
 #include "core/sessionpool.h"
-#include "gateway/bodyreader.h"
 #include "gateway/callersession.h"
 #include "gateway/exchange.h"
 #include "gateway/peers.h"
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 
+#include "core/bodyreader.h"
 #include "core/textstream.h"
 #include "gateway/announcements.h"
 #include "gateway/eventsplitter.h"
@@ -21,7 +22,6 @@
 
 using Poco::Net::HTTPMessage;
 using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
 
 constexpr size_t kMaxResponseBytes = 16000000;
 constexpr size_t kMaxEventBytes = 1000000;
@@ -80,6 +80,7 @@
     mAwaited.mIdField = aDependencies.mProtocol.mRequestId;
     mAwaited.mRequestId = aRequest.mRequestId;
     mAwaited.mStream = aRequest.mStream;
+    mAwaited.mIsBodyless = aRequest.mMethod == "HEAD";
   }
 
   ExchangeReport Run()
@@ -108,7 +109,8 @@
     if (unread->empty()) {
       return mAwaited.mEndsWithConnection;
     }
-    return IsProgress(*unread, unread->size() == buf.size(), mAwaited);
+    return IsProgress(
+      mSession->PartialHead(), *unread, unread->size() == buf.size(), mAwaited);
   }
 
   void Close() override
@@ -203,20 +205,24 @@
   void ReceiveResponse()
   {
     for (int n = 0; n <= kMaxStaleResponses; ++n) {
-      HTTPResponse head;
-      mSession->receiveResponse(head);
-      BodyReader body(*mSession, head, mRequest.mMethod == "HEAD");
-      const std::string id = head.get(mDependencies.mProtocol.mRequestId, "");
+      const ResponseHead head = mSession->ReceiveHead(mAwaited.mIsBodyless);
+      BodyReader body(*mSession, head);
+      const std::optional<std::string> id =
+        FindField(head, mDependencies.mProtocol.mRequestId);
+      if (HasConflict(head.mFields, mDependencies.mProtocol.mRequestId)) {
+        SetOutcome(ExchangeOutcome::Invalid, "the response has several ids");
+        return;
+      }
       const bool isRefusal =
-        id.empty() &&
-        (head.has(mDependencies.mProtocol.mNotRun) ||
-         head.getStatus() == mDependencies.mProtocol.mMisdirected);
+        id.value_or("").empty() &&
+        (FindField(head, mDependencies.mProtocol.mNotRun) ||
+         head.mStatus == mDependencies.mProtocol.mMisdirected);
       if (isRefusal && mReport.mReused) {
         SetOutcome(ExchangeOutcome::Invalid,
                    "a refusal without id may be of an earlier request");
         return;
       }
-      if (id == mRequest.mRequestId || isRefusal) {
+      if (id.value_or("") == mRequest.mRequestId || isRefusal) {
         mReport.mBeganAt = mDependencies.mClock.Now();
         mDependencies.mReach.RecordAnswer(*mReport.mBeganAt);
         RecordAnnouncements(mDependencies, mRequest.mTarget, head);
@@ -231,27 +237,27 @@
                "no response has the id of this request");
   }
 
-  void HandleResponse(const HTTPResponse& aHead, BodyReader& aBody)
+  void HandleResponse(const ResponseHead& aHead, BodyReader& aBody)
   {
-    const int status = aHead.getStatus();
+    const int status = aHead.mStatus;
     if (status == mDependencies.mProtocol.mMisdirected) {
       SetOutcome(ExchangeOutcome::WrongVm, "");
       return;
     }
     const bool success = status >= 200 && status < 300;
-    if (success && (!aHead.has(mDependencies.mProtocol.mProof) ||
-                    aHead.has("Content-Encoding"))) {
+    if (success && (!FindField(aHead, mDependencies.mProtocol.mProof) ||
+                    FindField(aHead, "Content-Encoding"))) {
       SetOutcome(ExchangeOutcome::Invalid,
                  "a successful response lacks the proof header or is encoded");
       return;
     }
     CopyFields(aHead);
     mAwaited.mStatus = status;
-    mAwaited.mEndsWithConnection = !aBody.KeepsConnectionOpen();
-    mReport.mMarksItsEnd = aBody.KeepsConnectionOpen();
-    mReport.mFraming = aBody.Framing();
+    mAwaited.mEndsWithConnection = !aBody.MarksItsEnd();
+    mReport.mMarksItsEnd = aBody.MarksItsEnd();
+    mReport.mFraming = aHead.mFraming;
     if (mRequest.mStream && success &&
-        aHead.getContentType().starts_with("text/event-stream")) {
+        ContentTypeOf(aHead).starts_with("text/event-stream")) {
       ReceiveEvents(aHead, aBody);
       return;
     }
@@ -261,17 +267,18 @@
     mDependencies.mLoads.RecordProgress(mRequest.mTarget.mVmId,
                                         mDependencies.mClock.Now());
     ReturnSession(aHead, aBody);
-    const bool notRun = aHead.has(mDependencies.mProtocol.mNotRun);
+    const bool notRun =
+      FindField(aHead, mDependencies.mProtocol.mNotRun).has_value();
     SetOutcome(notRun ? ExchangeOutcome::NotRun : ExchangeOutcome::Answered,
                "");
   }
 
-  void CopyFields(const HTTPResponse& aHead)
+  void CopyFields(const ResponseHead& aHead)
   {
-    for (const auto& [name, value] : aHead) {
-      const bool isForged = mRequest.mNamesTarget && IsPeerField(name);
-      if (!IsConnectionField(name) && !isForged) {
-        mReport.mResponse.mFields.push_back({ name, value });
+    for (const HttpField& it : aHead.mFields) {
+      const bool isForged = mRequest.mNamesTarget && IsPeerField(it.mName);
+      if (!IsConnectionField(it.mName) && !isForged) {
+        mReport.mResponse.mFields.push_back(it);
       }
     }
     if (mRequest.mNamesTarget) {
@@ -280,7 +287,7 @@
           mRequest.mTarget.mVmId + " " +
             std::to_string(mRequest.mTarget.mStartedMillis) });
     }
-    mReport.mResponse.mStatus = aHead.getStatus();
+    mReport.mResponse.mStatus = aHead.mStatus;
   }
 
   /// @param aHeld grows with the body
@@ -301,7 +308,7 @@
     return body;
   }
 
-  void ReceiveEvents(const HTTPResponse& aHead, BodyReader& aBody)
+  void ReceiveEvents(const ResponseHead& aHead, BodyReader& aBody)
   {
     EventSplitter splitter(mReport.mLastEvent);
     BudgetedBytes held(mDependencies.mBuffers);
@@ -328,7 +335,7 @@
       return;
     }
     if (!mReport.mStreamed &&
-        !mSink.OnHead(aHead.getStatus(), mReport.mResponse.mFields)) {
+        !mSink.OnHead(aHead.mStatus, mReport.mResponse.mFields)) {
       SetOutcome(ExchangeOutcome::CallerDisconnected, "");
       return;
     }
@@ -379,12 +386,11 @@
     return true;
   }
 
-  void ReturnSession(const HTTPResponse& aHead, const BodyReader& aBody)
+  void ReturnSession(const ResponseHead& aHead, const BodyReader& aBody)
   {
     const bool reusable = mNoStaleResponse && mSentCompletely &&
-                          aBody.IsComplete() && aBody.KeepsConnectionOpen() &&
-                          aHead.getKeepAlive() && !mSession->HasUnreadBytes() &&
-                          mSession->IsReusable();
+                          aBody.IsComplete() && aHead.mKeepsConnection &&
+                          !mSession->HasUnreadBytes() && mSession->IsReusable();
     if (reusable) {
       mSession->Guard().SetCallerCheck(nullptr);
       mSession->Guard().SetAbandonCheck(nullptr);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,11 +7,8 @@
 #include "fleet/reach.h"
 #include "fleet/targetchoice.h"
 #include "fleet/targetloads.h"
-#include "gateway/bodyreader.h"
 #include "gateway/protocolnames.h"
 
-#include <Poco/Net/HTTPResponse.h>
-
 #include <optional>
 #include <string>
 #include <string_view>
@@ -91,7 +88,7 @@
   std::optional<BodyFraming> mFraming; ///< of the response, once it has begun
   uint64_t mBodyBytes = 0;             ///< received of the response's body
   bool mWasStalled = false; ///< another attempt may have run beside this one
-  std::string mDetail;      ///< what went wrong, for the log
+  std::string mDetail;                 ///< what went wrong, for the log
 };
 
 /// @return whether a byte of the request may have reached the target
--- a/src/gateway/progress.cc
+++ b/src/gateway/progress.cc
@@ -1,20 +1,12 @@
 #include "gateway/progress.h"
 
-#include <Poco/String.h>
-
-#include <charconv>
+#include <optional>
 #include <string>
 
 namespace hibiscushold {
 
 namespace {
 
-constexpr std::string_view kProtocol = "HTTP/";
-/// Position and length of the status code in a status line.
-constexpr size_t kStatusPosition = 9;
-constexpr size_t kStatusLength = 3;
-constexpr std::string_view kHeadEnd = "\r\n\r\n";
-
 /// @return whether a response with this status is an answer for the caller
 bool
 IsFinal(int aStatus)
@@ -24,18 +16,11 @@
 
 /// @return whether the head has the id of another request
 bool
-HasOtherId(std::string_view aHead, const AwaitedResponse& aAwaited)
+HasOtherId(const ResponseHead& aHead, const AwaitedResponse& aAwaited)
 {
-  const std::string field =
-    "\r\n" + Poco::toLower(std::string(aAwaited.mIdField)) + ":";
-  const size_t at = Poco::toLower(std::string(aHead)).find(field);
-  if (at == std::string::npos) {
-    return false;
-  }
-  std::string_view value = aHead.substr(at + field.size());
-  value = value.substr(0, value.find('\r'));
-  value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
-  return value != aAwaited.mRequestId;
+  const std::optional<std::string> id = FindField(aHead, aAwaited.mIdField);
+  return HasConflict(aHead.mFields, aAwaited.mIdField) ||
+         (id && *id != aAwaited.mRequestId);
 }
 
 bool
@@ -48,7 +33,8 @@
 } // namespace
 
 bool
-IsProgress(std::string_view aUnread,
+IsProgress(ResponseHeadParser aPartialHead,
+           std::string_view aUnread,
            bool aHasMore,
            const AwaitedResponse& aAwaited)
 {
@@ -56,25 +42,25 @@
     return IsFinal(aAwaited.mStatus) &&
            (!aAwaited.mStream || aHasMore || HasEventEnd(aUnread));
   }
-  if (!aUnread.starts_with(kProtocol)) {
-    return !aUnread.empty(); // the rest of a head that was read in part
-  }
-  if (aUnread.size() < kStatusPosition + kStatusLength) {
-    return false;
-  }
-  int status = 0;
-  const char* digits = aUnread.data() + kStatusPosition;
-  std::from_chars(digits, digits + kStatusLength, status);
-  const size_t end = aUnread.find(kHeadEnd);
-  if (!IsFinal(status) || HasOtherId(aUnread.substr(0, end), aAwaited)) {
-    return false;
-  }
-  const bool interim = status < 200;
-  if (!aAwaited.mStream || interim || status >= 300 || aHasMore) {
-    return true;
+  while (!aUnread.empty()) {
+    const Result<bool> isComplete = aPartialHead.Add(aUnread.front());
+    aUnread.remove_prefix(1);
+    if (!isComplete) {
+      return false;
+    }
+    if (!isComplete.value()) {
+      continue;
+    }
+    const ResponseHead& head = aPartialHead.Head();
+    if (IsInterim(head)) {
+      aPartialHead = ResponseHeadParser(aAwaited.mIsBodyless);
+      continue;
+    }
+    return IsFinal(head.mStatus) && !HasOtherId(head, aAwaited) &&
+           (!aAwaited.mStream || head.mStatus >= 300 || aHasMore ||
+            HasEventEnd(aUnread));
   }
-  return end != std::string_view::npos &&
-         HasEventEnd(aUnread.substr(end + kHeadEnd.size()));
+  return false;
 }
 
 } // namespace hibiscushold
--- a/src/gateway/progress.h
+++ b/src/gateway/progress.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/responsehead.h"
+
 #include <string_view>
 
 namespace hibiscushold {
@@ -12,16 +14,19 @@
   bool mStream = false;             ///< an event stream is expected
   bool mEndsWithConnection = false; ///< the body has no length
   int mStatus = 0;                  ///< 0 until the head was received
+  bool mIsBodyless = false;         ///< responses to the request have no body
 };
 
 /// Tells from bytes that arrived but were not read yet whether the target has
-/// made progress that can serve the caller: a complete event, or the start of a
-/// response that is neither of another request nor a failure after which the
-/// request may be sent again.
+/// made progress that can serve the caller: a complete event, or the whole head
+/// of a response that is neither of another request nor a failure after which
+/// the request may be sent again.
+/// @param aPartialHead the part of a head that was read already
 /// @param aUnread the unread bytes, or the first of them
 /// @param aHasMore whether there may be more unread bytes
 bool
-IsProgress(std::string_view aUnread,
+IsProgress(ResponseHeadParser aPartialHead,
+           std::string_view aUnread,
            bool aHasMore,
            const AwaitedResponse& aAwaited);
 
--- a/src/serve/attempt.cc
+++ b/src/serve/attempt.cc
@@ -1,29 +1,26 @@
 #include "serve/attempt.h"
 
+#include "core/bodyreader.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 
 #include <array>
-#include <istream>
 #include <optional>
 #include <ostream>
-#include <sstream>
+#include <utility>
 
 namespace hibiscushold {
 
 namespace {
 
 using Poco::Net::HTTPMessage;
-using Poco::Net::HTTPResponse;
 
 constexpr size_t kMaxBodyBytes = 64000000;
 constexpr size_t kMaxEventBytes = 1000000;
 /// Bytes of a response that are examined before they are read.
 constexpr size_t kMaxPeekedBytes = 8192;
-constexpr std::string_view kHeadStart = "HTTP/";
-constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kStreamEndLine = "data: [DONE]";
 constexpr auto kConnectTimeout = milliseconds(1000);
 
@@ -71,28 +68,33 @@
     if (!unread || unread->empty()) {
       return false;
     }
-    // The start of the head may have been read already.
-    if (mFacts.mHeaderRead || !unread->starts_with(kHeadStart)) {
-      return true;
-    }
-    return unread->find(kHeadEnd) != unread->npos && IsUsableHead(*unread);
+    return mFacts.mHeaderRead || IsUsableHead(*unread);
   }
 
   void Close() override { mSession->reset(); }
 
 private:
-  bool IsUsableHead(std::string_view aText) const
+  /// @param aUnread the unread bytes, or the first of them
+  /// @return whether a usable head ends in them
+  bool IsUsableHead(std::string_view aUnread) const
   {
-    HTTPResponse head;
-    std::istringstream in{ std::string(aText) };
-    try {
-      head.read(in);
-    } catch (const Poco::Exception&) {
-      return false; // the attempt itself reports it when it reads the head
+    ResponseHeadParser parser = mSession->PartialHead();
+    for (const char it : aUnread) {
+      const Result<bool> isComplete = parser.Add(it);
+      if (!isComplete) {
+        return false; // the attempt itself reports it when it reads the head
+      }
+      if (!isComplete.value()) {
+        continue;
+      }
+      if (!IsInterim(parser.Head())) {
+        AttemptFacts facts;
+        ReadFacts(parser.Head(), facts);
+        return IsUsable(facts);
+      }
+      parser = ResponseHeadParser(false);
     }
-    AttemptFacts facts;
-    ReadFacts(head, facts);
-    return IsUsable(facts);
+    return false;
   }
 
   void SetTransferLimits(Duration aLeft)
@@ -140,30 +142,33 @@
 
   AttemptReport Receive()
   {
-    HTTPResponse head;
-    std::istream& in = mSession->receiveResponse(head);
+    const ResponseHead head = mSession->ReceiveHead();
+    BodyReader body(*mSession, head);
     mFacts.mHeaderRead = true;
     SetSilenceLimit(Duration::zero());
     mReport.mStreamed = IsStream(head);
     ReadFacts(head, mFacts);
     if (!IsUsable(mFacts)) {
       return MakeReport(AttemptStop::None,
-                        "status " + std::to_string(head.getStatus()));
+                        "status " + std::to_string(head.mStatus));
     }
-    mReport.mResponse.mStatus = head.getStatus();
-    mReport.mResponse.mContentType = head.getContentType();
-    return mReport.mStreamed ? ReceiveEvents(in) : ReceiveBody(in, head);
+    mReport.mResponse.mStatus = head.mStatus;
+    mReport.mResponse.mContentType = ContentTypeOf(head);
+    return mReport.mStreamed ? ReceiveEvents(body, head)
+                             : ReceiveBody(body, head);
   }
 
-  static bool IsStream(const HTTPResponse& aHead)
+  static bool IsStream(const ResponseHead& aHead)
   {
-    return aHead.getContentType().starts_with("text/event-stream");
+    return ContentTypeOf(aHead).starts_with("text/event-stream");
   }
 
-  void ReadFacts(const HTTPResponse& aHead, AttemptFacts& aFacts) const
+  void ReadFacts(const ResponseHead& aHead, AttemptFacts& aFacts) const
   {
-    aFacts.mIdMatches = aHead.get(kAttemptIdField, "") == mRequest.mAttemptId;
-    aFacts.mHasNotRunMark = aHead.get(kRanField, "") == "no";
+    aFacts.mIdMatches =
+      FindField(aHead, kAttemptIdField) == mRequest.mAttemptId &&
+      !HasConflict(aHead.mFields, kAttemptIdField);
+    aFacts.mHasNotRunMark = FindField(aHead, kRanField) == "no";
     aFacts.mIsResumedAsRequested = IsResumedAsRequested(aHead);
   }
 
@@ -177,100 +182,95 @@
   /// A caller that has received part of a stream can only use the rest of it.
   /// @return whether the response continues the stream after mResumeFrom
   ///         events, or no such continuation was requested
-  bool IsResumedAsRequested(const HTTPResponse& aHead) const
+  bool IsResumedAsRequested(const ResponseHead& aHead) const
   {
     return mRequest.mResumeFrom == 0 ||
-           (IsStream(aHead) && aHead.get(kResumeField, "") ==
+           (IsStream(aHead) && FindField(aHead, kResumeField) ==
                                  std::to_string(mRequest.mResumeFrom));
   }
 
-  AttemptReport ReceiveBody(std::istream& aIn, const HTTPResponse& aHead)
+  AttemptReport ReceiveBody(BodyReader& aBody, const ResponseHead& aHead)
   {
+    // Targets state the length of a response, so an end of the connection is
+    // no end of its body.
+    if (!aBody.MarksItsEnd()) {
+      return MakeReport(AttemptStop::Failed, "the answer has no length");
+    }
     std::string& body = mReport.mResponse.mBody;
     std::array<char, 16384> buf;
-    while (aIn.good()) {
-      aIn.read(buf.data(), buf.size());
-      body.append(buf.data(), static_cast<size_t>(aIn.gcount()));
+    for (size_t n = aBody.Read(buf); n > 0; n = aBody.Read(buf)) {
+      body.append(buf.data(), n);
       if (body.size() > kMaxBodyBytes) {
         return MakeReport(AttemptStop::TooLarge, "the answer is too large");
       }
     }
-    if (!IsComplete(aHead)) {
-      return ReportIncomplete();
-    }
-    return Complete(aHead.getKeepAlive());
+    return Complete(aHead.mKeepsConnection);
   }
 
-  /// POCO's streams report no error if the connection ends prematurely, so the
-  /// length is compared, and after a chunked body the connection must still be
-  /// open.
-  bool IsComplete(const HTTPResponse& aHead)
-  {
-    if (mSession->networkException() != nullptr) {
-      return false;
-    }
-    if (aHead.hasContentLength()) {
-      return mReport.mResponse.mBody.size() ==
-             static_cast<size_t>(aHead.getContentLength64());
-    }
-    return aHead.getChunkedTransferEncoding() && aHead.getKeepAlive() &&
-           mSession->IsReusable();
-  }
-
-  AttemptReport ReceiveEvents(std::istream& aIn)
+  AttemptReport ReceiveEvents(BodyReader& aBody, const ResponseHead& aHead)
   {
     SetSilenceLimit(mRequest.mEventTimeout);
+    std::string pending; // received bytes of the line that has no end yet
     std::string event;
-    std::string line;
     bool endSeen = false;
-    while (std::getline(aIn, line)) {
-      if (aIn.eof()) {
-        break; // a last line without a line end is truncated
-      }
-      if (!line.empty() && line.back() == '\r') {
-        line.pop_back();
+    std::array<char, 16384> buf;
+    for (size_t n = aBody.Read(buf); n > 0; n = aBody.Read(buf)) {
+      std::string_view bytes(buf.data(), n);
+      for (size_t end = bytes.find('\n'); end != bytes.npos;
+           end = bytes.find('\n')) {
+        pending += bytes.substr(0, end);
+        bytes.remove_prefix(end + 1);
+        const std::string line = TakeLine(pending);
+        event += line + "\n";
+        if (!line.empty()) {
+          endSeen = endSeen || line == kStreamEndLine;
+          continue;
+        }
+        if (!mSink.OnEvent(event)) {
+          return MakeReport(AttemptStop::CallerDisconnected, "");
+        }
+        ++mReport.mEventsForwarded;
+        event.clear();
+        if (endSeen) {
+          return Complete(IsReusableAfter(aBody, aHead));
+        }
       }
-      event += line + "\n";
-      if (event.size() > kMaxEventBytes) {
+      pending += bytes;
+      if (event.size() + pending.size() > kMaxEventBytes) {
         return MakeReport(AttemptStop::TooLarge, "an event is too large");
       }
-      if (!line.empty()) {
-        endSeen = endSeen || line == kStreamEndLine;
-        continue;
-      }
-      if (!mSink.OnEvent(event)) {
-        return MakeReport(AttemptStop::CallerDisconnected, "");
-      }
-      ++mReport.mEventsForwarded;
-      event.clear();
-      if (endSeen) {
-        // Only the reuse of the connection is still at stake.
-        mSession->Guard().SetSilenceCheck(mRequest.mEventTimeout,
-                                          [] { return true; });
-        return Complete(IsAtEnd(aIn) && mSession->IsReusable());
-      }
     }
-    return ReportIncomplete();
+    return MakeReport(AttemptStop::Failed, "the answer ended too early");
   }
 
-  /// @return whether the stream ends here
-  static bool IsAtEnd(std::istream& aIn)
+  /// @return the line, without a carriage return at its end
+  static std::string TakeLine(std::string& aPending)
   {
-    return aIn.get() == std::istream::traits_type::eof();
+    std::string line = std::exchange(aPending, std::string());
+    if (line.ends_with('\r')) {
+      line.pop_back();
+    }
+    return line;
   }
 
-  AttemptReport ReportIncomplete()
+  /// Reads the end of a stream whose last event was received. A failure costs
+  /// only the connection.
+  bool IsReusableAfter(BodyReader& aBody, const ResponseHead& aHead)
   {
-    const Poco::Exception* e = mSession->networkException();
-    return MakeReport(AttemptStop::Failed,
-                      e == nullptr ? "the answer ended too early"
-                                   : e->displayText());
+    mSession->Guard().SetSilenceCheck(mRequest.mEventTimeout,
+                                      [] { return true; });
+    try {
+      char byte = 0;
+      return aHead.mKeepsConnection && aBody.Read({ &byte, 1 }) == 0;
+    } catch (const Poco::Exception&) {
+      return false;
+    }
   }
 
   AttemptReport Complete(bool aReusable)
   {
     mFacts.mIsComplete = true;
-    if (aReusable) {
+    if (aReusable && !mSession->HasUnreadBytes() && mSession->IsReusable()) {
       TransferLimiter& limiter = mSession->Guard();
       limiter.SetCallerCheck(nullptr);
       limiter.SetAbandonCheck(nullptr);
--- a/test/emulator-test.cc
+++ b/test/emulator-test.cc
@@ -176,6 +176,30 @@
   CheckAnswers("MIXED", request);
 }
 
+// Guards against a judge that takes a stream for complete that ends too early.
+TEST(EmulatorJudge, NamesAStreamThatIsCompleteWithoutAllItsEvents)
+{
+  RequestLine request = MakeRequest(Probe::Stream, 4, Verdict::Accepted, kAck);
+  request.mStatus = 200;
+  request.mTarget = "w";
+  request.mIsOwnAnswer = true;
+  mLines.mArrivals.push_back({ request.mId, "w", kAck + 1 });
+  CheckAnswers(nullptr, request);
+  request.mIsOwnAnswer = false;
+  CheckAnswers("ORDER", request);
+  request.mVerdict = Verdict::Open;
+  CheckAnswers(nullptr, request);
+}
+
+// Guards against a judge that takes bytes that are no answer for a failure.
+TEST(EmulatorJudge, NamesBytesThatAreNoAnswer)
+{
+  RequestLine request = MakeRequest(Probe::Moved, 4, Verdict::Open, kAck);
+  CheckAnswers(nullptr, request);
+  request.mIsNoAnswer = true;
+  CheckAnswers("MIXED", request);
+}
+
 // Guards against a judge that misses a request which runs twice, or which runs
 // although its answer says that it didn't.
 TEST(EmulatorJudge, NamesARequestThatRunsTooOften)
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -94,6 +94,27 @@
   CHECK(Error::ReplyTruncated == got.error().mError);
 }
 
+// Guards against bytes that are no answer, or an answer whose end isn't marked,
+// as a reply of the store, another node or a target that is probed.
+TEST(Http, RejectsWhatIsNoReply)
+{
+  const std::string length = "Content-Length: 2\r\n";
+  for (const std::string& it :
+       { "HTTP/1.1 000 X\r\n" + length + "\r\n{}",
+         "HTTP/1.1 200 OK\r\nNa me: x\r\n" + length + "\r\n{}",
+         "HTTP/1.1 200 OK\r\nNa\x01me: x\r\n" + length + "\r\n{}",
+         "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n" + length + "\r\n{}",
+         std::string("HTTP/1.1 200 OK\r\n\r\n{}") }) {
+    ScriptedServer server({ { it, true } });
+    const Result<HttpReply> got =
+      mClient.Call(server.Address(),
+                   { "GET", "/v1/report", {}, {} },
+                   mClock.Now() + milliseconds(1000));
+    CHECK_TEXT(!got.has_value(), it.c_str());
+    CHECK_TEXT(Error::ReplyInvalid == got.error().mError, it.c_str());
+  }
+}
+
 TEST(Http, ReportsAConnectionThatEndsWithoutAReplyAsTruncated)
 {
   ScriptedServer server({ { "", true } });
--- a/test/tls-test.cc
+++ b/test/tls-test.cc
@@ -5,10 +5,13 @@
 #include "standin/server.h"
 
 #include <Poco/File.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/TemporaryFile.h>
 #include <openssl/evp.h>
 #include <openssl/pem.h>
 #include <openssl/x509.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 
 #include <cstdio>
@@ -146,6 +149,46 @@
   CHECK_FALSE(Call(server, nullptr).has_value());
 }
 
+// Guards against a connection that is cut off and seems to have ended in order:
+// with TLS, only an alert of the peer ends it.
+TEST(Tls, ConnectionThatEndsWithoutAnAlertIsCutOff)
+{
+  const TlsFiles ours = Files("ours");
+  for (const bool hasAlert : { true, false }) {
+    standin::Server server(
+      Load(ours, TlsRole::MutualTlsServer), [&](auto& aRequest, auto&) {
+        auto& socket =
+          dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket();
+        const std::string bytes = "HTTP/1.1 200 OK\r\n\r\nhalf of";
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        if (hasAlert) {
+          socket.shutdown();
+        } else {
+          ::shutdown(socket.impl()->sockfd(), SHUT_RDWR);
+        }
+      });
+    const auto tls = Load(ours, TlsRole::Client);
+    HttpSession session(server.Address(), mClock, tls.get());
+    CHECK(Connect(session, server.Address(), seconds(5)).has_value());
+    Poco::Net::HTTPRequest request("GET", "/", "HTTP/1.1");
+    session.sendRequest(request);
+    const ResponseHead head = session.ReceiveHead();
+    std::string body;
+    bool isWhole = false;
+    try {
+      char buf[64];
+      while (const size_t n = session.ReadRaw(buf)) {
+        body.append(buf, n);
+      }
+      isWhole = true;
+    } catch (const Poco::Exception&) {
+      isWhole = false;
+    }
+    STRCMP_EQUAL("half of", body.c_str());
+    CHECK_EQUAL(hasAlert, isWhole);
+  }
+}
+
 TEST(Tls, ReloadsChangedFilesAndKeepsTheContextWhenTheyAreInvalid)
 {
   const TlsFiles files = Files("node");
