--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -147,8 +147,15 @@
 // Guards against an invalid header that is taken for era 0.
 TEST(StoreEra, RejectsResponsesWithAnInvalidHeader)
 {
-  for (const char* it :
-       { "x", "-1", "1x", "1.5", "65536", "99999999999999999999", "", " " }) {
+  for (const char* it : { "x",
+                          "-1",
+                          "1x",
+                          "1.5",
+                          "65536",
+                          "99999999999999999999",
+                          "",
+                          " ",
+                          "2\r\nStore-Era: 3" }) {
     ScriptedServer server(
       { { Response("1", kList) }, { Response(it, kList) } });
     ObjectStore store(server.Address(), mClient, mClock, mMetrics);
