--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -314,6 +314,21 @@
   }
 };
 
+// Guards against a failure of a VM, or of another one at its address, whose
+// body is taken for its report.
+TEST(PlatformEngineControl, RejectsAReportWithAnotherStatus)
+{
+  const std::string report = R"({"running":1,"waiting":0})";
+  for (const char* it : { "421 Misdirected", "503 Busy", "500 Error" }) {
+    ScriptedServer server(
+      { { std::string("HTTP/1.1 ") + it + "\r\nContent-Length: " +
+          std::to_string(report.size()) + "\r\n\r\n" + report } });
+    const Result<EngineReport> got =
+      mEngines.GetReport(server.Address(), milliseconds(500));
+    CHECK_TEXT(!got.has_value(), it);
+  }
+}
+
 // Guards against probed targets whose responses without end fill the node's
 // memory.
 TEST(PlatformEngineControl, RejectsAReportThatIsTooLarge)
