--- a/emulator/caller.cc
+++ b/emulator/caller.cc
@@ -1,27 +1,29 @@
 #include "emulator/caller.h"
 
+#include "core/bodyreader.h"
 #include "emulator/configs.h"
 #include "platform/wirenames.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/Net/NetException.h>
 
+#include <array>
 #include <thread>
 
 namespace hibiscushold::emulator {
 
 namespace {
 
-using Poco::Net::HTTPClientSession;
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
 constexpr auto kPause = milliseconds(20);
-constexpr int kTimeoutMillis = 2000;
+constexpr auto kTimeout = milliseconds(2000);
 constexpr int kProbes = static_cast<int>(Probe::Once) + 1;
+/// One of so many requests is for a stream.
+constexpr uint64_t kProbesPerStream = 3;
 /// Versions whose keys and routes are gone, that are asked for.
 constexpr uint64_t kOldestAsked = 4;
 
@@ -39,38 +41,58 @@
   }
 }
 
-/// Sends the request and reads its response into aLine.
+std::string
+ReadAll(HttpSession& aSession, const ResponseHead& aHead)
+{
+  BodyReader reader(aSession, aHead);
+  std::string body;
+  std::array<char, 16384> buf;
+  for (size_t n = reader.Read(buf); n > 0; n = reader.Read(buf)) {
+    body.append(buf.data(), n);
+  }
+  return body;
+}
+
+/// Sends the request and reads its response into aLine. A plain answer counts
+/// once it is whole, a stream once it has begun.
 void
-Exchange(HTTPClientSession& aSession,
-         RequestLine& aLine,
-         const std::string& aQuery)
+Exchange(HttpSession& aSession, RequestLine& aLine, const std::string& aQuery)
 {
   HTTPRequest request(HTTPRequest::HTTP_POST,
                       PathOfProbe(aLine.mProbe, aLine.mVersion) + aQuery,
                       HTTPRequest::HTTP_1_1);
   request.setHost(kHost);
+  request.setKeepAlive(true);
   request.set(wire::kRequestId, std::to_string(aLine.mId));
-  request.set(wire::kDeadline, std::to_string(kTimeoutMillis));
+  request.set(wire::kDeadline, std::to_string(kTimeout.count()));
   request.setContentLength(0);
   if (aLine.mProbe == Probe::Key) {
     request.set("Authorization", "Bearer " + KeyOfVersion(aLine.mVersion));
   }
   aSession.sendRequest(request);
-  HTTPResponse response;
-  std::istream& in = aSession.receiveResponse(response);
-  std::string body;
-  Poco::StreamCopier::copyToString(in, body);
-  aLine.mStatus = response.getStatus();
+  const ResponseHead head = aSession.ReceiveHead();
+  if (aLine.mProbe == Probe::Stream) {
+    aLine.mStatus = head.mStatus;
+  }
+  const std::string body = ReadAll(aSession, head);
+  aLine.mStatus = head.mStatus;
   aLine.mVerdict = VerdictOf(aLine.mStatus);
+  const std::string stamp = FindField(head, wire::kServerStamp).value_or("");
   if (aLine.mVerdict == Verdict::Accepted) {
-    aLine.mTarget = response.get(wire::kServerStamp, "");
+    aLine.mTarget = stamp;
     aLine.mService = std::strtoul(body.c_str(), nullptr, 10);
+    const std::string expected = aLine.mProbe == Probe::Stream
+                                   ? StreamBody(aLine.mId, 0)
+                                   : AnswerBody(aLine.mService, aLine.mId);
     aLine.mIsOwnAnswer =
-      body == AnswerBody(aLine.mService, aLine.mId) &&
-      response.get(wire::kRequestId, "") == std::to_string(aLine.mId);
+      body == expected &&
+      FindField(head, wire::kRequestId) == std::to_string(aLine.mId);
   }
-  if (response.has(wire::kServerLeaving)) {
-    aLine.mLeavingTarget = response.get(wire::kServerStamp, "");
+  if (FindField(head, wire::kServerLeaving)) {
+    aLine.mLeavingTarget = stamp;
+  }
+  if (!head.mKeepsConnection) {
+    aSession.reset();
   }
 }
 
@@ -106,28 +128,32 @@
   if (asksForOld && newest > back) {
     line.mVersion = newest - back;
   }
+  if (mOptions.mAsksForStreams && line.mId % kProbesPerStream == 0) {
+    line.mProbe = Probe::Stream;
+  }
   return line;
 }
 
 void
 Caller::Run(const std::atomic<bool>& aStopping)
 {
-  HTTPClientSession session(mOptions.mHost, mOptions.mPort);
-  session.setKeepAlive(true);
-  session.setTimeout(
-    Poco::Timespan(kTimeoutMillis * Poco::Timespan::MILLISECONDS));
+  HttpSession session(Address(), mClock, nullptr);
   while (!aStopping) {
     Send(session, MakeRequest(), "");
     std::this_thread::sleep_for(kPause);
   }
 }
 
+Endpoint
+Caller::Address() const
+{
+  return { mOptions.mHost, mOptions.mPort };
+}
+
 void
 Caller::SendCrash(bool aVariesQuery)
 {
-  HTTPClientSession session(mOptions.mHost, mOptions.mPort);
-  session.setTimeout(
-    Poco::Timespan(kTimeoutMillis * Poco::Timespan::MILLISECONDS));
+  HttpSession session(Address(), mClock, nullptr);
   RequestLine line;
   line.mId = mNextId++;
   line.mNode = mOptions.mNode;
@@ -140,13 +166,18 @@
 }
 
 void
-Caller::Send(HTTPClientSession& aSession,
+Caller::Send(HttpSession& aSession,
              RequestLine aLine,
              const std::string& aQuery)
 {
   aLine.mSentAt = mTimeline.Now();
   try {
-    Exchange(aSession, aLine, aQuery);
+    if (Connect(aSession, Address(), kTimeout)) {
+      Exchange(aSession, aLine, aQuery);
+    }
+  } catch (const Poco::Net::MessageException&) {
+    aLine.mIsNoAnswer = true;
+    aSession.reset();
   } catch (const std::exception&) {
     // Recorded as open: the node is away, or didn't answer in time.
     aSession.reset();
--- a/emulator/caller.h
+++ b/emulator/caller.h
@@ -1,10 +1,9 @@
 #pragma once
 
+#include "core/sessionpool.h"
 #include "emulator/lines.h"
 #include "emulator/operator.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-
 #include <atomic>
 #include <random>
 
@@ -21,6 +20,7 @@
     std::string mHost; ///< IP address of the node
     uint16_t mPort = 0;
     uint64_t mSeed = 0;
+    bool mAsksForStreams = false;
   };
 
   /// @param aNextId the next id of a request, of all callers
@@ -39,12 +39,14 @@
 
 private:
   RequestLine MakeRequest();
+  Endpoint Address() const;
   /// Sends a request and records it with its end.
-  void Send(Poco::Net::HTTPClientSession& aSession,
+  void Send(HttpSession& aSession,
             RequestLine aLine,
             const std::string& aQuery);
 
   const Options mOptions;
+  const SystemClock mClock;
   const Operator& mOperator;
   std::atomic<uint64_t>& mNextId;
   const Timeline& mTimeline;
--- a/emulator/configs.cc
+++ b/emulator/configs.cc
@@ -16,11 +16,13 @@
 constexpr const char* kMovedPrefix = "/moved/";
 constexpr const char* kOncePrefix = "/once/";
 constexpr const char* kCrashPrefix = "/crash/";
+constexpr const char* kStreamPrefix = "/stream/";
 
 constexpr size_t kKeyService = 0;
 constexpr size_t kRouteService = 1;
 constexpr size_t kOnceService = 2;
 constexpr size_t kCrashService = 3;
+constexpr size_t kStreamService = 0;
 constexpr const char* kIdempotent = "idempotent";
 /// More than one segment of TCP, so that an answer can break off within.
 constexpr size_t kAnswerBytes = 3000;
@@ -89,6 +91,8 @@
       return std::string(kOncePrefix) + "x";
     case Probe::Crash:
       return std::string(kCrashPrefix) + "x";
+    case Probe::Stream:
+      return std::string(kStreamPrefix) + "x";
     case Probe::Route:
       break;
   }
@@ -101,6 +105,29 @@
   return aPath.starts_with(kCrashPrefix);
 }
 
+bool
+IsStreamPath(std::string_view aPath)
+{
+  return aPath.starts_with(kStreamPrefix);
+}
+
+std::string
+StreamEvent(uint64_t aRequestId, uint64_t aNumber)
+{
+  return "id: " + std::to_string(aNumber) +
+         "\ndata: " + std::to_string(aRequestId) + "\n\n";
+}
+
+std::string
+StreamBody(uint64_t aRequestId, uint64_t aLast)
+{
+  std::string body;
+  for (uint64_t n = aLast + 1; n <= kStreamEvents; ++n) {
+    body += StreamEvent(aRequestId, n);
+  }
+  return body;
+}
+
 std::string
 AnswerBody(size_t aService, uint64_t aRequestId)
 {
@@ -120,6 +147,10 @@
   routes.append(
     MakeRoute("moved", kMovedPrefix, aVersion % kMovedServices, kIdempotent));
   routes.append(MakeRoute("once", kOncePrefix, kOnceService, "non_idempotent"));
+  Json::Value stream =
+    MakeRoute("stream", kStreamPrefix, kStreamService, "streaming");
+  stream["resumable"] = true;
+  routes.append(std::move(stream));
   routes.append(MakeRoute("crash", kCrashPrefix, kCrashService, kIdempotent));
   Json::Value tenant;
   tenant["name"] = "tenant";
--- a/emulator/configs.h
+++ b/emulator/configs.h
@@ -38,6 +38,20 @@
 std::string
 AnswerBody(size_t aService, uint64_t aRequestId);
 
+/// @return whether the path is one of a stream
+bool
+IsStreamPath(std::string_view aPath);
+
+inline constexpr uint64_t kStreamEvents = 6;
+
+/// @return the event of a request's stream with this number, from 1 on
+std::string
+StreamEvent(uint64_t aRequestId, uint64_t aNumber);
+
+/// @return all events of a request's stream after aLast, which is 0 for none
+std::string
+StreamBody(uint64_t aRequestId, uint64_t aLast);
+
 /// @param aColdPerSecond rate of cold targets, 0 for none
 /// @return the specification of the version, as the operator writes it
 Json::Value
--- a/emulator/judge.cc
+++ b/emulator/judge.cc
@@ -36,7 +36,7 @@
 {
   const VersionRange any{ 0, aRequest.mNewestWritten };
   if (aRequest.mVerdict == Verdict::Open || aRequest.mProbe == Probe::Once ||
-      aRequest.mProbe == Probe::Crash) {
+      aRequest.mProbe == Probe::Crash || aRequest.mProbe == Probe::Stream) {
     return any;
   }
   if (aRequest.mProbe == Probe::Moved) {
@@ -292,6 +292,15 @@
   std::vector<Breach> breaches;
   for (const RequestLine& it : aLines.mRequests) {
     const std::vector<std::string>& ran = targets[it.mId];
+    if (it.mIsNoAnswer) {
+      breaches.push_back({ "MIXED", it, "bytes that are no answer" });
+    }
+    if (it.mProbe == Probe::Stream && it.mVerdict == Verdict::Accepted) {
+      if (!it.mIsOwnAnswer) {
+        breaches.push_back({ "ORDER", it, "not its own events, all in order" });
+      }
+      continue;
+    }
     if (it.mVerdict == Verdict::Accepted &&
         (!it.mIsOwnAnswer ||
          std::find(ran.begin(), ran.end(), it.mTarget) == ran.end())) {
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -44,10 +44,12 @@
 std::vector<Breach>
 JudgeDrain(const Lines& aLines, const JudgeBounds& aBounds);
 
-/// A success is the whole answer of a target to this request (MIXED); a request
-/// that may run once doesn't run twice (TWICE), nor at all if its answer says
-/// that it didn't run (REFUSED); and a node that runs on, or was asked to stop,
-/// answers each request that it has passed on (LOST).
+/// A success is the whole answer of a target to this request, and what reaches
+/// a caller is an answer (MIXED); a stream that ends as complete has each of
+/// its events once and in order (ORDER); a request that may run once doesn't
+/// run twice (TWICE), nor at all if its answer says that it didn't run
+/// (REFUSED); and a node that runs on, or was asked to stop, answers each
+/// request that it has passed on (LOST).
 std::vector<Breach>
 JudgeAnswers(const Lines& aLines);
 
--- a/emulator/lines.cc
+++ b/emulator/lines.cc
@@ -31,6 +31,8 @@
       return "once";
     case Probe::Crash:
       return "crash";
+    case Probe::Stream:
+      return "stream";
   }
   return "";
 }
@@ -86,6 +88,7 @@
   json["status"] = aLine.mStatus;
   json["target"] = aLine.mTarget;
   json["own"] = aLine.mIsOwnAnswer;
+  json["no_answer"] = aLine.mIsNoAnswer;
   json["service"] = Json::UInt64(aLine.mService);
   json["leaving"] = aLine.mLeavingTarget;
   json["newest_written"] = Json::UInt64(aLine.mNewestWritten);
--- a/emulator/lines.h
+++ b/emulator/lines.h
@@ -12,11 +12,12 @@
 /// What a request shows of the configuration that its node has.
 enum class Probe
 {
-  Key,   ///< with a key that versions N and N + 1 accept
-  Route, ///< on a route that versions N and N + 1 have
-  Moved, ///< on a route that each version moves to another service
-  Once,  ///< on a route whose requests may run at most once
-  Crash, ///< ends each target that runs it; only sent by its fault
+  Key,    ///< with a key that versions N and N + 1 accept
+  Route,  ///< on a route that versions N and N + 1 have
+  Moved,  ///< on a route that each version moves to another service
+  Once,   ///< on a route whose requests may run at most once
+  Crash,  ///< ends each target that runs it; only sent by its fault
+  Stream, ///< for a stream of events; only sent where the scenario has streams
 };
 
 /// What a node did with a request.
@@ -41,6 +42,7 @@
   size_t mService = 0;        ///< that answered it
   std::string mTarget;        ///< that answered it
   bool mIsOwnAnswer = false;  ///< the whole answer to this request
+  bool mIsNoAnswer = false;   ///< bytes came that are no answer
   std::string mLeavingTarget; ///< that announced in its answer that it leaves
   uint64_t mNewestWritten =
     0; ///< highest version sent to the store by mEndedAt
--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -45,6 +45,23 @@
   return StoreAccess::Reset;
 }
 
+AnswerFault
+AnswerFaultOf(FaultKind aKind)
+{
+  switch (aKind) {
+    case FaultKind::SecondCopies:
+      return AnswerFault::SecondCopy;
+    case FaultKind::BrokenOff:
+      return AnswerFault::BrokenOff;
+    case FaultKind::OpenResets:
+      return AnswerFault::OpenReset;
+    case FaultKind::NoAnswers:
+      return AnswerFault::NoAnswer;
+    default:
+      return AnswerFault::Lost;
+  }
+}
+
 /// A node, with the port through which it reaches the store.
 struct Node
 {
@@ -193,15 +210,9 @@
 void
 World::SpoilAnswers(const Fault& aFault)
 {
-  AnswerFault fault = AnswerFault::Lost;
-  if (aFault.mKind == FaultKind::SecondCopies) {
-    fault = AnswerFault::SecondCopy;
-  } else if (aFault.mKind == FaultKind::BrokenOff) {
-    fault = AnswerFault::BrokenOff;
-  }
-  mTargets.SpoilAnswers(fault);
+  mTargets.SpoilAnswers(AnswerFaultOf(aFault.mKind), aFault.mShare);
   std::this_thread::sleep_for(milliseconds(aFault.mFor));
-  mTargets.SpoilAnswers(AnswerFault::None);
+  mTargets.SpoilAnswers(AnswerFault::None, 1);
 }
 
 std::unique_ptr<Caller>
@@ -210,8 +221,11 @@
   const size_t n = aIndex % mNodes.size();
   const NodeOptions& node = mNodes[n].mProcess->Options();
   return std::make_unique<Caller>(
-    Caller::Options{
-      n, node.mHost, node.mCallerPort, mScenario.mSeed * 1000 + aIndex },
+    Caller::Options{ n,
+                     node.mHost,
+                     node.mCallerPort,
+                     mScenario.mSeed * 1000 + aIndex,
+                     mScenario.mHasStreams },
     mOperator,
     mNextId,
     mTimeline,
@@ -309,6 +323,8 @@
     case FaultKind::SecondCopies:
     case FaultKind::BrokenOff:
     case FaultKind::LostAnswers:
+    case FaultKind::OpenResets:
+    case FaultKind::NoAnswers:
       SpoilAnswers(aFault);
       return;
     case FaultKind::Crashes:
--- a/emulator/scenario.cc
+++ b/emulator/scenario.cc
@@ -51,6 +51,8 @@
     { "second-copies", FaultKind::SecondCopies },
     { "broken-off", FaultKind::BrokenOff },
     { "lost-answers", FaultKind::LostAnswers },
+    { "open-resets", FaultKind::OpenResets },
+    { "no-answers", FaultKind::NoAnswers },
     { "crashes", FaultKind::Crashes },
     { "target-leaves", FaultKind::TargetLeaves },
     { "node-kill", FaultKind::NodeKill },
@@ -123,6 +125,7 @@
     { "run.seed", ToNumber(&Scenario::mSeed) },
     { "run.time_ms", ToNumber(&Scenario::mRunTime) },
     { "run.draw_faults", ToName(&Scenario::mDrawsFaults, Flags()) },
+    { "run.streams", ToName(&Scenario::mHasStreams, Flags()) },
     { "sizes.nodes", ToNumber(&Scenario::mNodes) },
     { "sizes.zones", ToNumber(&Scenario::mZones) },
     { "sizes.targets_per_service", ToNumber(&Scenario::mTargetsPerService) },
@@ -148,6 +151,7 @@
     { "mode", ToName(&Fault::mMode, AwayModes()) },
     { "lost_ms", ToNumber(&Fault::mLost) },
     { "rewrite_ms", ToNumber(&Fault::mRewriteAfter) },
+    { "share", ToNumber(&Fault::mShare) },
     { "vary_query", ToName(&Fault::mVariesQuery, Flags()) },
     { "field", ToText(&Fault::mField) },
     { "value", ToText(&Fault::mValue) },
@@ -343,7 +347,9 @@
                               FaultKind::ReadsStale,
                               FaultKind::SecondCopies,
                               FaultKind::BrokenOff,
-                              FaultKind::LostAnswers }) {
+                              FaultKind::LostAnswers,
+                              FaultKind::OpenResets,
+                              FaultKind::NoAnswers }) {
     if (!draw.Chance(0.4)) {
       continue;
     }
--- a/emulator/scenario.h
+++ b/emulator/scenario.h
@@ -21,6 +21,8 @@
   SecondCopies, ///< some targets send their answers twice
   BrokenOff,    ///< some targets break off within their answers
   LostAnswers,  ///< some targets run requests and don't answer
+  OpenResets,   ///< some targets reset answers that end with their connection
+  NoAnswers,    ///< some targets send bytes that are no answer
   Crashes,      ///< a request that ends its targets comes again and again
   TargetLeaves, ///< a target leaves, and another starts at a free address
   NodeKill,     ///< a node is killed and starts again
@@ -49,6 +51,7 @@
   AwayMode mMode = AwayMode::Busy;
   int64_t mLost = 0;         ///< age of the copy that the store returns from
   int64_t mRewriteAfter = 0; ///< until the operator writes its part again
+  double mShare = 0.3;       ///< of the targets, for faults of their answers
   bool mVariesQuery = true;  ///< repeats of a request may differ in their query
   std::string mField;        ///< of the odd entry
   std::string mValue;        ///< of the field, as JSON
@@ -68,6 +71,7 @@
   double mColdPerSecond = 0;  ///< rate of a cold target; 0 if none is cold
   size_t mZoneOuts = 0;       ///< drawn times at which a zone is taken out
   bool mFollowsZones = false; ///< the nodes' settings have a bound for zones
+  bool mHasStreams = false;   ///< callers also ask for streams
   std::vector<Fault> mFaults; ///< besides those drawn from the seed
   bool mDrawsFaults = true;
 };
--- a/emulator/target.cc
+++ b/emulator/target.cc
@@ -20,11 +20,26 @@
 /// Time from the start of a request that ends its target to that end.
 constexpr auto kCrashDelay = milliseconds(50);
 constexpr int64_t kSecond = 1000;
+/// Silence before a reset; a node asks another target meanwhile.
+constexpr auto kSilence = milliseconds(900);
+constexpr auto kEventInterval = milliseconds(10);
 constexpr int kSlots = 8;
 constexpr int kMisdirected = 421;
 /// Headers of answers that nodes need not know.
 constexpr const char* kAtServer = "At-Server";
 
+Poco::Net::StreamSocket&
+SocketOf(HTTPServerRequest& aRequest)
+{
+  return dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket();
+}
+
+void
+SendBytes(HTTPServerRequest& aRequest, const std::string& aBytes)
+{
+  SocketOf(aRequest).sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+}
+
 /// Sends the response once more on the same connection.
 /// @param aResponse the response that was sent
 void
@@ -34,10 +49,31 @@
 {
   std::ostringstream out;
   aResponse.write(out);
-  out << aBody;
-  const std::string bytes = out.str();
-  dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket().sendBytes(
-    bytes.data(), static_cast<int>(bytes.size()));
+  SendBytes(aRequest, out.str() + aBody);
+}
+
+/// Sends a head that is none of an answer, and a body.
+/// @param aNumber chooses what is wrong with it
+void
+SendNoAnswer(HTTPServerRequest& aRequest,
+             const HTTPServerResponse& aResponse,
+             const std::string& aBody,
+             size_t aNumber)
+{
+  const std::string length =
+    "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  const std::string starts[] = {
+    "HTTP/1.1 000 X\r\n" + length,
+    "HTTP/1.1 200 OK\r\nNa me: x\r\n" + length,
+    "HTTP/1.1 200 OK\r\nNa\x01me: x\r\n" + length,
+    "HTTP/1.1 200 OK\r\nContent- Length: 5\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + length,
+  };
+  std::string bytes = starts[aNumber % std::size(starts)];
+  for (const char* it : { wire::kRequestId, wire::kServerStamp }) {
+    bytes += std::string(it) + ": " + aResponse.get(it) + "\r\n";
+  }
+  SendBytes(aRequest, bytes + "\r\n" + aBody);
 }
 
 } // namespace
@@ -177,13 +213,17 @@
   }
   std::this_thread::sleep_for(kServiceTime);
   aResponse.set(wire::kServerStamp, target->mId);
+  if (IsStreamPath(aRequest.getURI())) {
+    Stream(aRequest, aResponse, std::stoull(id));
+    return;
+  }
   Answer(aRequest, aResponse, AnswerBody(target->mService, std::stoull(id)));
 }
 
 void
 TargetAddress::Answer(HTTPServerRequest& aRequest,
                       HTTPServerResponse& aResponse,
-                      const std::string& aBody) const
+                      const std::string& aBody)
 {
   switch (mAnswerFault) {
     case AnswerFault::None:
@@ -201,10 +241,58 @@
       out.flush();
       break;
     }
+    case AnswerFault::OpenReset:
+      ResetOpenAnswer(aRequest, aResponse, aBody.substr(0, aBody.size() / 2));
+      return;
+    case AnswerFault::NoAnswer:
+      SendNoAnswer(aRequest, aResponse, aBody, mNoAnswers++);
+      break;
     case AnswerFault::Lost:
       break;
   }
   standin::CutConnection(aRequest);
 }
 
+void
+TargetAddress::Stream(HTTPServerRequest& aRequest,
+                      HTTPServerResponse& aResponse,
+                      uint64_t aId)
+{
+  const uint64_t last = std::stoull(aRequest.get(wire::kLastEventId, "0"));
+  aResponse.setContentType("text/event-stream");
+  switch (mAnswerFault) {
+    case AnswerFault::OpenReset:
+      // A resumed stream has no event, so that the first target keeps it.
+      ResetOpenAnswer(
+        aRequest, aResponse, last == 0 ? StreamEvent(aId, 1) : "");
+      return;
+    case AnswerFault::NoAnswer:
+      SendNoAnswer(aRequest, aResponse, StreamBody(aId, last), mNoAnswers++);
+      standin::CutConnection(aRequest);
+      return;
+    default:
+      break;
+  }
+  aResponse.setChunkedTransferEncoding(true);
+  std::ostream& out = aResponse.send();
+  for (uint64_t n = last + 1; n <= kStreamEvents; ++n) {
+    out << StreamEvent(aId, n) << std::flush;
+    std::this_thread::sleep_for(kEventInterval);
+  }
+}
+
+void
+TargetAddress::ResetOpenAnswer(HTTPServerRequest& aRequest,
+                               HTTPServerResponse& aResponse,
+                               const std::string& aBody)
+{
+  aResponse.setKeepAlive(false);
+  std::ostringstream out;
+  aResponse.write(out);
+  SendBytes(aRequest, out.str() + aBody);
+  std::this_thread::sleep_for(kSilence);
+  SocketOf(aRequest).setLinger(true, 0);
+  SocketOf(aRequest).close();
+}
+
 } // namespace hibiscushold::emulator
--- a/emulator/target.h
+++ b/emulator/target.h
@@ -34,6 +34,8 @@
   SecondCopy, ///< the answer comes again, a moment later
   BrokenOff,  ///< the connection ends within the body
   Lost,       ///< the connection ends before the answer
+  OpenReset,  ///< the body ends with the connection, which is reset within it
+  NoAnswer,   ///< the head isn't one of an answer
 };
 
 /// An address at which one target after another runs. Thread-safe.
@@ -74,7 +76,15 @@
   void Handle(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse);
   void Answer(HTTPServerRequest& aRequest,
               HTTPServerResponse& aResponse,
-              const std::string& aBody) const;
+              const std::string& aBody);
+  void Stream(HTTPServerRequest& aRequest,
+              HTTPServerResponse& aResponse,
+              uint64_t aId);
+  /// Sends a part of an answer without a length and resets the connection
+  /// after a silence, during which another target may be asked.
+  static void ResetOpenAnswer(HTTPServerRequest& aRequest,
+                              HTTPServerResponse& aResponse,
+                              const std::string& aBody);
 
   const double mFatalColdRate;
   const Timeline& mTimeline;
@@ -84,6 +94,7 @@
   std::optional<size_t> mCrashedService;
   std::deque<int64_t> mColdArrivals; ///< within the last second
   std::atomic<AnswerFault> mAnswerFault{ AnswerFault::None };
+  std::atomic<size_t> mNoAnswers{ 0 }; ///< that were sent
   standin::Server mServer;
 };
 
--- a/emulator/targets.cc
+++ b/emulator/targets.cc
@@ -18,7 +18,6 @@
 constexpr int64_t kReuseMillis = 2000;
 constexpr int64_t kRestartMillis = 3000;
 constexpr size_t kSparePlaces = 4;
-constexpr double kSpoiledShare = 0.3;
 constexpr int64_t kColdMillis = 3000;
 /// A cold target ends at this multiple of the rate that it tolerates.
 constexpr double kFatalFactor = 6;
@@ -139,11 +138,11 @@
 }
 
 void
-Targets::SpoilAnswers(AnswerFault aFault)
+Targets::SpoilAnswers(AnswerFault aFault, double aShare)
 {
   const std::lock_guard guard(mLock);
   for (const Place& it : mPlaces) {
-    const bool isSpoiled = std::bernoulli_distribution(kSpoiledShare)(mRandom);
+    const bool isSpoiled = std::bernoulli_distribution(aShare)(mRandom);
     it.mAddress->SetAnswerFault(isSpoiled ? aFault : AnswerFault::None);
   }
 }
--- a/emulator/targets.h
+++ b/emulator/targets.h
@@ -29,7 +29,8 @@
 
   /// Some addresses spoil their answers from now on.
   /// @param aFault None for sound answers everywhere
-  void SpoilAnswers(AnswerFault aFault);
+  /// @param aShare of the targets, drawn anew
+  void SpoilAnswers(AnswerFault aFault, double aShare);
 
   /// Another writer leaves an entry, which expires as those of silent targets
   /// do.
