--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -251,6 +251,10 @@
                  "a successful response lacks the proof header or is encoded");
       return;
     }
+    if (mRequest.mNeedsMarkedEnd && !aBody.MarksItsEnd()) {
+      SetOutcome(ExchangeOutcome::Invalid, "the response has no marked end");
+      return;
+    }
     CopyFields(aHead);
     mAwaited.mStatus = status;
     mAwaited.mEndsWithConnection = !aBody.MarksItsEnd();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -60,6 +60,8 @@
   /// The response is for another node, and names the target (kTargetField).
   bool mNamesTarget = false;
   bool mIsDelayed = false; ///< the target serves others first
+  /// A response whose end only the connection marks is none.
+  bool mNeedsMarkedEnd = false;
 };
 
 /// A complete response that is not an event stream.
@@ -88,7 +90,7 @@
   std::optional<BodyFraming> mFraming; ///< of the response, once it has begun
   uint64_t mBodyBytes = 0;             ///< received of the response's body
   bool mWasStalled = false; ///< another attempt may have run beside this one
-  std::string mDetail;                 ///< what went wrong, for the log
+  std::string mDetail;      ///< what went wrong, for the log
 };
 
 /// @return whether a byte of the request may have reached the target
--- a/src/gateway/peerforwarder.cc
+++ b/src/gateway/peerforwarder.cc
@@ -148,6 +148,9 @@
     // A pooled connection may have been closed by the other node.
     exchange.mNewConnection = true;
     exchange.mStream = mRequest.mRoute->mRetryPolicy == RetryPolicy::Stream;
+    // Nodes mark the end of each response, so the end of a connection alone is
+    // that of the other node's process.
+    exchange.mNeedsMarkedEnd = true;
     std::vector<HttpField>& fields = exchange.mFields;
     if (!mRequest.mAuthorization.empty()) {
       fields.push_back({ "Authorization", mRequest.mAuthorization });
--- a/test/peerforwarder-test.cc
+++ b/test/peerforwarder-test.cc
@@ -110,6 +110,28 @@
   CHECK(!got.mBytes.ends_with(kEnd));
 }
 
+// Guards against an answer, or a stream, that is cut off with the other node's
+// process and seems whole.
+TEST(PassedOnRequest, AnswerWithoutAMarkedEndIsNotWhole)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\n";
+  const std::pair<std::string, std::string> cases[] = {
+    { kLookupRequest, head + "\r\nhalf of" },
+    { kStreamRequest,
+      head + "Content-Type: text/event-stream\r\n\r\nid: 1\n\n" }
+  };
+  for (const auto& [request, answer] : cases) {
+    GatewayFixture node;
+    node.Start();
+    ScriptedServer other({ { answer, true } });
+    node.mPeers.Set({ { "other", "a", {}, "token", 1, other.Address() } });
+    CutOffFromTargets(node);
+    const ReceivedResponse got = node.Ask(request, "}");
+    STRCMP_CONTAINS("HTTP/1.1 502", got.mBytes.c_str());
+    CHECK_EQUAL(1U, other.Requests().size());
+  }
+}
+
 // Guards against an unrepeatable request that runs twice, or is said not to
 // have run, after its answer was lost.
 TEST(PassedOnRequest, UnrepeatableRequestIsSentOnce)
