--- a/src/core/sessionpool.cc
+++ b/src/core/sessionpool.cc
@@ -142,7 +142,7 @@
 std::optional<std::string_view>
 HttpSession::PeekRaw(std::span<char> aBuffer)
 {
-  if (!mIsGuarded) {
+  if (!mIsGuarded || mLimiter.SocketError() != 0) {
     return std::nullopt;
   }
   const ssize_t n = ::recv(socket().impl()->sockfd(),
--- a/test/resetanswer-test.cc
+++ b/test/resetanswer-test.cc
@@ -59,3 +59,28 @@
     STRCMP_EQUAL(Event(1).c_str(), BodyOf(got.mBytes).c_str());
   }
 }
+
+// Guards against an answer that is given up because the reset of a silent
+// target's connection counts as the end of its answer.
+TEST(ResetAnswer, AnswerOfAnotherTargetIsAwaited)
+{
+  for (const bool it : { false, true }) {
+    const std::string start =
+      it ? kOpenStreamHead + "id: 1\n\n" : OpenHead() + "half of";
+    GatewayFixture gateway;
+    ScriptedServer first({ { start, false, true, "", kSilence } });
+    ScriptedServer second(
+      { { "",
+          false,
+          false,
+          it ? StreamHead() + Event(2) + kEnd : Reply("whole"),
+          kSilence } });
+    gateway.AddTarget(first);
+    gateway.AddTarget(second);
+    gateway.Start();
+    const ReceivedResponse got =
+      gateway.Ask(it ? kStreamRequest : kLookupRequest, it ? kEnd : "whole");
+    STRCMP_EQUAL(it ? (Event(1) + Event(2) + kEnd).c_str() : "whole",
+                 BodyOf(got.mBytes).c_str());
+  }
+}
