--- a/emulator/nodeprocess.cc
+++ b/emulator/nodeprocess.cc
@@ -64,6 +64,9 @@
   posix_spawn_file_actions_addopen(
     &actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  // A connection of the emulator that a node inherits stays open when the
+  // emulator closes it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, 3);
   std::string program = aOptions.mProgram;
   std::string verb = "gateway";
   std::string option = "--settings";
