--- a/src/core/sessionpool.cc
+++ b/src/core/sessionpool.cc
@@ -90,8 +90,8 @@
 HttpSession::ReceiveAnyHead(bool aIsBodyless)
 {
   mParser = ResponseHeadParser(aIsBodyless);
-  for (int byte = get(); byte >= 0; byte = get()) {
-    const Result<bool> isComplete = mParser.Add(static_cast<char>(byte));
+  for (std::optional<char> byte = ReadByte(); byte; byte = ReadByte()) {
+    const Result<bool> isComplete = mParser.Add(*byte);
     if (!isComplete) {
       throw Poco::Net::MessageException(isComplete.error().mDetail);
     }
@@ -103,6 +103,18 @@
     mParser.IsWithinHead() ? "the head was cut off" : "no response");
 }
 
+std::optional<char>
+HttpSession::ReadByte()
+{
+  if (buffered() == 0) {
+    refill();
+  }
+  char byte = 0;
+  // The base class's get() has no value for the end that no byte has.
+  return buffered() > 0 && read(&byte, 1) == 1 ? std::optional(byte)
+                                               : std::nullopt;
+}
+
 bool
 HttpSession::SendRaw(std::string_view aBytes)
 {
--- a/src/core/sessionpool.h
+++ b/src/core/sessionpool.h
@@ -110,6 +110,9 @@
   /// Receives the head of the next response, which may be an interim one.
   ResponseHead ReceiveAnyHead(bool aIsBodyless);
 
+  /// @return the next byte, or nothing at the orderly end of the connection
+  std::optional<char> ReadByte();
+
   const Clock& mClock;
   const bool mIsGuarded;
   const TimePoint mCreatedAt;
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -94,6 +94,19 @@
   CHECK(Error::ReplyTruncated == got.error().mError);
 }
 
+// Guards against a byte beyond ASCII in a head that is taken for the end of the
+// connection where char is signed.
+TEST(Http, ReadsBytesBeyondAsciiInAHead)
+{
+  ScriptedServer server({ { "HTTP/1.1 200 caf\xc3\xa9\r\nX: \xff\r\n"
+                            "Content-Length: 2\r\n\r\n{}" } });
+  const Result<HttpReply> got = mClient.Call(server.Address(),
+                                             { "GET", "/v1/report", {}, {} },
+                                             mClock.Now() + milliseconds(1000));
+  CHECK(got.has_value());
+  STRCMP_EQUAL("\xff", FindField(got.value().mFields, "X")->c_str());
+}
+
 // Guards against bytes that are no answer, or an answer whose end isn't marked,
 // as a reply of the store, another node or a target that is probed.
 TEST(Http, RejectsWhatIsNoReply)
