--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -107,7 +107,7 @@
       return false;
     }
     if (unread->empty()) {
-      return mAwaited.mEndsWithConnection;
+      return mAwaited.mMayEnd;
     }
     return IsProgress(
       mSession->PartialHead(), *unread, unread->size() == buf.size(), mAwaited);
@@ -257,7 +257,6 @@
     }
     CopyFields(aHead);
     mAwaited.mStatus = status;
-    mAwaited.mEndsWithConnection = !aBody.MarksItsEnd();
     mReport.mMarksItsEnd = aBody.MarksItsEnd();
     mReport.mFraming = aHead.mFraming;
     if (mRequest.mStream && success &&
@@ -265,6 +264,7 @@
       ReceiveEvents(aHead, aBody);
       return;
     }
+    mAwaited.mMayEnd = !aBody.MarksItsEnd();
     mReport.mResponse.mHeldBytes = BudgetedBytes(mDependencies.mBuffers);
     mReport.mResponse.mBody = ReadAll(aBody, mReport.mResponse.mHeldBytes);
     mReport.mResponse.mStatus = status;
@@ -328,6 +328,8 @@
       if (!ForwardEvents(splitter)) {
         return;
       }
+      mAwaited.mMayEnd = !aBody.MarksItsEnd() && mReport.mStreamed &&
+                         splitter.PendingBytes() == 0;
     }
     if (splitter.PendingBytes() > 0) {
       SetOutcome(ExchangeOutcome::Broken, "the stream ended within an event");
--- a/src/gateway/progress.cc
+++ b/src/gateway/progress.cc
@@ -60,7 +60,9 @@
            (!aAwaited.mStream || head.mStatus >= 300 || aHasMore ||
             HasEventEnd(aUnread));
   }
-  return false;
+  // A head that is longer than the bytes that were looked at.
+  const int status = aPartialHead.Head().mStatus;
+  return aHasMore && status >= 200 && IsFinal(status);
 }
 
 } // namespace hibiscushold
--- a/test/resetanswer-test.cc
+++ b/test/resetanswer-test.cc
@@ -84,3 +84,42 @@
                  BodyOf(got.mBytes).c_str());
   }
 }
+
+// Guards against an answer that is given up because a silent target's stream
+// ends in order where it can't be complete.
+TEST(ResetAnswer, AnswerOfAnotherTargetIsAwaitedWhenAStreamEndsTooEarly)
+{
+  for (const char* it : { "", "id: 1\n\nid: 2" }) {
+    GatewayFixture gateway;
+    ScriptedServer first(
+      { { kOpenStreamHead + it, true, false, "", kSilence } });
+    const std::string rest = *it == '\0' ? Event(1) + Event(2) : Event(2);
+    ScriptedServer second(
+      { { "", false, false, StreamHead() + rest + kEnd, kSilence } });
+    gateway.AddTarget(first);
+    gateway.AddTarget(second);
+    gateway.Start();
+    const ReceivedResponse got = gateway.Ask(kStreamRequest, kEnd);
+    STRCMP_EQUAL((Event(1) + Event(2) + kEnd).c_str(),
+                 BodyOf(got.mBytes).c_str());
+  }
+}
+
+// Guards against a late answer, as a long head of a silent target's whole
+// answer counts as no progress.
+TEST(ResetAnswer, LongHeadOfASilentTargetIsProgress)
+{
+  GatewayFixture gateway;
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nX: " + std::string(6000, 'x') +
+    "\r\nContent-Length: 5\r\n\r\nwhole";
+  ScriptedServer first({ { "", false, false, answer, kSilence } });
+  ScriptedServer second({ { "" } });
+  gateway.AddTarget(first);
+  gateway.AddTarget(second);
+  gateway.Start();
+  const TimePoint start = gateway.mClock.Now();
+  const ReceivedResponse got = gateway.Ask(kLookupRequest, "whole");
+  STRCMP_EQUAL("whole", BodyOf(got.mBytes).c_str());
+  CHECK(gateway.mClock.Now() - start < milliseconds(3000));
+}
