--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -335,8 +335,7 @@
       SetOutcome(ExchangeOutcome::Broken, "the stream ended within an event");
       return;
     }
-    if (!mReport.mMarksItsEnd && !mReport.mStreamed &&
-        mRequest.mLastEvent == 0) {
+    if (!mReport.mMarksItsEnd && !mReport.mStreamed) {
       SetOutcome(ExchangeOutcome::Broken, "the stream ended before an event");
       return;
     }
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -141,6 +141,9 @@
                           { head + "data: x\n\n", true } });
   CHECK(ExchangeOutcome::Broken == Run(server, true).mOutcome);
   CHECK_EQUAL(0, mSink.mStatus);
+  ScriptedServer resumed({ { head, true } });
+  const ExchangeReport report = Run(resumed, true, milliseconds(500), 1);
+  CHECK(ExchangeOutcome::Broken == report.mOutcome);
   CHECK(ExchangeOutcome::Answered == Run(server, true).mOutcome);
   CHECK(ExchangeOutcome::Answered == Run(server, true).mOutcome);
 }
