--- a/src/serve/attempt.cc
+++ b/src/serve/attempt.cc
@@ -168,7 +168,8 @@
     aFacts.mIdMatches =
       FindField(aHead, kAttemptIdField) == mRequest.mAttemptId &&
       !HasConflict(aHead.mFields, kAttemptIdField);
-    aFacts.mHasNotRunMark = FindField(aHead, kRanField) == "no";
+    aFacts.mHasNotRunMark = FindField(aHead, kRanField) == "no" &&
+                            !HasConflict(aHead.mFields, kRanField);
     aFacts.mIsResumedAsRequested = IsResumedAsRequested(aHead);
   }
 
