--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -101,13 +101,21 @@
   BodyReader reader(aSession, reply);
   std::string body;
   std::array<char, 16384> buf;
-  for (size_t n = reader.Read(buf); n > 0; n = reader.Read(buf)) {
-    body.append(buf.data(), n);
+  const bool isStream = ContentTypeOf(reply).starts_with("text/event-stream");
+  try {
+    for (size_t n = reader.Read(buf); n > 0; n = reader.Read(buf)) {
+      body.append(buf.data(), n);
+    }
+  } catch (const Poco::Exception&) {
+    if (isStream) {
+      ReadEvents(body, aResult); // the events of a stream that was cut off
+    }
+    throw;
   }
   if (!reply.mKeepsConnection) {
     aSession.reset();
   }
-  if (ContentTypeOf(reply).starts_with("text/event-stream")) {
+  if (isStream) {
     ReadEvents(body, aResult);
   } else {
     ReadPlain(std::move(body), reader.MarksItsEnd(), aResult);
--- a/src/core/http.cc
+++ b/src/core/http.cc
@@ -66,7 +66,8 @@
                     ToString(aEndpoint) + ": the reply has no length",
                     "" };
   }
-  if (head.mLength > aRequest.mMaxReplyBytes) {
+  if (head.mFraming == BodyFraming::Length &&
+      head.mLength > aRequest.mMaxReplyBytes) {
     return tooLong();
   }
   HttpReply reply;
