--- a/src/core/responsehead.cc
+++ b/src/core/responsehead.cc
@@ -113,8 +113,7 @@
 ParseLength(const std::string& aValue)
 {
   uint64_t length = 0;
-  if (!std::all_of(aValue.begin(), aValue.end(), IsDigit) ||
-      !ParseNumber(aValue, length)) {
+  if (!ParseNumber(aValue, length)) {
     return Invalid("the length of the body is no number");
   }
   return length;
@@ -167,8 +166,7 @@
   const std::string_view code = aLine.substr(kStatusPosition, kStatusLength);
   const std::string_view reason = aLine.substr(kStatusPosition + kStatusLength);
   int status = 0;
-  if (!std::all_of(code.begin(), code.end(), IsDigit) ||
-      !ParseNumber(code, status) || status < kMinStatus ||
+  if (!ParseNumber(code, status) || status < kMinStatus ||
       status > kMaxStatus) {
     return Invalid("the status is not one of 100 to 599");
   }
--- a/src/core/responsehead.h
+++ b/src/core/responsehead.h
@@ -79,9 +79,9 @@
   ResponseHead mHead;
 };
 
-/// @return whether the text may be the value of a field: it has no control
-/// bytes
-///         but tabs
+/// A field's value may have tabs, but no other control bytes.
+/// @param aText the value or a part of it
+/// @return whether the text may be one
 bool
 IsFieldText(std::string_view aText);
 
