--- a/review/standin-2/case-6.cc
+++ b/review/standin-2/case-6.cc
@@ -54,15 +54,13 @@
 };
 
 int
-Play(const std::string& aRecordPath)
+Play(World& world, Record& record)
 {
-  Record record(aRecordPath);
-  World world(record, 2, 2);
-  std::mutex lock;
-  std::vector<Seen> runs;
-  std::map<std::string, std::string> sent; // id and tenant
+  static std::mutex lock;
+  static std::vector<Seen> runs;
+  static std::map<std::string, std::string> sent; // id and tenant
 
-  const Answer answer =
+  static const Answer answer =
     [&](Worker& aWorker, const Run& aRun, Channel& aChannel) {
       {
         const std::lock_guard guard(lock);
@@ -71,7 +69,7 @@
       Sleep(15);
       aChannel.Send(WholeAnswer(aWorker, aRun, 200, "done " + aRun.mId));
     };
-  std::vector<std::unique_ptr<Worker>> workers;
+  static std::vector<std::unique_ptr<Worker>> workers;
   for (int n = 1; n <= 3; ++n) {
     workers.push_back(std::make_unique<Worker>("i-" + std::to_string(n),
                                                "ledger",
@@ -138,12 +136,5 @@
 int
 main(int, char** aWords)
 {
-  int result = 2;
-  try {
-    result = Play(aWords[1]);
-  } catch (const std::exception& e) {
-    std::cerr << e.what() << "\n";
-  }
-  std::cout.flush();
-  std::_Exit(result); // threads of the stand-ins may still wait
+  RunCase(aWords[1], 2, 2, Play);
 }
--- a/review/standin-2/rig.cc
+++ b/review/standin-2/rig.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -348,6 +349,7 @@
   const std::string log = mOptions.mFolder + "/" + mOptions.mName + ".log";
   mPid = fork();
   if (mPid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // it ends with this program
     const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(fd, 1);
     dup2(fd, 2);
--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -3,8 +3,10 @@
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
+#include <iostream>
 #include <stdexcept>
 #include <strings.h>
+#include <sys/socket.h>
 
 namespace review {
 
@@ -65,7 +67,6 @@
   entry["version"] = 1;
   entry["slots"] = 26;
   entry["state"] = mState;
-  entry["cold_left_ms"] = 0;
   entry["seq"] = Json::UInt64(mSequence);
   entry["born"] = Json::UInt64(mBorn);
   mStore.Put("servers", mId, entry, std::nullopt);
@@ -77,12 +78,57 @@
   mStore.Delete("servers", mId, std::nullopt);
 }
 
+void
+Worker::Crash()
+{
+  const std::lock_guard guard(mLock);
+  mIsDown = true;
+  ++mLife;
+  for (const int it : mSockets) {
+    const linger now{ 1, 0 };
+    setsockopt(it, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    shutdown(it, SHUT_RDWR);
+  }
+}
+
+void
+Worker::Restart()
+{
+  mBorn = UnixMillis();
+  mSequence = 1;
+  mIsDown = false;
+}
+
 void
 Worker::Serve(Channel& aChannel)
 {
-  while (!mIsDown) {
+  uint64_t life = 0;
+  const int fd = aChannel.Socket();
+  {
+    const std::lock_guard guard(mLock);
+    if (mIsDown) {
+      aChannel.Reset();
+      return;
+    }
+    life = mLife;
+    mSockets.insert(fd);
+  }
+  ServeRequests(aChannel, life);
+  const std::lock_guard guard(mLock);
+  mSockets.erase(fd);
+  if (mLife != life && aChannel.Socket() >= 0) {
+    aChannel.Reset();
+  } else {
+    aChannel.Close();
+  }
+}
+
+void
+Worker::ServeRequests(Channel& aChannel, uint64_t aLife)
+{
+  while (mLife == aLife) {
     const std::optional<Head> head = aChannel.ReadHead(30000);
-    if (!head || mIsDown) {
+    if (!head || mLife != aLife) {
       return;
     }
     const std::optional<std::string> body =
@@ -105,6 +151,13 @@
       mRecord.Add("worker " + mId + " refuses " + run.mMethod + " " + run.mUri +
                   " id=" + run.mId + ": " + aWhy);
     };
+    if (run.mMethod == "GET" && run.mUri == "/healthz") {
+      aChannel.Send("HTTP/1.1 200 OK\r\nInstance-Id: " + mId +
+                    "\r\nCold-Ms: " + std::to_string(mColdMillis()) +
+                    "\r\nContent-Length: 0\r\n\r\n");
+      mRecord.Add("worker " + mId + " is asked for its health");
+      continue;
+    }
     if (run.mId.empty()) {
       refuse(400, "no id");
       continue;
@@ -211,7 +264,8 @@
   }
 }
 
-World::~World()
+void
+World::Stop()
 {
   for (const auto& it : mNodes) {
     it->Kill();
@@ -222,6 +276,29 @@
   }
 }
 
+void
+RunCase(const std::string& aRecordPath,
+        size_t aNodes,
+        size_t aZones,
+        const std::function<int(World&, Record&)>& aPlay)
+{
+  int result = 2;
+  try {
+    auto* record = new Record(aRecordPath);
+    auto* world = new World(*record, aNodes, aZones);
+    try {
+      result = aPlay(*world, *record);
+    } catch (const std::exception& e) {
+      std::cout << e.what() << "\n";
+    }
+    world->Stop();
+  } catch (const std::exception& e) {
+    std::cout << e.what() << "\n";
+  }
+  std::cout.flush();
+  std::_Exit(result);
+}
+
 void
 World::StartNodes()
 {
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -35,19 +35,29 @@
   /// Writes its entry; called at the start and for each change.
   void Report();
   void RemoveEntry();
+  /// The process ends: all channels are reset, new ones are closed unread.
+  void Crash();
+  /// Another process starts under the same id; it writes no entry yet.
+  void Restart();
   const std::string& Id() const { return mId; }
   std::string Address() const;
   std::string Stamp() const { return "stamp." + mId; }
 
   std::string mState = "ready";
   std::atomic<bool> mIsDown{ false }; ///< closes channels unread
+  std::atomic<uint64_t> mLife{ 1 };   ///< number of the process
   uint64_t mBorn;
   uint64_t mSequence = 1;
+  /// How long it stays cold, for its health answers.
+  std::function<int64_t()> mColdMillis = [] { return int64_t(0); };
   Json::Value mExtra{ Json::objectValue }; ///< further fields of the entry
 
 private:
   void Serve(Channel& aChannel);
+  void ServeRequests(Channel& aChannel, uint64_t aLife);
 
+  std::mutex mLock;
+  std::set<int> mSockets;
   const std::string mId;
   const std::string mService;
   const std::string mZone;
@@ -96,9 +106,18 @@
   Store mStore;
   std::vector<std::unique_ptr<StorePort>> mPorts; ///< one for each node
   std::vector<std::unique_ptr<Node>> mNodes;
-  ~World();
+  void Stop(); ///< ends the nodes and removes the folder
 };
 
+/// Runs a case and ends the program, whose threads may still wait; what the
+/// case has made is left to them.
+/// @param aPlay gets the world and returns the exit code
+[[noreturn]] void
+RunCase(const std::string& aRecordPath,
+        size_t aNodes,
+        size_t aZones,
+        const std::function<int(World&, Record&)>& aPlay);
+
 /// What a client got.
 struct Got
 {
