--- a/review/standin-2/engines.cc
+++ b/review/standin-2/engines.cc
@@ -25,27 +25,74 @@
                  int aLoadMillis,
                  Answer aAnswer)
   : mWorld(aWorld)
+  , mService(aService)
+  , mAnswer(std::move(aAnswer))
   , mWarmMillis(aWarmMillis)
   , mLoadMillis(aLoadMillis)
 {
   for (size_t n = 1; n <= aCount; ++n) {
-    mEngines.push_back(std::make_unique<Engine>());
-    Engine& engine = *mEngines.back();
-    engine.mWorker =
-      std::make_unique<Worker>("m-" + std::to_string(n),
-                               aService,
-                               "zone-" + std::to_string(n % 2 + 1),
-                               mWorld.mStore,
-                               mWorld.mRecord,
-                               aAnswer);
-    engine.mWorker->mControl = [this, &engine](const Run& aRun,
-                                               Channel& aChannel,
-                                               const std::string& aLast) {
-      return Control(engine, aRun, aChannel, aLast);
-    };
+    Add();
+  }
+}
+
+Engine&
+Engines::Add()
+{
+  const std::lock_guard guard(mLock);
+  const size_t n = mEngines.size() + 1;
+  mEngines.push_back(std::make_unique<Engine>());
+  Engine& engine = *mEngines.back();
+  engine.mWorker = std::make_unique<Worker>("m-" + std::to_string(n),
+                                            mService,
+                                            "zone-" + std::to_string(n % 2 + 1),
+                                            mWorld.mStore,
+                                            mWorld.mRecord,
+                                            mAnswer);
+  engine.mWorker->mControl = [this, &engine](const Run& aRun,
+                                             Channel& aChannel,
+                                             const std::string& aLast) {
+    return Control(engine, aRun, aChannel, aLast);
+  };
+  Report(engine);
+  return engine;
+}
+
+void
+Engines::Drain(Engine& aEngine)
+{
+  {
+    const std::lock_guard guard(mLock);
+    aEngine.mWorker->mState = "draining";
+    Report(aEngine);
+    mWorld.mRecord.Add("worker " + aEngine.mWorker->Id() + " drains");
+  }
+  std::thread([this, &aEngine] {
+    Sleep(3000);
     const std::lock_guard guard(mLock);
-    Report(engine);
+    aEngine.mWorker->RemoveEntry();
+    aEngine.mWorker->Crash();
+    aEngine.mGroup.reset();
+    mWorld.mRecord.Add("worker " + aEngine.mWorker->Id() + " exits");
+  }).detach();
+}
+
+bool
+Engines::IsWhole(const std::string& aHeadId)
+{
+  const std::lock_guard guard(mLock);
+  const Engine* head = Find(aHeadId);
+  if (head == nullptr || !head->mGroup || head->mGroup->mRank != 0 ||
+      head->mGroup->mState != "open") {
+    return false;
   }
+  return std::all_of(
+    head->mGroup->mMembers.begin(),
+    head->mGroup->mMembers.end(),
+    [&](const std::string& it) {
+      const Engine* member = Find(it);
+      return member != nullptr && member->mGroup &&
+             member->mGroup->mKey == head->mGroup->mKey;
+    });
 }
 
 Engine*
--- a/review/standin-2/engines.h
+++ b/review/standin-2/engines.h
@@ -59,6 +59,12 @@
   Engine* Find(const std::string& aId);
   /// Writes the entry; call it with the lock held.
   void Report(Engine& aEngine);
+  /// Starts another worker, without a staged model.
+  Engine& Add();
+  /// A worker drains and exits; its entry goes.
+  void Drain(Engine& aEngine);
+  /// Whether the group of a head has all its members.
+  bool IsWhole(const std::string& aHeadId);
   /// The process of a worker ends, and starts again under its id.
   void Crash(Engine& aEngine);
   void Restart(Engine& aEngine);
@@ -73,6 +79,8 @@
   void Later(int aMillis, std::function<void()> aWhat);
 
   World& mWorld;
+  const std::string mService;
+  const Answer mAnswer;
   const int mWarmMillis;
   const int mLoadMillis;
 };
--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -322,6 +322,16 @@
   mRecord.Add("all nodes are ready");
 }
 
+void
+World::AddNode(const std::string& aName, const std::string& aZone)
+{
+  mPorts.push_back(std::make_unique<StorePort>(mStore, mRecord.Time()));
+  mNodes.push_back(std::make_unique<Node>(
+    Node::Options{ aName, aZone, mFolder, mPorts.back()->Address(), {} }));
+  mNodes.back()->Start(false);
+  mRecord.Add("node " + aName + " starts");
+}
+
 void
 World::PutConfig(const Json::Value& aConfig)
 {
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -104,6 +104,8 @@
   World(Record& aRecord, size_t aNodes, size_t aZones);
 
   void StartNodes();
+  /// Starts a node that isn't there from the start.
+  void AddNode(const std::string& aName, const std::string& aZone);
   void PutConfig(const Json::Value& aConfig);
 
   Record& mRecord;
