--- a/review/standin-2/case-10.cc
+++ b/review/standin-2/case-10.cpp
@@ -1,6 +1,6 @@
 // A worker ends and starts again under its id, cold, while the store is down.
 
-#include "world.h"
+#include "world.hpp"
 
 #include <chrono>
 #include <cstdlib>
--- a/review/standin-2/case-6.cc
+++ b/review/standin-2/case-6.cpp
@@ -1,7 +1,7 @@
 // A tenant's client writes a line break into a header of its own, in the form
 // of an encoded word.
 
-#include "world.h"
+#include "world.hpp"
 
 #include <cstdio>
 #include <cstdlib>
--- a/review/standin-2/case-7.cc
+++ b/review/standin-2/case-7.cpp
@@ -1,7 +1,7 @@
 // A member of a group ends; the head's answer to an earlier order arrives once
 // more when the next order is sent, and the head is silent for a second.
 
-#include "engines.h"
+#include "engines.hpp"
 
 #include <algorithm>
 #include <iostream>
--- a/review/standin-2/case-9.cc
+++ b/review/standin-2/case-9.cpp
@@ -1,7 +1,7 @@
 // A request ends each worker that begins to run it; all nodes are killed at the
 // same moment, and the request comes again.
 
-#include "world.h"
+#include "world.hpp"
 
 #include <algorithm>
 #include <iostream>
--- a/review/standin-2/engines.cc
+++ b/review/standin-2/engines.cpp
@@ -1,4 +1,4 @@
-#include "engines.h"
+#include "engines.hpp"
 
 #include <algorithm>
 
--- a/review/standin-2/engines.h
+++ b/review/standin-2/engines.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // Model workers in groups, as PROTOCOL.md describes them.
 
-#include "world.h"
+#include "world.hpp"
 
 namespace review {
 
--- a/review/standin-2/recover.cc
+++ b/review/standin-2/recover.cpp
@@ -1,7 +1,7 @@
 // Three nodes of a zone are replaced for good, one after the other. Later all
 // nodes are killed once, and some workers are replaced.
 
-#include "engines.h"
+#include "engines.hpp"
 
 #include <algorithm>
 #include <iostream>
--- a/review/standin-2/rig.cc
+++ b/review/standin-2/rig.cpp
@@ -1,4 +1,4 @@
-#include "rig.h"
+#include "rig.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world.hpp"
 
 #include <chrono>
 #include <cstdlib>
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // A small deployment: store, operator, workers, nodes.
 
-#include "rig.h"
+#include "rig.hpp"
 
 #include <set>
 
