--- a/src/core/httpfield.cc
+++ b/src/core/httpfield.cc
@@ -6,8 +6,6 @@
 
 namespace hibiscushold {
 
-namespace {
-
 bool
 HasName(const HttpField& aField, std::string_view aName)
 {
@@ -15,8 +13,6 @@
          ::strncasecmp(aField.mName.data(), aName.data(), aName.size()) == 0;
 }
 
-} // namespace
-
 std::optional<std::string>
 FindField(std::span<const HttpField> aFields, std::string_view aName)
 {
--- a/src/core/httpfield.h
+++ b/src/core/httpfield.h
@@ -14,6 +14,10 @@
   std::string mValue;
 };
 
+/// @return whether the field has that name in any case
+bool
+HasName(const HttpField& aField, std::string_view aName);
+
 /// @return the value of the first field of that name in any case, or nothing
 std::optional<std::string>
 FindField(std::span<const HttpField> aFields, std::string_view aName);
--- a/src/gateway/callerrequest.cc
+++ b/src/gateway/callerrequest.cc
@@ -39,6 +39,47 @@
   return number;
 }
 
+/// Checks the fields that the node reads as a target does: of a single one, a
+/// target might use another line than the node, and none if it is named as one
+/// of the connection.
+ResultOrRefusal<void>
+CheckSharedFields(const RequestHead& aHead, const ProtocolNames& aProtocol)
+{
+  const std::vector<std::string>& options = aHead.mConnectionOptions;
+  for (const std::string& it : { aProtocol.mRequestId,
+                                 aProtocol.mDeadline,
+                                 aProtocol.mLastEvent,
+                                 aProtocol.mModel,
+                                 aProtocol.mTokenCounts,
+                                 aProtocol.mPromptParts,
+                                 std::string("Authorization"),
+                                 std::string("Host") }) {
+    const bool isList = it == aProtocol.mPromptParts;
+    if (!isList && CountFields(aHead.mFields, it) > 1) {
+      return Invalid("header " + it + ": send it once");
+    }
+    if (std::find(options.begin(), options.end(), ToLowerAscii(it)) !=
+        options.end()) {
+      return Invalid("header Connection: " + it + " is not its option");
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+/// @return the value of a field that is a list, whose parts may have lines of
+///         their own (RFC 9110, section 5.3)
+std::string
+ListOf(const RequestHead& aHead, std::string_view aName)
+{
+  std::string list;
+  for (const HttpField& it : aHead.mFields) {
+    if (HasName(it, aName)) {
+      list += (list.empty() ? "" : ",") + it.mValue;
+    }
+  }
+  return list;
+}
+
 ResultOrRefusal<void>
 CheckLength(const RequestHead& aHead, uint64_t aMaxBytes)
 {
@@ -148,6 +189,7 @@
          double aFraction)
 {
   BOOST_OUTCOME_TRY(CheckLength(aHead, aConfig->mLimits.mMaxBodyBytes));
+  BOOST_OUTCOME_TRY(CheckSharedFields(aHead, aProtocol));
   GatewayRequest request;
   request.mConfig = aConfig;
   request.mArrivedAt = aNow;
@@ -171,7 +213,7 @@
   request.mLastEvent = ParseNumber(FieldOf(aHead, aProtocol.mLastEvent));
   request.mPromptTokens =
     static_cast<uint32_t>(ParseNumber(FieldOf(aHead, aProtocol.mTokenCounts)));
-  const std::string parts = FieldOf(aHead, aProtocol.mPromptParts);
+  const std::string parts = ListOf(aHead, aProtocol.mPromptParts);
   request.mTraits.mParts = ParseSharedParts(parts);
   request.mTraits.mContent = HashOf(
     { request.mAccount, request.mMethod, request.mUri, request.mModel, parts });
--- a/src/serve/requestreader.cc
+++ b/src/serve/requestreader.cc
@@ -37,6 +37,19 @@
   return account;
 }
 
+/// Refuses fields of which a target or another reader may use another one.
+ResultOrRefusal<void>
+CheckSingleFields(const RequestHead& aHead)
+{
+  for (const char* it :
+       { "Authorization", "Idempotency-Key", "Content-Type" }) {
+    if (CountFields(aHead.mFields, it) > 1) {
+      return Invalid("header " + std::string(it) + ": send it once");
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 /// Reads the model, the prompt prefix and the stream flag from the JSON body of
 /// a request under /v1/. The body of any other request may have any format.
 ResultOrRefusal<void>
@@ -99,6 +112,7 @@
   const TimePoint now = aClock.Now();
   const RequestHead& head = aRequest.Head();
   BOOST_OUTCOME_TRY(CheckFraming(head, aSettings));
+  BOOST_OUTCOME_TRY(CheckSingleFields(head));
   if (aConfig->mVersion == 0) {
     return Refusal{ RefusalKind::ConfigNotFresh,
                     "the node knows no rules yet; "
--- a/test/callerhead-test.cc
+++ b/test/callerhead-test.cc
@@ -180,6 +180,40 @@
   STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
 }
 
+// Guards against a field that the node takes once and a target takes from
+// another line, or not at all.
+TEST(CallerHead, FieldThatMustBeOneIsSentOnce)
+{
+  Start();
+  for (const char* it : { "Id: r1",
+                          "id: r2",
+                          "Wait: 100\r\nWait: 200",
+                          "Model: a\r\nmodel: b",
+                          "Last: 1\r\nLast: 2",
+                          "Tokens: 1,2\r\nTokens: 3,4",
+                          "Authorization: Bearer a\r\nAuthorization: Bearer b",
+                          "Connection: Id",
+                          "Connection: close, iD",
+                          "Model: a\r\nConnection: keep-alive, Model",
+                          "Connection: Host",
+                          "Parts: a:1\r\nConnection: Parts" }) {
+    CheckRefused(LookupWith(it), "HTTP/1.1 400");
+  }
+}
+
+// Guards against a list in several lines that is refused, or of which a target
+// gets a part.
+TEST(CallerHead, ListMayHaveSeveralLines)
+{
+  Start();
+  const ReceivedResponse got =
+    mGateway.Ask(LookupWith("Parts: a:1\r\nParts: b:2"), "one");
+  STRCMP_CONTAINS("HTTP/1.1 200", got.mBytes.c_str());
+  const std::string request = OnlyRequest(mTarget);
+  STRCMP_CONTAINS("\r\nParts: a:1\r\n", request.c_str());
+  STRCMP_CONTAINS("\r\nParts: b:2\r\n", request.c_str());
+}
+
 // Guards against a name of the configuration that holds a field of its own, or
 // a request.
 TEST(CallerHead, AccountOfTheConfigurationHoldsNoField)
--- a/test/requestreader-test.cc
+++ b/test/requestreader-test.cc
@@ -193,6 +193,30 @@
   }
 }
 
+// Guards against a key that is checked in one of two lines while the claim, or
+// a target, goes by the other.
+TEST(RequestReader, RefusesFieldsThatMustBeOne)
+{
+  const std::string head = std::string("POST /services/ledger/x HTTP/1.1\r\n"
+                                       "Host: h\r\nContent-Length: 0\r\n") +
+                           kKey;
+  const EdgeCase cases[] = {
+    { head + "Authorization: Bearer gate-key\r\n", "", 400, "Authorization" },
+    { head + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n",
+      "",
+      400,
+      "Idempotency-Key" },
+    { head + "Content-Type: a\r\nContent-Type: b\r\n",
+      "",
+      400,
+      "Content-Type" },
+    { head + "Other: a\r\nOther: b\r\n", "", 200, "took" },
+  };
+  for (const EdgeCase& it : cases) {
+    Check(it);
+  }
+}
+
 TEST(RequestReader, LimitsTheNumberOfFieldsAndTheTimeOfTheBody)
 {
   mSettings.mMaxHeaderFields = 4;
