--- a/test/oddentry-test.cc
+++ b/test/oddentry-test.cc
@@ -204,6 +204,19 @@
   CHECK(engine.mModels[0].mLoadTime == std::chrono::hours(24));
 }
 
+// Guards against an account whose requests can't be written, and which seems to
+// be in force.
+TEST(OddEntry, AccountWhoseNameFitsNoHeaderIsLeftOut)
+{
+  const FleetConfig config = DecodeConfig({ "config/main", 1, R"({"version":3,
+      "tenants":[{"name":"a\r\nX: y","keys":["odd"]},
+        {"name":"b\u0000","keys":["zero"]},{"name":"c","keys":["k"]}]})" })
+                               .value();
+  CHECK(FindAccount(config, "odd") == nullptr);
+  CHECK(FindAccount(config, "zero") == nullptr);
+  CHECK(FindAccount(config, "k") != nullptr);
+}
+
 // Guards against callers that are refused, or hold memory, by another limit on
 // heads than the configured one.
 TEST(OddEntry, LimitOfHeadsIsConfiguredAndBounded)
