--- a/test/oddentry-test.cc
+++ b/test/oddentry-test.cc
@@ -187,6 +187,17 @@
   STRCMP_CONTAINS("after=b%26c%3Dd%20%2Fe ", server.Requests()[1].c_str());
 }
 
+// Guards against a call to the store for another object, or one that holds
+// another call, because of an odd name.
+TEST(OddEntry, NameIsEncodedInThePathOfACall)
+{
+  ScriptedServer server({ { MakeResponse("{}") } });
+  ObjectStore store(server.Address(), mClient, mClock, mMetrics);
+  (void)store.Get("servers/a b?c#d%e\r\nf:g/h", CallPriority::Config);
+  STRCMP_CONTAINS("servers/a%20b%3Fc%23d%25e%0D%0Af:g/h HTTP/1.1\r\n",
+                  server.Requests().at(0).c_str());
+}
+
 // Guards against numbers of a configuration that fit no integer type.
 TEST(OddEntry, NumbersOfAConfigurationAreBounded)
 {
