--- a/test/requesthead-test.cc
+++ b/test/requesthead-test.cc
@@ -1,9 +1,8 @@
 #include "requestheads.h"
+#include "seedcount.h"
 
-#include "core/number.h"
 #include "core/requesthead.h"
 
-#include <cstdlib>
 #include <random>
 #include <string>
 
@@ -73,15 +72,6 @@
   return kParts[part(aRandom)];
 }
 
-/// @return the number of seeds; more than in CI if SOAK_SEEDS says so
-uint32_t
-SeedCount()
-{
-  const char* text = std::getenv("SOAK_SEEDS");
-  uint32_t count = 0;
-  return text != nullptr && ParseNumber(text, count) ? count : 2000;
-}
-
 constexpr const char* kLetters =
   "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789";
 
