--- a/review/standin-3/latebeat.cc
+++ b/review/standin-3/latebeat.cc
@@ -1,7 +1,8 @@
 // Three empty workers are added to a model's service and form a group. One
 // beat of its head, sent before it joined, is executed by the store some seconds
 // late, when the group is open. Does any worker take a join of another group
-// while the head of its own is open?
+// while the head of its own is open? With a third word, another writer replaces
+// the head's entry instead.
 #include "kit.h"
 
 using namespace kit;
@@ -137,6 +138,15 @@
     CheckStall(now);
   }
   void HoldNext() { mHoldsNext = true; }
+  /// Another writer replaces the worker's entry: its group is of another type.
+  void WriteOdd()
+  {
+    std::string text = Entry();
+    const size_t at = text.find("\"group\":");
+    text = text.substr(0, at) + "\"group\":\"" + mGroup.mGroup + "\"}";
+    gStore.Put("servers", mId, text);
+    Rec().Line("another writer replaces the entry of %s: %s", mId.c_str(), text.c_str());
+  }
 
 private:
   void CheckStall(int64_t aNow)
@@ -343,9 +353,11 @@
 int
 main(int aCount, char** aWords)
 {
-  if (aCount != 3) {
+  // With a third word, another writer's entry is the disruption instead.
+  if (aCount != 3 && aCount != 4) {
     return 2;
   }
+  const bool isOdd = aCount == 4;
   std::signal(SIGPIPE, SIG_IGN);
   Rec().Open(aWords[2]);
   Now();
@@ -417,19 +429,31 @@
   });
   SleepUntil(12000);
   const bool trouble = HasTrouble();
-  for (const char* it : { "i-b1", "i-b2", "i-b3" }) {
-    Rec().Line("the empty worker %s is added", it);
-    StartWorker(it, trouble && std::string(it) == "i-b1");
+  const std::vector<std::string> added =
+    isOdd ? std::vector<std::string>{}
+          : std::vector<std::string>{ "i-b1", "i-b2", "i-b3" };
+  for (const std::string& it : added) {
+    Rec().Line("the empty worker %s is added", it.c_str());
+    StartWorker(it, trouble && it == "i-b1");
     SleepMs(1000);
   }
   // The group of the new workers opens after about 15 s.
   bool hasOpened = false;
-  const int64_t end = Now() + 24000;
+  int64_t oddAt = 0;
+  const std::string headId = isOdd ? "i-a1" : "i-b1";
+  const int64_t end = Now() + (isOdd ? 10000 : 24000);
   while (Now() < end) {
     {
       const std::lock_guard guard(gLock);
-      const Membership& group = gWorkers["i-b1"]->Group();
+      const Membership& group = gWorkers[headId]->Group();
       hasOpened = hasOpened || (group.mState == "open" && group.mMembers.size() == 3);
+      if (hasOpened && oddAt == 0) {
+        oddAt = Now() + 2000;
+      }
+      if (isOdd && trouble && oddAt > 0 && Now() >= oddAt) {
+        oddAt = -1;
+        gWorkers[headId]->WriteOdd();
+      }
     }
     SleepMs(20);
   }
