review: order the cases, build the stand-ins as the earlier ones

Cases 11 to 14, the gravest first; the stand-ins are .cpp and .hpp, as those of the earlier reviews.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/standin-3/*.cc; do
-  name=$(basename "$source" .cc)
+for source in review/standin-3/*.cpp; do
+  name=$(basename "$source" .cpp)
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/$name" "$source"
 done
--- a/review/standin-3/bigconfig.cc
+++ b/review/standin-3/bigconfig.cpp
@@ -1,13 +1,13 @@
 // A node is cut off from the store while the operator changes a large config in
 // quick succession. Later it is in touch again: which version does it follow?
-#include "kit.h"
+#include "kit.hpp"
 
 using namespace kit;
 
 namespace {
 
-constexpr int kRoutes = 1680;      // big_config, largest count named
-constexpr int kChanges = 25;       // config_storm, 1.5 s with 0.06 s between
+constexpr int kRoutes = 1680; // big_config, largest count named
+constexpr int kChanges = 25;  // config_storm, 1.5 s with 0.06 s between
 constexpr int64_t kGap = 60;
 constexpr int64_t kCutTime = 5500; // core_cut, largest time named
 constexpr int64_t kConfigMs = 2000;
@@ -44,7 +44,8 @@
   }
   return "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[" + routes +
          "],\"services\":[{\"name\":\"old-app\",\"health_path\":\"/healthz\","
-         "\"max_conns\":110},{\"name\":\"new-app\",\"health_path\":\"/healthz\","
+         "\"max_conns\":110},{\"name\":\"new-app\",\"health_path\":\"/"
+         "healthz\","
          "\"max_conns\":110}],\"limits\":{\"header_bytes\":16384,"
          "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
          "\"idle_ms\":15000}}";
@@ -85,10 +86,11 @@
                           "\r\nContent-Length: " + std::to_string(body.size()) +
                           "\r\n\r\n" + body);
       }));
-    store.Put("servers",
-              "i-" + service,
-              EntryOf(service, workers.back()->Port(), "z-a", "ready", 1,
-                      UnixMillis()));
+    store.Put(
+      "servers",
+      "i-" + service,
+      EntryOf(
+        service, workers.back()->Port(), "z-a", "ready", 1, UnixMillis()));
   }
   int version = 10;
   store.Put("config", "main", ConfigText(version, false));
@@ -135,7 +137,8 @@
   for (int n = 0; Now() < judgedFrom + 15000; ++n) {
     const bool isJudged = Now() >= judgedFrom;
     for (int which = 0; which < 2; ++which) {
-      const std::string id = "req-" + std::to_string(which) + "-" + std::to_string(n);
+      const std::string id =
+        "req-" + std::to_string(which) + "-" + std::to_string(n);
       Message reply;
       const bool answered = Ask(which == 0 ? first.mCallers : second.mCallers,
                                 RequestText("GET", "/moved/x", id, 4000),
--- a/review/standin-3/latebeat.cc
+++ b/review/standin-3/entries.cpp
@@ -1,9 +1,9 @@
 // Three empty workers are added to a model's service and form a group. One
-// beat of its head, sent before it joined, is executed by the store some seconds
-// late, when the group is open. Does any worker take a join of another group
-// while the head of its own is open? With a third word, another writer replaces
-// the head's entry instead.
-#include "kit.h"
+// beat of its head, sent before it joined, is executed by the store some
+// seconds late, when the group is open. Does any worker take a join of another
+// group while the head of its own is open? With a third word, another writer
+// replaces the head's entry instead.
+#include "kit.hpp"
 
 using namespace kit;
 
@@ -70,8 +70,8 @@
 
   std::string Entry()
   {
-    std::string text = EntryOf(
-      "llm", mServer.Port(), "z-a", "ready", ++mBeats, mBorn);
+    std::string text =
+      EntryOf("llm", mServer.Port(), "z-a", "ready", ++mBeats, mBorn);
     text.pop_back();
     text += ",\"stage\":\"unified\",\"domain\":\"d0\",\"staged\":" +
             std::string(mIsStaged ? "[\"m1\"]" : "[]") + ",\"models\":" +
@@ -111,7 +111,10 @@
         mGroup.mState = "open";
       }
       mIsOpening = false;
-      Rec().Line("%s is %s in %s", mId.c_str(), mGroup.mState.c_str(), mGroup.mGroup.c_str());
+      Rec().Line("%s is %s in %s",
+                 mId.c_str(),
+                 mGroup.mState.c_str(),
+                 mGroup.mGroup.c_str());
       Write();
       if (mNextIsLate) {
         mNextBeatAt = now + 1000;
@@ -145,13 +148,15 @@
     const size_t at = text.find("\"group\":");
     text = text.substr(0, at) + "\"group\":\"" + mGroup.mGroup + "\"}";
     gStore.Put("servers", mId, text);
-    Rec().Line("another writer replaces the entry of %s: %s", mId.c_str(), text.c_str());
+    Rec().Line(
+      "another writer replaces the entry of %s: %s", mId.c_str(), text.c_str());
   }
 
 private:
   void CheckStall(int64_t aNow)
   {
-    if (mGroup.mRank != 0 || (mGroup.mState != "open" && mGroup.mState != "closing")) {
+    if (mGroup.mRank != 0 ||
+        (mGroup.mState != "open" && mGroup.mState != "closing")) {
       mStalledAt = 0;
       return;
     }
@@ -169,9 +174,10 @@
 
   static bool Reply(Conn& aConn, int aStatus, const std::string& aBody)
   {
-    return aConn.Send("HTTP/1.1 " + std::to_string(aStatus) +
-                      " X\r\nContent-Type: application/json\r\nContent-Length: " +
-                      std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
+    return aConn.Send(
+      "HTTP/1.1 " + std::to_string(aStatus) +
+      " X\r\nContent-Type: application/json\r\nContent-Length: " +
+      std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
   }
   bool Handle(Conn& aConn, const Message& aRequest)
   {
@@ -189,7 +195,8 @@
         "{\"stage\":\"unified\",\"models\":[],\"busy\":false,\"seq\":" +
         std::to_string(mOrders) +
         ",\"waiting\":0,\"running\":0,\"kv_used\":0,\"kv_total\":1590000,"
-        "\"handles\":0,\"pace\":1.0,\"born\":" + std::to_string(mBorn) +
+        "\"handles\":0,\"pace\":1.0,\"born\":" +
+        std::to_string(mBorn) +
         (mGroup.mGroup.empty() ? "" : ",\"group\":" + GroupText()) + "}";
       guard.unlock();
       return Reply(aConn, 200, body);
@@ -227,10 +234,12 @@
   int Order(const std::string& aBody)
   {
     const std::string op = Unquoted(MemberOf(aBody, "op"));
-    const uint64_t fence = std::strtoull(Unquoted(MemberOf(aBody, "fence")).c_str(), nullptr, 10);
+    const uint64_t fence =
+      std::strtoull(Unquoted(MemberOf(aBody, "fence")).c_str(), nullptr, 10);
     Membership named;
     named.mGroup = Unquoted(MemberOf(aBody, "group"));
-    named.mEpoch = std::strtoull(Unquoted(MemberOf(aBody, "epoch")).c_str(), nullptr, 10);
+    named.mEpoch =
+      std::strtoull(Unquoted(MemberOf(aBody, "epoch")).c_str(), nullptr, 10);
     if (fence < mFence) {
       return 412;
     }
@@ -311,7 +320,10 @@
                       : mIsStaged ? kWarmMs
                                   : (gHasTraffic ? kLoadMs : kLoadMs / 10));
     mHadGroup = true;
-    Rec().Line("%s joins %s (%zu members)", mId.c_str(), mGroup.mGroup.c_str(), aMembers.size());
+    Rec().Line("%s joins %s (%zu members)",
+               mId.c_str(),
+               mGroup.mGroup.c_str(),
+               aMembers.size());
     Write();
     return 202;
   }
@@ -368,12 +380,15 @@
   gStore.Put(
     "config",
     "main",
-    "{\"version\":7,\"routes\":[{\"name\":\"r-draft\",\"host\":\"shop.example\","
+    "{\"version\":7,\"routes\":[{\"name\":\"r-draft\",\"host\":\"shop."
+    "example\","
     "\"path_prefix\":\"/draft/\",\"kind\":\"streaming\",\"timeout_ms\":8000,"
     "\"slo_ms\":300,\"priority\":1,\"service\":\"llm\",\"attempts\":2,"
     "\"public\":true,\"sticky\":true,\"resumable\":true,\"gap_slo_ms\":300}],"
-    "\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_conns\":"
-    "404,\"engine\":{\"slots\":26,\"kv_tokens\":1590000,\"stride\":7,\"models\":"
+    "\"services\":[{\"name\":\"llm\",\"health_path\":\"/"
+    "healthz\",\"max_conns\":"
+    "404,\"engine\":{\"slots\":26,\"kv_tokens\":1590000,\"stride\":7,"
+    "\"models\":"
     "[{\"name\":\"m1\",\"size\":3,\"share\":1.0,\"pace\":0.6,\"load_s\":12.0,"
     "\"warm_s\":1.1}],\"step_ms\":5.95,\"per_seq_ms\":0.0445,\"context_per_k\":"
     "0.00813,\"read_per_s\":50700.0,\"pairs_per_m\":0.368,\"chunk\":2048,"
@@ -446,7 +461,8 @@
     {
       const std::lock_guard guard(gLock);
       const Membership& group = gWorkers[headId]->Group();
-      hasOpened = hasOpened || (group.mState == "open" && group.mMembers.size() == 3);
+      hasOpened =
+        hasOpened || (group.mState == "open" && group.mMembers.size() == 3);
       if (hasOpened && oddAt == 0) {
         oddAt = Now() + 2000;
       }
--- a/review/standin-3/killedworker.cc
+++ b/review/standin-3/killedworker.cpp
@@ -1,6 +1,6 @@
 // A worker's process is killed while it sends an answer that has no length and
 // ends with its channel. Does the client get a part of it as a whole answer?
-#include "kit.h"
+#include "kit.hpp"
 
 using namespace kit;
 
@@ -130,18 +130,21 @@
   store.Put(
     "config",
     "main",
-    "{\"version\":7,\"routes\":[{\"name\":\"r-lookup\",\"host\":\"shop.example\","
+    "{\"version\":7,\"routes\":[{\"name\":\"r-lookup\",\"host\":\"shop."
+    "example\","
     "\"path_prefix\":\"/lookup/\",\"kind\":\"idempotent\",\"timeout_ms\":4000,"
     "\"slo_ms\":3000,\"priority\":2,\"service\":\"app\",\"attempts\":2,"
     "\"public\":true}],\"services\":[{\"name\":\"app\",\"health_path\":"
     "\"/healthz\",\"max_conns\":110}],\"limits\":{\"header_bytes\":16384,"
-    "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_ms\":15000}}");
+    "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_ms\":15000}"
+    "}");
   int started = 0;
   std::vector<Worker> workers;
   const auto start = [&] {
     workers.push_back(StartWorker("i-" + std::to_string(++started)));
     const Worker& it = workers.back();
-    store.Put("servers", it.mId, EntryOf("app", it.mPort, "z-a", "ready", 1, it.mBorn));
+    store.Put(
+      "servers", it.mId, EntryOf("app", it.mPort, "z-a", "ready", 1, it.mBorn));
     Rec().Line("worker %s starts", it.mId.c_str());
   };
   start();
@@ -170,7 +173,8 @@
       }
       for (const Worker& it : workers) {
         if (it.mId == killed) {
-          Rec().Line("worker %s, which runs %s, is killed", it.mId.c_str(), id.c_str());
+          Rec().Line(
+            "worker %s, which runs %s, is killed", it.mId.c_str(), id.c_str());
           kill(it.mPid, SIGKILL);
           waitpid(it.mPid, nullptr, 0);
         }
@@ -180,22 +184,25 @@
     const bool isSuccess = answered && reply.Status() == 200;
     const bool isWhole = reply.mBody == WholeBody(id);
     const bool looksWhole = isSuccess && reply.mIsWhole;
-    Rec().Line("%s: status %d, stamp '%s', Content-Length '%s', %zu of %zu bytes, "
-               "the answer %s",
-               id.c_str(),
-               answered ? reply.Status() : 0,
-               reply.Get("Server-Stamp").c_str(),
-               reply.Get("Content-Length").c_str(),
-               reply.mBody.size(),
-               WholeBody(id).size(),
-               looksWhole ? "looks complete" : "doesn't look complete");
+    Rec().Line(
+      "%s: status %d, stamp '%s', Content-Length '%s', %zu of %zu bytes, "
+      "the answer %s",
+      id.c_str(),
+      answered ? reply.Status() : 0,
+      reply.Get("Server-Stamp").c_str(),
+      reply.Get("Content-Length").c_str(),
+      reply.mBody.size(),
+      WholeBody(id).size(),
+      looksWhole ? "looks complete" : "doesn't look complete");
     if (looksWhole && !isWhole) {
       ++cut;
-      Rec().Line("%s: a part of the worker's body was passed on as a whole answer",
-                 id.c_str());
+      Rec().Line(
+        "%s: a part of the worker's body was passed on as a whole answer",
+        id.c_str());
     }
     if (!killed.empty()) {
-      std::erase_if(workers, [&](const Worker& it) { return it.mId == killed; });
+      std::erase_if(workers,
+                    [&](const Worker& it) { return it.mId == killed; });
       start();
       SleepMs(3600); // three intervals of silence
       store.Delete("servers", killed);
--- a/review/standin-3/kit.h
+++ b/review/standin-3/kit.hpp
@@ -81,8 +81,11 @@
     va_end(args);
     const std::lock_guard guard(mLock);
     char line[1100];
-    std::snprintf(
-      line, sizeof(line), "%8lld ms  %s\n", static_cast<long long>(Now()), text);
+    std::snprintf(line,
+                  sizeof(line),
+                  "%8lld ms  %s\n",
+                  static_cast<long long>(Now()),
+                  text);
     mFile << line << std::flush;
   }
 
@@ -184,8 +187,8 @@
   {
     size_t sent = 0;
     while (sent < aBytes.size()) {
-      const ssize_t n = ::send(
-        mFd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+      const ssize_t n =
+        ::send(mFd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
       if (n <= 0) {
         return false;
       }
@@ -263,8 +266,9 @@
     }
     if (!aInto.Get("Content-Length").empty()) {
       aInto.mMarksEnd = true;
-      aInto.mIsWhole = Bytes(
-        aInto.mBody, std::strtoul(aInto.Get("Content-Length").c_str(), nullptr, 10));
+      aInto.mIsWhole =
+        Bytes(aInto.mBody,
+              std::strtoul(aInto.Get("Content-Length").c_str(), nullptr, 10));
       return;
     }
     if (!aIsResponse || aInto.Status() == 204 || aInto.Status() == 304) {
@@ -416,7 +420,8 @@
   return aText;
 }
 
-/// The platform's store, as PROTOCOL.md tells it. It keeps its history for 20 s.
+/// The platform's store, as PROTOCOL.md tells it. It keeps its history for 20
+/// s.
 class Store
 {
 public:
@@ -495,8 +500,8 @@
           }
         }
         if (!events.empty() || Now() >= until || aPort.IsCut()) {
-          const std::string body =
-            "{\"events\":[" + events + "],\"as_of\":" + std::to_string(mRev) + "}";
+          const std::string body = "{\"events\":[" + events +
+                                   "],\"as_of\":" + std::to_string(mRev) + "}";
           guard.unlock();
           while (aPort.IsCut()) {
             SleepMs(5);
@@ -511,9 +516,9 @@
       for (const auto& [key, object] : objects) {
         items += (items.empty() ? "" : ",") + Text(object);
       }
-      const std::string body = "{\"items\":[" + items +
-                               "],\"has_more\":false,\"as_of\":" +
-                               std::to_string(mRev) + "}";
+      const std::string body =
+        "{\"items\":[" + items +
+        "],\"has_more\":false,\"as_of\":" + std::to_string(mRev) + "}";
       guard.unlock();
       return Reply(aConn, 200, body);
     }
@@ -574,9 +579,10 @@
   }
   static bool Reply(Conn& aConn, int aStatus, const std::string& aBody)
   {
-    return aConn.Send("HTTP/1.1 " + std::to_string(aStatus) +
-                      " X\r\nContent-Type: application/json\r\nContent-Length: " +
-                      std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
+    return aConn.Send(
+      "HTTP/1.1 " + std::to_string(aStatus) +
+      " X\r\nContent-Type: application/json\r\nContent-Length: " +
+      std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
   }
   void Append(Event aEvent)
   {
@@ -605,9 +611,9 @@
         uint64_t aSeq,
         int64_t aBorn)
 {
-  return "{\"service\":\"" + aService + "\",\"addr\":\"127.0.0.1:" +
-         std::to_string(aPort) + "\",\"zone\":\"" + aZone +
-         "\",\"version\":\"v1\",\"slots\":26,\"state\":\"" + aState +
+  return "{\"service\":\"" + aService +
+         "\",\"addr\":\"127.0.0.1:" + std::to_string(aPort) + "\",\"zone\":\"" +
+         aZone + "\",\"version\":\"v1\",\"slots\":26,\"state\":\"" + aState +
          "\",\"cold_left_ms\":0,\"seq\":" + std::to_string(aSeq) +
          ",\"born\":" + std::to_string(aBorn) + "}";
 }
@@ -742,9 +748,9 @@
             const std::string& aFields = "",
             const std::string& aBody = "")
 {
-  return aMethod + " " + aPath + " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " +
-         aId + "\r\nDeadline-Ms: " + std::to_string(aDeadlineMs) + "\r\n" +
-         aFields +
+  return aMethod + " " + aPath +
+         " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + aId +
+         "\r\nDeadline-Ms: " + std::to_string(aDeadlineMs) + "\r\n" + aFields +
          (aMethod == "GET"
             ? ""
             : "Content-Length: " + std::to_string(aBody.size()) + "\r\n") +
@@ -754,7 +760,10 @@
 /// Sends a request on a new connection and reads its answer.
 /// @return whether a head arrived
 inline bool
-Ask(uint16_t aPort, const std::string& aRequest, int aTimeoutMs, Message& aReply)
+Ask(uint16_t aPort,
+    const std::string& aRequest,
+    int aTimeoutMs,
+    Message& aReply)
 {
   Conn conn;
   if (!conn.Connect(aPort, aTimeoutMs) || !conn.Send(aRequest) ||
