review: ports of the scripts below those of the system's connections

Cause: in a clean clone, five scripts side by side, one of 20 runs ended with 2: a node didn't become ready, as its port had been taken meanwhile.

--- a/review/standin-3/kit.hpp
+++ b/review/standin-3/kit.hpp
@@ -22,6 +22,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -618,19 +619,28 @@
          ",\"born\":" + std::to_string(aBorn) + "}";
 }
 
-/// @return a port that was free a moment ago
+/// @return a port that was free a moment ago, below those that the system takes
+///         for connections, so that none of them takes it before the node does
 inline uint16_t
 FreePort()
 {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  (void)::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at));
-  socklen_t size = sizeof(at);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-  ::close(fd);
-  return ntohs(at.sin_port);
+  static std::set<uint16_t> given;
+  static std::random_device random;
+  for (int tries = 0; tries < 1000; ++tries) {
+    const auto port = static_cast<uint16_t>(12000 + random() % 20000);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(port);
+    const bool isFree =
+      ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0;
+    ::close(fd);
+    if (isFree && given.insert(port).second) {
+      return port;
+    }
+  }
+  std::exit(2);
 }
 
 /// A process of the system, with the command of deploy/system.toml and settings
