--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -31,6 +31,8 @@
   StoreEraRecorded = 3007,
   StoreObjectUnreadable = 3008,
   StoreWatchCut = 3009,
+  EntryOutdated = 3010,
+  EntryOrderRestarted = 3011,
   MemberRegistered = 3101,
   UpstreamLost = 3102,
   RosterFailed = 3103,
--- a/src/relay/feed.cc
+++ b/src/relay/feed.cc
@@ -61,21 +61,19 @@
   aFeed.mUnavailableFrom.reset();
 }
 
-/// Keeps the known contents when the first read of a later era arrives.
+/// Begins to withhold deleted objects when the first read of a later era
+/// arrives.
 void
-KeepEarlier(Feed& aFeed, TimePoint aConfirmedAt)
+BeginRestore(Feed& aFeed, TimePoint aConfirmedAt)
 {
-  for (const auto& [key, object] : aFeed.mObjects) {
-    aFeed.mRestored.mNewest.insert_or_assign(key, object);
-  }
   aFeed.mRestored.mWithheld.clear();
   aFeed.mRestored.mRestoredUntil = aConfirmedAt + kRestoreTime;
 }
 
-std::partial_ordering
-Compare(const Object& aL, const Object& aR, const ContentOrder& aOrder)
+std::optional<WriteOrder>
+OrderOf(const Object& aObject, const WriteOrderReader& aOrderOf)
 {
-  return aOrder ? aOrder(aL, aR) : std::partial_ordering::unordered;
+  return aOrderOf ? aOrderOf(aObject) : std::nullopt;
 }
 
 /// Withholds aRead if it is a deleted object that has only been restored.
@@ -83,29 +81,43 @@
 bool
 Withhold(RestoredObjects& aRestored,
          const Object& aRead,
-         const ContentOrder& aOrder)
+         const WriteOrderReader& aOrderOf)
 {
   aRestored.mWithheld.erase(aRead.mKey);
+  const std::optional<WriteOrder> order = OrderOf(aRead, aOrderOf);
   for (const Object& it : aRestored.mDeleted) {
-    if (it.mKey == aRead.mKey && std::is_lteq(Compare(aRead, it, aOrder))) {
+    if (it.mKey != aRead.mKey) {
+      continue;
+    }
+    const std::optional<WriteOrder> deleted = OrderOf(it, aOrderOf);
+    if (order && deleted && *order <= *deleted) {
       aRestored.mWithheld.insert_or_assign(it.mKey, it);
     }
   }
   return aRestored.mWithheld.contains(aRead.mKey);
 }
 
-/// Gives aRead the newest known content if it is older than that.
+/// Replaces outdated contents, and leaves out outdated objects that the feed
+/// doesn't have.
 void
-RenewContent(RestoredObjects& aRestored,
-             Object& aRead,
-             const ContentOrder& aOrder)
+CorrectContents(Feed& aFeed,
+                Listing& aRead,
+                const WriteOrderReader& aOrderOf,
+                TimePoint aConfirmedAt)
 {
-  const auto [it, isNew] = aRestored.mNewest.try_emplace(aRead.mKey, aRead);
-  if (!isNew && std::is_lt(Compare(aRead, it->second, aOrder))) {
-    aRead.mValue = it->second.mValue;
-  } else {
-    it->second = aRead;
+  std::vector<Object> corrected;
+  corrected.reserve(aRead.mObjects.size());
+  for (Object& it : aRead.mObjects) {
+    const std::optional<WriteOrder> order = OrderOf(it, aOrderOf);
+    if (order && IsOutdated(aFeed.mWrites, it, *order, aConfirmedAt)) {
+      if (!aFeed.mObjects.contains(it.mKey)) {
+        continue;
+      }
+      it.mValue = aFeed.mWrites.at(it.mKey).mValue;
+    }
+    corrected.push_back(std::move(it));
   }
+  aRead.mObjects = std::move(corrected);
 }
 
 /// Ends the withholding: withheld objects that aRead does not have are added to
@@ -139,34 +151,35 @@
 } // namespace
 
 Listing
-CorrectRestored(Feed& aFeed,
-                Listing aRead,
-                bool aIsSnapshot,
-                const ContentOrder& aOrder,
-                TimePoint aConfirmedAt)
+CorrectRead(Feed& aFeed,
+            Listing aRead,
+            bool aIsSnapshot,
+            const WriteOrderReader& aOrderOf,
+            TimePoint aConfirmedAt)
 {
   // Also for the first read, as the store may have returned just before it.
   if (EraOf(aRead.mRevision) > EraOf(aFeed.mRevision)) {
-    KeepEarlier(aFeed, aConfirmedAt);
+    BeginRestore(aFeed, aConfirmedAt);
   }
   RestoredObjects& restored = aFeed.mRestored;
   if (aIsSnapshot) {
     restored.mWithheld.clear();
+    ForgetOldWrites(
+      aFeed.mWrites,
+      [&](const std::string& aKey) { return aFeed.mObjects.contains(aKey); },
+      aConfirmedAt);
   }
   for (const std::string& it : aRead.mDeleted) {
     restored.mWithheld.erase(it);
   }
   if (aConfirmedAt < restored.mRestoredUntil) {
     std::erase_if(aRead.mObjects, [&](const Object& it) {
-      return Withhold(restored, it, aOrder);
+      return Withhold(restored, it, aOrderOf);
     });
-    for (Object& it : aRead.mObjects) {
-      RenewContent(restored, it, aOrder);
-    }
   } else {
     AddWithheld(restored, aRead);
-    restored.mNewest.clear();
   }
+  CorrectContents(aFeed, aRead, aOrderOf, aConfirmedAt);
   return aRead;
 }
 
--- a/src/relay/feed.h
+++ b/src/relay/feed.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "core/clock.h"
+#include "relay/writeorder.h"
 #include "store/platform.h"
 
-#include <compare>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,22 +18,15 @@
   uint64_t mRevision = 0;
 };
 
-/// Compares two contents of one object by what their writer states of them,
-/// such as a sequence number; unordered if they state nothing.
-using ContentOrder =
-  std::function<std::partial_ordering(const Object& aL, const Object& aR)>;
-
 /// What was known of the objects before the store returned from an older copy.
 struct RestoredObjects
 {
-  /// The newest contents by key, from before and after the return.
-  std::map<std::string, Object> mNewest;
   /// Recently deleted objects, oldest first, in case the store loses that.
   std::deque<Object> mDeleted;
   /// Objects that are back although they had been deleted. The store removes
   /// them again if nobody renews them.
   std::map<std::string, Object> mWithheld;
-  /// Until when contents may be older and deleted objects may be back.
+  /// Until when deleted objects may be back.
   TimePoint mRestoredUntil;
 };
 
@@ -52,23 +44,25 @@
   std::deque<Deletion> mDeletions; ///< in order of their revisions
   TimePoint mConfirmedAt;          ///< the store had nothing newer at this time
   RestoredObjects mRestored;
+  KnownWrites mWrites; ///< the newest of each object
   /// Set after a failed read: the feed is unavailable to followers from then.
   std::optional<TimePoint> mUnavailableFrom;
 };
 
-/// Makes a read of a restored store consistent with what the feed knew before:
-/// an object older than its last known content gets that content, and a deleted
-/// object that has returned without a newer content is left out for some time.
+/// Makes a read consistent with what the feed knew before: an object whose
+/// content is older than its newest known one gets that content, or is left out
+/// if it was deleted meanwhile. After a return of the store, a deleted object
+/// that is back without a newer content is left out for some time.
 /// @param aIsSnapshot whether aRead has all objects, not only changes
-/// @param aOrder may be empty if no contents can be compared
+/// @param aOrderOf may be empty if no contents state their order
 /// @param aConfirmedAt time at which the store had nothing newer
 /// @return the corrected read
 Listing
-CorrectRestored(Feed& aFeed,
-                Listing aRead,
-                bool aIsSnapshot,
-                const ContentOrder& aOrder,
-                TimePoint aConfirmedAt);
+CorrectRead(Feed& aFeed,
+            Listing aRead,
+            bool aIsSnapshot,
+            const WriteOrderReader& aOrderOf,
+            TimePoint aConfirmedAt);
 
 /// Replaces the objects by those of a full listing; objects missing from it
 /// count as deleted. A listing older than the feed is ignored.
--- a/src/relay/feedcache.cc
+++ b/src/relay/feedcache.cc
@@ -20,9 +20,9 @@
 
 } // namespace
 
-FeedCache::FeedCache(const Clock& aClock, ContentOrder aOrder)
+FeedCache::FeedCache(const Clock& aClock, WriteOrderReader aOrderOf)
   : mClock(aClock)
-  , mOrder(std::move(aOrder))
+  , mOrderOf(std::move(aOrderOf))
 {
 }
 
@@ -35,8 +35,8 @@
   {
     const std::lock_guard guard(mLock);
     Feed& feed = mFeeds[std::string(aPrefix)];
-    aListing = CorrectRestored(
-      feed, std::move(aListing), aIsSnapshot, mOrder, aConfirmedAt);
+    aListing = CorrectRead(
+      feed, std::move(aListing), aIsSnapshot, mOrderOf, aConfirmedAt);
     if (aIsSnapshot) {
       ApplySnapshot(feed, aListing, aConfirmedAt);
     } else {
--- a/src/relay/feedcache.h
+++ b/src/relay/feedcache.h
@@ -22,14 +22,14 @@
 class FeedCache
 {
 public:
-  /// @param aOrder tells which of two contents of an object is the newer one;
-  ///        empty if none can be compared
-  explicit FeedCache(const Clock& aClock, ContentOrder aOrder = {});
+  /// @param aOrderOf reads the order of an object's content; empty if none
+  ///        states one
+  explicit FeedCache(const Clock& aClock, WriteOrderReader aOrderOf = {});
 
   /// Applies the result of a read to the feed of aPrefix.
   /// @param aIsSnapshot whether aListing has all objects, not only changes
   /// @param aConfirmedAt time at which the store had nothing newer
-  /// @return the read, corrected by what a restored store has lost
+  /// @return the read, corrected by what is known to be newer
   Listing Update(std::string_view aPrefix,
                  Listing aListing,
                  bool aIsSnapshot,
@@ -55,7 +55,7 @@
   Result<Listing> ReadFeed(const Feed& aFeed, uint64_t aSince) const;
 
   const Clock& mClock;
-  const ContentOrder mOrder;
+  const WriteOrderReader mOrderOf;
   mutable std::mutex mLock; ///< guards mFeeds
   std::condition_variable mChanged;
   std::map<std::string, Feed, std::less<>> mFeeds;
--- a/src/relay/relayedplatform.h
+++ b/src/relay/relayedplatform.h
@@ -100,7 +100,7 @@
   std::string StoreReadsKey(std::string_view aPrefix) const;
   bool MayReadStore(std::string_view aPrefix) const;
   void RecordStoreResult(std::string_view aPrefix, bool aSucceeded);
-  /// @return the read, corrected by what a restored store has lost
+  /// @return the read, corrected by what is known to be newer
   Result<Listing> RecordRead(std::string_view aPrefix,
                              Result<Listing> aRead,
                              bool aIsSnapshot,
--- a/test/decodefuzz-test.cc
+++ b/test/decodefuzz-test.cc
@@ -80,7 +80,7 @@
     CHECK(!vm || (vm.value().mAddress.mPort > 0 && !vm.value().mId.empty()));
     (void)DecodeConfig(object);
     (void)ParseRosterEntry({ "peers/x", object.mVersion, object.mValue });
-    (void)CompareContents(object, object);
+    (void)WriteOrderOf(object);
   }
 }
 
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -141,7 +141,10 @@
 TEST(Decode, ComparesContentsByWhatTheirWriterStates)
 {
   const auto compare = [](const char* aKey, const char* aL, const char* aR) {
-    return CompareContents({ aKey, 9, aL }, { aKey, 3, aR });
+    const std::optional<WriteOrder> l = WriteOrderOf({ aKey, 9, aL });
+    const std::optional<WriteOrder> r = WriteOrderOf({ aKey, 3, aR });
+    return l && r ? std::partial_ordering(*l <=> *r)
+                  : std::partial_ordering::unordered;
   };
   const auto less = std::partial_ordering::less;
   const auto unordered = std::partial_ordering::unordered;
--- a/test/storeera-soak-test.cc
+++ b/test/storeera-soak-test.cc
@@ -113,7 +113,7 @@
           PeerReader aReadPeer)
     : mClock(aClock, aSkewMillis)
     , mDoor(aStore)
-    , mFeeds(mClock, CompareContents)
+    , mFeeds(mClock, WriteOrderOf)
     , mRelay({ mDoor, mFeeds, std::move(aReadPeer), aMetrics, mClock })
     , mWatcher(mRelay,
                { "servers/",
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -187,10 +187,10 @@
   return { aKey, aVersion, aNumber };
 }
 
-std::partial_ordering
-CompareNumbers(const Object& aL, const Object& aR)
+std::optional<WriteOrder>
+OrderOfNumber(const Object& aObject)
 {
-  return std::stoull(aL.mValue) <=> std::stoull(aR.mValue);
+  return WriteOrder{ 1, std::stoull(aObject.mValue) };
 }
 
 } // namespace
@@ -198,7 +198,7 @@
 TEST_GROUP(RestoredFeed)
 {
   ManualClock mClock;
-  FeedCache mFeeds{ mClock, CompareNumbers };
+  FeedCache mFeeds{ mClock, OrderOfNumber };
 
   Listing Update(const Listing& aListing, bool aIsSnapshot)
   {
@@ -257,10 +257,13 @@
   STRCMP_EQUAL("7", Since(0).value().mObjects[0].mValue.c_str());
   Update(ListingOf(At(3, 4), { Numbered("a/1", At(3, 4), "8") }), false);
   STRCMP_EQUAL("8", Since(0).value().mObjects[0].mValue.c_str());
-  // Afterwards the store's order holds.
+  // An older content remains older afterwards, unless its writer goes on.
   mClock.Advance(seconds(11));
   Update(ListingOf(At(3, 5), { Numbered("a/1", At(3, 5), "2") }), false);
-  STRCMP_EQUAL("2", Since(0).value().mObjects[0].mValue.c_str());
+  STRCMP_EQUAL("8", Since(0).value().mObjects[0].mValue.c_str());
+  mClock.Advance(seconds(11));
+  Update(ListingOf(At(3, 6), { Numbered("a/1", At(3, 6), "3") }), false);
+  STRCMP_EQUAL("3", Since(0).value().mObjects[0].mValue.c_str());
 }
 
 // Guards against a target that has left and takes new work, as the store has
