--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -54,6 +54,7 @@
   PlannerCutOff = 4009,
   ModelNotFormable = 4010,
   OrderWithdrawn = 4011,
+  MembershipDoubted = 4012,
   TargetEjected = 4101,
   RequestRefused = 5001,
   RequestRetried = 5002,
--- a/src/placement/formation.cc
+++ b/src/placement/formation.cc
@@ -130,11 +130,14 @@
 PlanFormations(PlannerState& aState,
                const PlannerView& aView,
                TimePoint aNow,
-               std::vector<FleetOrder>& aOrders)
+               PlannerStep& aStep)
 {
-  FormationContext context{ aState, aView, aNow, aOrders, {}, {},
-                            0,      {},    {},   {},      {} };
+  FormationContext context{ aState, aView, aNow, aStep, {}, {},
+                            0,      {},    {},   {},    {} };
   CollectFreeVms(context);
+  if (context.mAwaitsProof) {
+    return;
+  }
   // At the first start, VMs appear one after the other. Planning once all are
   // present leaves the fewest VMs without a group.
   if (aView.mBeforeTraffic && !HaveAllAppeared(context)) {
--- a/src/placement/formationcontext.cc
+++ b/src/placement/formationcontext.cc
@@ -1,6 +1,7 @@
 #include "placement/formationcontext.h"
 
 #include "observe/events.h"
+#include "placement/believedvms.h"
 
 #include <algorithm>
 #include <cmath>
@@ -69,16 +70,23 @@
     if (vm.mService != aContext.mView.mService || vm.mState != VmState::Live) {
       continue;
     }
-    const PlannedVm& planned = aContext.mState.mVms[id];
-    if (IsUnresponsive(planned.mSilence, aContext.mNow) ||
-        IsInZoneOut(aContext.mView, vm)) {
+    const Availability availability =
+      AvailabilityOf(aContext.mState, aContext.mView, vm, aContext.mNow);
+    if (availability == Availability::Unresponsive ||
+        availability == Availability::ZoneOut) {
       continue;
     }
     ++aContext.mLive;
-    if (!unavailable.contains(id) && !IsLapsed(&vm) && !IsServingHead(&vm) &&
-        !IsInDoubt(planned.mSilence, aContext.mNow) &&
-        !IsLocked(aContext.mState, aContext.mView.mVms, id, aContext.mNow)) {
+    if (unavailable.contains(id)) {
+      continue;
+    }
+    if (availability == Availability::Free) {
       aContext.mFree[vm.mDomain].push_back(&vm);
+    } else if (availability == Availability::Unproven) {
+      // Without the VMs whose reports are about to arrive, a plan would be made
+      // for too few.
+      aContext.mAwaitsProof |=
+        AskForProof(aContext.mState, id, aContext.mStep, aContext.mNow);
     }
   }
 }
@@ -222,13 +230,15 @@
                   aContext.mNow + limit,
                   aContext.mNow + kOrderRepeatInterval });
   for (const std::string& it : aMembers) {
-    aContext.mOrders.push_back({ OrderKind::Join,
-                                 it,
-                                 aContext.mState.mVms[it].mAddress,
-                                 key,
-                                 aModel.mName,
-                                 aMembers,
-                                 aContext.mState.mFence });
+    aContext.mStep.mOrders.push_back(
+      { OrderKind::Join,
+        it,
+        aContext.mState.mVms[it].mAddress,
+        key,
+        aModel.mName,
+        aMembers,
+        aContext.mState.mFence,
+        aContext.mState.mVms[it].mFacts.mOrderCount });
   }
   LogEvent(
     EventId::FleetGroupChanged,
--- a/src/placement/formationcontext.h
+++ b/src/placement/formationcontext.h
@@ -34,7 +34,7 @@
   PlannerState& mState;
   const PlannerView& mView;
   TimePoint mNow;
-  std::vector<FleetOrder>& mOrders;
+  PlannerStep& mStep; ///< receives the orders and the VMs to ask
   std::map<std::string, std::vector<const FleetVm*>> mFree; ///< by domain
   /// Spares that are joining without a load, each alone in a group; by VM.
   std::map<std::string, GroupKey> mJoiningSpares;
@@ -43,6 +43,7 @@
   std::map<DomainModel, size_t> mGroupCounts;   ///< number of groups
   std::map<std::string, std::set<std::string>> mModelsByDomain;
   std::map<std::string, double> mGroupsByModel; ///< number of groups
+  bool mAwaitsProof = false; ///< reports that may free VMs are about to arrive
 };
 
 /// Collects the free VMs and counts the groups of each domain and model.
--- a/src/placement/orders.h
+++ b/src/placement/orders.h
@@ -3,6 +3,7 @@
 #include "core/errors.h"
 #include "fleet/vm.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
   std::string mModel;                ///< for Join
   std::vector<std::string> mMembers; ///< for Join, the head first
   uint64_t mFence = 0;               ///< fencing number of the planner's lease
+  /// Orders that the VM must have carried out before; it refuses others. None
+  /// if any number will do.
+  std::optional<uint64_t> mExpectedCount{};
 };
 
 /// The result of an order.
@@ -55,6 +59,8 @@
   double mPace = 1; ///< factor on all times; above 1 for a slow VM
   uint32_t mRunning = 0;
   uint32_t mWaiting = 0;
+  std::optional<uint64_t> mOrderCount{}; ///< orders that it has carried out
+  uint64_t mStartedMillis = 0; ///< start of the VM; 0 if it doesn't tell
 };
 
 /// Sends orders and report requests to engines. Thread-safe.
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -42,9 +42,12 @@
     aState.mVms[aOrder.mVmId].mLastStartedModel.clear();
     return;
   }
+  // A VM that carried out another number of orders is asked for its report.
+  const bool isUnexpected =
+    aOutcome == OrderOutcome::InvalidState && aOrder.mExpectedCount;
   // The group cannot be formed: the next step dissolves it, as its deadline has
   // passed.
-  if (aOutcome != OrderOutcome::NoResponse) {
+  if (aOutcome != OrderOutcome::NoResponse && !isUnexpected) {
     group->second.mDeadline = aNow;
     aState.mVms[aOrder.mVmId].mLockedUntil = aNow + kOrderRepeatInterval;
   }
@@ -61,6 +64,12 @@
   return state;
 }
 
+bool
+IsOfLease(const PlannerState& aState, const GroupKey& aKey)
+{
+  return aKey.mEpoch >> kEpochBitsPerLease == aState.mFence;
+}
+
 bool
 IsInZoneOut(const PlannerView& aView, const FleetVm& aVm)
 {
@@ -160,6 +169,7 @@
 {
   RecordProbe(
     aState, aOrder.mVmId, aOutcome != OrderOutcome::NoResponse, aTimes);
+  RecordOrder(aState.mVms[aOrder.mVmId].mFacts, aOrder, aOutcome);
   if (aOrder.mKind == OrderKind::Join) {
     RecordJoin(aState, aOrder, aOutcome, aTimes.mEndedAt);
     return;
@@ -185,6 +195,25 @@
   }
 }
 
+void
+RecordReport(PlannerState& aState,
+             const std::string& aVmId,
+             const EngineReport& aReport,
+             const CallTimes& aTimes)
+{
+  RecordProbe(aState, aVmId, true, aTimes);
+  PlannedVm& planned = aState.mVms[aVmId];
+  const uint64_t startedMillis = aReport.mStartedMillis == 0
+                                   ? planned.mStartedMillis
+                                   : aReport.mStartedMillis;
+  if (startedMillis < planned.mStartedMillis &&
+      startedMillis != planned.mListedMillis) {
+    return;
+  }
+  planned.mStartedMillis = startedMillis;
+  RecordReport(planned.mFacts, aReport);
+}
+
 void
 RecordProbe(PlannerState& aState,
             const std::string& aVmId,
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -4,6 +4,7 @@
 #include "fleet/silence.h"
 #include "fleet/vm.h"
 #include "fleet/zonesout.h"
+#include "placement/membershipfacts.h"
 #include "placement/orders.h"
 
 #include <deque>
@@ -30,12 +31,14 @@
 /// list.
 struct PlannedVm
 {
-  uint64_t mStartedMillis = 0;
+  uint64_t mStartedMillis = 0; ///< of its latest known life
+  uint64_t mListedMillis = 0;  ///< start as the entry states it
   Endpoint mAddress;
-  TimePoint mLockedUntil;    ///< its previous group may still serve before then
-  std::string mLockedHead;   ///< head of that group, empty if unknown
-  GroupKey mLockedGroup;     ///< that group
-  bool mHasLeft = false;     ///< it confirmed an order to leave mLockedGroup
+  TimePoint mLockedUntil;  ///< its previous group may still serve before then
+  std::string mLockedHead; ///< head of that group, empty if unknown
+  GroupKey mLockedGroup;   ///< that group
+  bool mHasLeft = false;   ///< it confirmed an order to leave mLockedGroup
+  MembershipFacts mFacts;
   TimePoint mRepeatLeaveAt;  ///< no order to leave is repeated before then
   std::string mLoadingModel; ///< loaded from the weight store, or empty
   TimePoint mLoadingUntil;   ///< estimated end of that load
@@ -61,6 +64,9 @@
   GroupStage mStage = GroupStage::Forming;
   TimePoint mDeadline;      ///< the stage is abandoned then
   TimePoint mRepeatOrderAt; ///< the stage's order is not repeated before then
+  /// Whether all members of a group of an earlier lease have answered an order
+  /// of this one.
+  bool mIsFenced = false;
 };
 
 /// The planner's whole state. It starts empty with each lease and is rebuilt
@@ -80,6 +86,9 @@
   /// be members of such a group are not free.
   std::map<GroupKey, std::string> mUnreachableHeads;
   std::deque<TimePoint> mLoads; ///< start times of loads, the oldest first
+  /// Whether a step has run. A VM that is listed later than the first step has
+  /// had no orders of earlier leases.
+  bool mHasRun = false;
 };
 
 /// The input of one planner step.
@@ -102,6 +111,8 @@
 struct PlannerStep
 {
   std::vector<FleetOrder> mOrders;
+  /// VMs whose report is to show in which group they are.
+  std::set<std::string> mToAsk;
 };
 
 /// Number of a service's listed VMs by use.
@@ -137,6 +148,10 @@
 PlannerState
 MakePlannerState(uint64_t aFence);
 
+/// @return whether the group was formed under the lease of the state
+bool
+IsOfLease(const PlannerState& aState, const GroupKey& aKey);
+
 /// Updates the state from the view and decides the next orders. Existing groups
 /// are repaired first, then groups are formed, then spares are prepared.
 PlannerStep
@@ -167,6 +182,15 @@
               OrderOutcome aOutcome,
               const CallTimes& aTimes);
 
+/// Updates the state with the report of a VM. It is ignored if it is of another
+/// life than the VM's latest known one or the listed one, as another VM may
+/// respond at the address.
+void
+RecordReport(PlannerState& aState,
+             const std::string& aVmId,
+             const EngineReport& aReport,
+             const CallTimes& aTimes);
+
 /// Updates the state with the result of a probe.
 void
 RecordProbe(PlannerState& aState,
--- a/src/placement/planrunner.cc
+++ b/src/placement/planrunner.cc
@@ -154,7 +154,11 @@
   if (isNew) {
     service.mState = MakePlannerState(mFence);
   }
-  ProbeSuspects(aService, *aVms, service);
+  ProbeVms(
+    aService,
+    FindSuspects(
+      service.mState, *aService.mEngine, *aVms, mDependencies.mLoads, now),
+    service);
   RecordCut(aService.mName, service.mState);
   if (IsCutOff()) {
     return;
@@ -168,6 +172,7 @@
   for (FleetOrder& order : step.mOrders) {
     SendOrder(aService.mName, std::move(order));
   }
+  ProbeVms(aService, step.mToAsk, service);
   LogCounts(aService.mName, service, view);
   LogUnformable(service, view);
 }
@@ -243,13 +248,12 @@
 }
 
 void
-PlanRunner::ProbeSuspects(const FleetService& aService,
-                          const FleetVms& aVms,
-                          Service& aState)
+PlanRunner::ProbeVms(const FleetService& aService,
+                     const std::set<std::string>& aVmIds,
+                     Service& aState)
 {
   const TimePoint now = mDependencies.mClock.Now();
-  for (const std::string& it : FindSuspects(
-         aState.mState, *aService.mEngine, aVms, mDependencies.mLoads, now)) {
+  for (const std::string& it : aVmIds) {
     const auto vm = aState.mState.mVms.find(it);
     if (vm == aState.mState.mVms.end() || vm->second.mAddress.mHost.empty() ||
         mDependencies.mLoads.Get(it).mQuietUntil > now) {
@@ -300,11 +304,14 @@
              { "answer", report ? "alive" : Describe(report.error()) } });
   const std::lock_guard guard(mLock);
   const auto it = mServices.find(aService);
-  if (it != mServices.end()) {
-    RecordProbe(it->second.mState,
-                aVmId,
-                report.has_value(),
-                { sentAt, mDependencies.mClock.Now() });
+  if (it == mServices.end()) {
+    return;
+  }
+  const CallTimes times{ sentAt, mDependencies.mClock.Now() };
+  if (report) {
+    RecordReport(it->second.mState, aVmId, report.value(), times);
+  } else {
+    RecordProbe(it->second.mState, aVmId, false, times);
   }
 }
 
--- a/src/placement/planrunner.h
+++ b/src/placement/planrunner.h
@@ -79,10 +79,10 @@
   void LogCounts(const std::string& aName,
                  Service& aService,
                  const PlannerView& aView);
-  /// Probes the VMs that are suspected to be unresponsive.
-  void ProbeSuspects(const FleetService& aService,
-                     const FleetVms& aVms,
-                     Service& aState);
+  /// Asks VMs for their reports, each after its interval.
+  void ProbeVms(const FleetService& aService,
+                const std::set<std::string>& aVmIds,
+                Service& aState);
   void Probe(const std::string& aService,
              const std::string& aVmId,
              Endpoint aTo);
--- a/src/placement/planstep.cc
+++ b/src/placement/planstep.cc
@@ -1,4 +1,5 @@
 #include "observe/events.h"
+#include "placement/believedvms.h"
 #include "placement/formation.h"
 
 #include <algorithm>
@@ -31,7 +32,7 @@
 
   PlannerStep Run()
   {
-    UpdateVms();
+    AskDoubted();
     AdoptGroups();
     for (auto it = mState.mGroups.begin(); it != mState.mGroups.end();) {
       const bool isPlanned = Advance(it->first, it->second);
@@ -40,31 +41,16 @@
       }
       it = isPlanned ? std::next(it) : mState.mGroups.erase(it);
     }
-    PlanFormations(mState, mView, mNow, mStep.mOrders);
+    PlanFormations(mState, mView, mNow, mStep);
     return std::move(mStep);
   }
 
 private:
-  void UpdateVms()
+  void AskDoubted()
   {
-    for (const auto& [id, vm] : mView.mVms) {
-      if (vm.mService != mView.mService) {
-        continue;
-      }
-      PlannedVm& planned = mState.mVms[id];
-      if (planned.mStartedMillis != vm.mStartedMillis) {
-        planned = PlannedVm{};
-        planned.mStartedMillis = vm.mStartedMillis;
-        mState.mLastNewVmAt = mNow;
-      }
-      planned.mAddress = vm.mAddress;
-      if (HasModel(vm, planned.mLoadingModel)) {
-        planned.mLoadingModel.clear();
-        planned.mLoadingUntil = {};
-      }
-      if (vm.mMembership &&
-          vm.mMembership->mPhase != MembershipPhase::Joining) {
-        planned.mLastStartedModel = vm.mMembership->mModel;
+    for (const auto& [id, vm] : mState.mVms) {
+      if (vm.mFacts.mIsDoubted && mView.mVms.contains(id)) {
+        mStep.mToAsk.insert(id);
       }
     }
   }
@@ -80,9 +66,12 @@
       if (mState.mUnreachableHeads.contains(it.mKey)) {
         LockMembers(it);
       }
-      if (!mState.mGroups.contains(it.mKey) && !IsIgnored(it)) {
-        AdoptGroup(it);
+      if (mState.mGroups.contains(it.mKey) || IsIgnored(it) ||
+          (HeadOf(it) == nullptr &&
+           AskForHead(mState, mView, it, mStep, mNow))) {
+        continue;
       }
+      AdoptGroup(it);
     }
   }
 
@@ -216,7 +205,7 @@
       const FleetVm* vm = FindVm(mView.mVms, it);
       if (vm == nullptr || vm->mState != VmState::Live || IsLapsed(vm) ||
           IsLost(mState, mView.mVms, it, mNow)) {
-        return Dissolve(aKey, aGroup, "lost_while_forming", it);
+        return EndForming(aKey, aGroup, "lost_while_forming", it);
       }
       const bool isMember = IsMemberOf(vm, aKey);
       ready +=
@@ -225,22 +214,50 @@
     if (ready == aGroup.mMembers.size()) {
       const FleetModel* model = mView.mEngine.FindModel(aGroup.mModel);
       if (model == nullptr || model->mSize != aGroup.mMembers.size()) {
-        return Dissolve(aKey, aGroup, "spare_ready", "");
+        return EndForming(aKey, aGroup, "spare_ready", "");
       }
       aGroup.mStage = GroupStage::Serving;
       aGroup.mRepeatOrderAt = mNow;
       return AdvanceServing(aKey, aGroup);
     }
     if (mNow >= aGroup.mDeadline) {
-      return Dissolve(aKey, aGroup, "too_slow", "");
+      return EndForming(aKey, aGroup, "too_slow", "");
     }
-    if (mNow >= aGroup.mRepeatOrderAt) {
+    if (mNow >= aGroup.mRepeatOrderAt && AreProven(aGroup)) {
       aGroup.mRepeatOrderAt = mNow + kOrderRepeatInterval;
       RepeatJoins(aKey, aGroup);
     }
     return true;
   }
 
+  /// Has the members asked of which a join without response, or one that they
+  /// refused, leaves open in which group they are.
+  /// @return whether there is none
+  bool AreProven(const PlannedGroup& aGroup)
+  {
+    bool areProven = true;
+    for (const std::string& it : aGroup.mMembers) {
+      if (!mState.mVms[it].mFacts.mIsProven) {
+        mStep.mToAsk.insert(it);
+        areProven = false;
+      }
+    }
+    return areProven;
+  }
+
+  /// Gives up a group that has not been opened. One of an earlier lease may
+  /// have been, whatever its entries show; a single VM proves itself what it is
+  /// in.
+  bool EndForming(const GroupKey& aKey,
+                  PlannedGroup& aGroup,
+                  const char* aReason,
+                  const std::string& aVmId)
+  {
+    return IsOfLease(mState, aKey) || aGroup.mMembers.size() == 1
+             ? Dissolve(aKey, aGroup, aReason, aVmId)
+             : StartLeaving(aKey, aGroup, aReason, aVmId);
+  }
+
   /// @return whether the head of the VM's group, which may be the VM itself, is
   ///         listed as serving
   bool IsHeadServing(const FleetVm* aVm) const
@@ -256,11 +273,10 @@
   {
     for (const std::string& it : aGroup.mMembers) {
       const FleetVm* vm = FindVm(mView.mVms, it);
-      if (!IsMemberOf(vm, aKey) && !IsHeadServing(vm)) {
-        FleetOrder& order = Order(OrderKind::Join, it, aKey);
-        order.mModel = aGroup.mModel;
-        order.mMembers = aGroup.mMembers;
+      if (IsMemberOf(vm, aKey) || IsHeadServing(vm)) {
+        continue;
       }
+      OrderJoin(it, aKey, aGroup);
     }
   }
 
@@ -312,6 +328,14 @@
       aGroup.mRepeatOrderAt = mNow;
       return AdvanceClosing(aKey, aGroup);
     }
+    if (!opened && !IsOfLease(mState, aKey)) {
+      if (mNow >= aGroup.mDeadline) {
+        return StartLeaving(aKey, aGroup, "not_opened", "");
+      }
+      if (!aGroup.mIsFenced && !AreFenced(aKey, aGroup)) {
+        return true;
+      }
+    }
     if (!opened && mNow >= aGroup.mRepeatOrderAt) {
       Order(OrderKind::Open, headId, aKey);
       aGroup.mRepeatOrderAt =
@@ -342,6 +366,43 @@
     return true;
   }
 
+  /// Repeats the joins of a group that an earlier lease has formed, as a late
+  /// order of that lease may take a member away once the head has opened. A
+  /// member that has answered an order of this lease refuses it.
+  /// @return whether all members have
+  bool AreFenced(const GroupKey& aKey, PlannedGroup& aGroup)
+  {
+    const bool areFenced = std::all_of(
+      aGroup.mMembers.begin(),
+      aGroup.mMembers.end(),
+      [&](const std::string& it) { return mState.mVms[it].mFacts.mIsFenced; });
+    if (areFenced) {
+      aGroup.mIsFenced = true;
+      aGroup.mRepeatOrderAt = mNow;
+      return true;
+    }
+    if (mNow < aGroup.mRepeatOrderAt) {
+      return false;
+    }
+    aGroup.mRepeatOrderAt = mNow + kOrderRepeatInterval;
+    for (const std::string& it : aGroup.mMembers) {
+      if (!mState.mVms[it].mFacts.mIsFenced) {
+        OrderJoin(it, aKey, aGroup);
+      }
+    }
+    return false;
+  }
+
+  void OrderJoin(const std::string& aVmId,
+                 const GroupKey& aKey,
+                 const PlannedGroup& aGroup)
+  {
+    FleetOrder& order = Order(OrderKind::Join, aVmId, aKey);
+    order.mModel = aGroup.mModel;
+    order.mMembers = aGroup.mMembers;
+    order.mExpectedCount = mState.mVms[aVmId].mFacts.mOrderCount;
+  }
+
   bool StartLeaving(const GroupKey& aKey,
                     PlannedGroup& aGroup,
                     const char* aReason,
@@ -362,11 +423,19 @@
   /// stall timeout.
   void DetachMembers(const GroupKey& aKey, const PlannedGroup& aGroup)
   {
-    mState.mUnreachableHeads[aKey] = aGroup.mMembers[0];
-    for (const std::string& it : aGroup.mMembers) {
-      Lock(it, aGroup.mMembers[0], aKey);
-      if (it != aGroup.mMembers[0] &&
-          IsMemberOf(FindVm(mView.mVms, it), aKey)) {
+    const std::string& head = aGroup.mMembers[0];
+    mState.mUnreachableHeads[aKey] = head;
+    std::set<std::string> members(aGroup.mMembers.begin(),
+                                  aGroup.mMembers.end());
+    // A member may have been listed later than the group was taken up.
+    for (const auto& [id, vm] : mView.mVms) {
+      if (IsMemberOf(&vm, aKey)) {
+        members.insert(id);
+      }
+    }
+    for (const std::string& it : members) {
+      Lock(it, head, aKey);
+      if (it != head && IsMemberOf(FindVm(mView.mVms, it), aKey)) {
         Order(OrderKind::Leave, it, aKey);
       }
     }
@@ -414,7 +483,14 @@
          const PlannerLimits& aLimits,
          TimePoint aNow)
 {
-  return StepPlanner(aState, aView, aLimits, aNow).Run();
+  UpdateVms(aState, aView, aNow);
+  const std::optional<FleetVms> believed = CorrectMemberships(aState, aView);
+  const PlannerView view{ believed ? *believed : aView.mVms,
+                          aView.mService,
+                          aView.mEngine,
+                          aView.mBeforeTraffic,
+                          aView.mZones };
+  return StepPlanner(aState, view, aLimits, aNow).Run();
 }
 
 } // namespace hibiscushold
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -65,14 +65,25 @@
   CHECK_EQUAL(4U, mWorld.MembersOf(head).size());
 }
 
-TEST(Planner, ANewPlannerOpensReadyGroups)
+// Guards against a late join of the planner before that takes a member of the
+// group after its head has opened (TWO): each member answers an order first.
+TEST(Planner, ANewPlannerOpensReadyGroupsOnceTheirMembersRefuseOldOrders)
 {
   const std::string head = FormOneOf("big", 5);
   mWorld.mVms[head].mMembership->mPhase = MembershipPhase::Ready;
+  const GroupKey group = mWorld.mVms[head].mMembership->mKey;
   mWorld.mState = MakePlannerState(8);
-  const std::vector<FleetOrder> orders = mWorld.Step();
-  CHECK(mWorld.FindOrder(orders, OrderKind::Open, head) != nullptr);
-  CHECK_EQUAL(1U, orders.size());
+  std::vector<FleetOrder> orders = mWorld.Step();
+  const std::vector<FleetOrder> later = mWorld.Step();
+  orders.insert(orders.end(), later.begin(), later.end());
+  CHECK_EQUAL(5U, orders.size());
+  for (size_t n = 0; n < 4; ++n) {
+    CHECK(OrderKind::Join == orders[n].mKind);
+    CHECK(group == orders[n].mGroup);
+    CHECK_EQUAL(4U, orders[n].mMembers.size());
+  }
+  CHECK(OrderKind::Open == orders[4].mKind);
+  STRCMP_EQUAL(head.c_str(), orders[4].mVmId.c_str());
 }
 
 // Guards against adding a head that still serves to another group: its entry is
@@ -155,8 +166,11 @@
 TEST(Planner, RepeatsAJoinWithoutResponseUnchanged)
 {
   mWorld.Add("d0", 3, "small");
+  mWorld.mBeforeTraffic = true;
+  mWorld.Step();
   mWorld.mUnresponsive.insert("d0-1");
   const std::vector<FleetOrder> first = mWorld.Step(seconds(1));
+  mWorld.mUnresponsive.clear();
   const std::vector<FleetOrder> second = mWorld.Step(milliseconds(500));
   const FleetOrder* firstJoin =
     mWorld.FindOrder(first, OrderKind::Join, "d0-1");
--- a/test/planner-two-test.cc
+++ b/test/planner-two-test.cc
@@ -163,6 +163,13 @@
     mWorld.mVms[mHead].mMembership->mPhase = aPhase;
   }
 
+  /// The head has not carried out the order to open yet.
+  void UndoOpening()
+  {
+    SetPhase(MembershipPhase::Ready);
+    mWorld.mState.mVms[mHead].mFacts.mGroup->mPhase = MembershipPhase::Ready;
+  }
+
   void LoseLastMember()
   {
     mWorld.mVms[mWorld.MembersOf(mHead).back()].mState = VmState::Leaving;
@@ -180,7 +187,7 @@
 TEST(PlannerLateOrders, MembersAreNotFreeBeforeTheHeadHasLeft)
 {
   Form();
-  SetPhase(MembershipPhase::Ready);
+  UndoOpening();
   mWorld.mUnresponsive = { mHead };
   LoseLastMember();
   const std::vector<FleetOrder> orders = mWorld.Step();
--- a/test/plannerworld.h
+++ b/test/plannerworld.h
@@ -53,15 +53,13 @@
   {
     mNow += aElapsed;
     ApplyLapses(mVms, mNow);
-    PlannerStep step =
-      PlanStep(mState,
-               { mVms, kService, mEngine, mBeforeTraffic, &mZones },
-               mLimits,
-               mNow);
-    for (const FleetOrder& it : step.mOrders) {
-      RecordOutcome(mState, it, CarryOut(it), { mNow, mNow });
+    std::vector<FleetOrder> orders = PlanOnce();
+    // Reports take no time either.
+    for (int n = 0; n < 3 && AnswerAsked(); ++n) {
+      std::vector<FleetOrder> more = PlanOnce();
+      orders.insert(orders.end(), more.begin(), more.end());
     }
-    return std::move(step.mOrders);
+    return orders;
   }
 
   /// Runs planner steps until there are no more orders, at most twenty.
@@ -161,16 +159,88 @@
   std::set<std::string> mUnresponsive; ///< VMs that do not respond
   FleetVms mUnlisted;                  ///< VMs without an entry, as they are
 
+  /// A VM that joined another group while the head of its own was open; empty
+  /// if there is none.
+  std::string mTwo;
+  std::set<std::string> mReported; ///< VMs that were asked for their reports
+  /// VMs as they are, where their entries show something else.
+  FleetVms mActual;
+
 private:
+  std::vector<FleetOrder> PlanOnce()
+  {
+    PlannerStep step =
+      PlanStep(mState,
+               { mVms, kService, mEngine, mBeforeTraffic, &mZones },
+               mLimits,
+               mNow);
+    for (const FleetOrder& it : step.mOrders) {
+      RecordOutcome(mState, it, CarryOut(it), { mNow, mNow });
+    }
+    mAsked = std::move(step.mToAsk);
+    return std::move(step.mOrders);
+  }
+
+  /// @return the VM as it is, or null if it does not respond
+  FleetVm* Reach(const std::string& aVmId)
+  {
+    FleetVms& vms = mActual.contains(aVmId)     ? mActual
+                    : mUnlisted.contains(aVmId) ? mUnlisted
+                                                : mVms;
+    const auto it = vms.find(aVmId);
+    const bool responds = it != vms.end() && !mUnresponsive.contains(aVmId);
+    return responds ? &it->second : nullptr;
+  }
+
+  /// Records the reports of the VMs that the last step asked for.
+  /// @return whether any responded
+  bool AnswerAsked()
+  {
+    bool answered = false;
+    for (const std::string& it : mAsked) {
+      const FleetVm* vm = Reach(it);
+      if (vm == nullptr) {
+        continue;
+      }
+      EngineReport report;
+      report.mMembership = vm->mMembership;
+      report.mOrderCount = mOrderCounts[it];
+      report.mStartedMillis = vm->mStartedMillis;
+      RecordReport(mState, it, report, { mNow, mNow });
+      mReported.insert(it);
+      answered = true;
+    }
+    return answered;
+  }
+
+  void CheckTwo(const FleetVm& aVm)
+  {
+    for (const auto& [id, listed] : mVms) {
+      const auto actual = mActual.find(id);
+      const FleetVm& vm = actual == mActual.end() ? listed : actual->second;
+      if (aVm.mMembership && IsMemberOf(&vm, aVm.mMembership->mKey) &&
+          IsServingHead(&vm)) {
+        mTwo = aVm.mId;
+      }
+    }
+  }
+
   OrderOutcome CarryOut(const FleetOrder& aOrder)
   {
-    FleetVms& vms = mUnlisted.contains(aOrder.mVmId) ? mUnlisted : mVms;
-    const auto it = vms.find(aOrder.mVmId);
-    if (it == vms.end() || mUnresponsive.contains(aOrder.mVmId)) {
+    FleetVm* reached = Reach(aOrder.mVmId);
+    if (reached == nullptr) {
       return OrderOutcome::NoResponse;
     }
-    FleetVm& vm = it->second;
+    FleetVm& vm = *reached;
+    uint64_t& count = mOrderCounts[aOrder.mVmId];
+    if (aOrder.mExpectedCount.value_or(count) != count) {
+      return OrderOutcome::InvalidState;
+    }
     if (aOrder.mKind == OrderKind::Join) {
+      if (IsMemberOf(&vm, aOrder.mGroup)) {
+        return OrderOutcome::AlreadyDone;
+      }
+      CheckTwo(vm);
       const auto rank = std::find(aOrder.mMembers.begin(),
                                   aOrder.mMembers.end(),
                                   aOrder.mVmId) -
@@ -184,6 +254,7 @@
       if (!loads) {
         vm.mStaged = { aOrder.mModel };
       }
+      ++count;
       return OrderOutcome::Accepted;
     }
     if (!vm.mMembership || vm.mMembership->mKey != aOrder.mGroup) {
@@ -199,8 +270,12 @@
       default:
         vm.mMembership.reset();
     }
+    ++count;
     return OrderOutcome::AlreadyDone;
   }
+
+  std::set<std::string> mAsked; ///< by the last step
+  std::map<std::string, uint64_t> mOrderCounts;
 };
 
 } // namespace hibiscushold
--- a/test/silentvm-test.cc
+++ b/test/silentvm-test.cc
@@ -109,7 +109,9 @@
 // orders for about a second.
 TEST(SilentVm, AFormingGroupWaitsForAMemberThatGoesOnAfterASecond)
 {
+  mWorld.mBeforeTraffic = true;
   mWorld.Add("d0", 4, "big");
+  mWorld.Step();
   mWorld.mUnresponsive.insert("d0-1");
   const std::vector<FleetOrder> first = mWorld.Step(seconds(1));
   const FleetOrder* join = mWorld.FindOrder(first, OrderKind::Join, "d0-1");
