--- a/src/relay/feed.cc
+++ b/src/relay/feed.cc
@@ -90,7 +90,7 @@
       continue;
     }
     const std::optional<WriteOrder> deleted = OrderOf(it, aOrderOf);
-    if (order && deleted && *order <= *deleted) {
+    if (order && deleted && !(*deleted < *order)) {
       aRestored.mWithheld.insert_or_assign(it.mKey, it);
     }
   }
--- a/src/relay/writeorder.cc
+++ b/src/relay/writeorder.cc
@@ -30,7 +30,7 @@
 GoesOn(const KnownWrite& aKnown, const WriteOrder& aOrder, TimePoint aNow)
 {
   if (aOrder.mStart == 0 || !aKnown.mOverwrittenAt ||
-      aOrder <= aKnown.mOverwrittenOrder) {
+      !(aKnown.mOverwrittenOrder < aOrder)) {
     return false;
   }
   const auto confirmTime =
@@ -48,7 +48,7 @@
 {
   const auto [it, isNew] = aKnown.try_emplace(aRead.mKey);
   KnownWrite& known = it->second;
-  if (isNew || aOrder >= known.mOrder) {
+  if (isNew || !(aOrder < known.mOrder)) {
     Accept(known, aRead, aOrder, aNow);
     return false;
   }
--- a/src/relay/writeorder.h
+++ b/src/relay/writeorder.h
@@ -3,11 +3,11 @@
 #include "core/clock.h"
 #include "store/platform.h"
 
-#include <compare>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace hibiscushold {
 
@@ -17,7 +17,11 @@
   uint64_t mStart = 0; ///< when the writer started; 0 if writes outlive it
   uint64_t mCount = 0; ///< number of the write since then
 
-  auto operator<=>(const WriteOrder&) const = default;
+  bool operator==(const WriteOrder&) const = default;
+  bool operator<(const WriteOrder& aOther) const
+  {
+    return std::tie(mStart, mCount) < std::tie(aOther.mStart, aOther.mCount);
+  }
 };
 
 /// Reads the order of an object's content; none if its writer states none.
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -143,8 +143,12 @@
   const auto compare = [](const char* aKey, const char* aL, const char* aR) {
     const std::optional<WriteOrder> l = WriteOrderOf({ aKey, 9, aL });
     const std::optional<WriteOrder> r = WriteOrderOf({ aKey, 3, aR });
-    return l && r ? std::partial_ordering(*l <=> *r)
-                  : std::partial_ordering::unordered;
+    if (!l || !r) {
+      return std::partial_ordering::unordered;
+    }
+    return *l < *r   ? std::partial_ordering::less
+           : *r < *l ? std::partial_ordering::greater
+                     : std::partial_ordering::equivalent;
   };
   const auto less = std::partial_ordering::less;
   const auto unordered = std::partial_ordering::unordered;
