--- a/src/placement/orders.h
+++ b/src/placement/orders.h
@@ -56,7 +56,8 @@
 struct EngineReport
 {
   std::optional<GroupMembership> mMembership;
-  double mPace = 1; ///< factor on all times; above 1 for a slow VM
+  bool mTellsMembership = true; ///< false if its group can't be read
+  double mPace = 1;             ///< factor on all times; above 1 for a slow VM
   uint32_t mRunning = 0;
   uint32_t mWaiting = 0;
   std::optional<uint64_t> mOrderCount{}; ///< orders that it has carried out
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -206,8 +206,9 @@
   const uint64_t startedMillis = aReport.mStartedMillis == 0
                                    ? planned.mStartedMillis
                                    : aReport.mStartedMillis;
-  if (startedMillis < planned.mStartedMillis &&
-      startedMillis != planned.mListedMillis) {
+  const bool isOtherLife = startedMillis < planned.mStartedMillis &&
+                           startedMillis != planned.mListedMillis;
+  if (isOtherLife || !aReport.mTellsMembership) {
     return;
   }
   planned.mStartedMillis = startedMillis;
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -182,9 +182,9 @@
               OrderOutcome aOutcome,
               const CallTimes& aTimes);
 
-/// Updates the state with the report of a VM. It is ignored if it is of another
-/// life than the VM's latest known one or the listed one, as another VM may
-/// respond at the address.
+/// Updates the state with the report of a VM. What it tells is ignored if its
+/// group can't be read, or if it is of another life than the VM's latest known
+/// one or the listed one, as another VM may respond at the address.
 void
 RecordReport(PlannerState& aState,
              const std::string& aVmId,
--- a/test/planner-entries-test.cc
+++ b/test/planner-entries-test.cc
@@ -106,6 +106,18 @@
   CHECK(mWorld.MembersOf(mHead).empty());
 }
 
+// Guards against a report whose group can't be read, and that is taken for one
+// of a VM without a group.
+TEST(PlannerEntries, AReportWithoutAReadableGroupIsNoProof)
+{
+  Form();
+  ShowOldEntry(mHead);
+  mWorld.mTellsMembership = false;
+  for (int n = 0; n < 5; ++n) {
+    CHECK(mWorld.Step(milliseconds(300)).empty());
+  }
+}
+
 // Guards against reports, which are priced, that the usual way doesn't need:
 // orders of this planner explain the entries.
 TEST(PlannerEntries, OrdersOfThisPlannerNeedNoReport)
--- a/test/plannerworld.h
+++ b/test/plannerworld.h
@@ -162,6 +162,7 @@
   /// A VM that joined another group while the head of its own was open; empty
   /// if there is none.
   std::string mTwo;
+  bool mTellsMembership = true;    ///< whether reports have a readable group
   std::set<std::string> mReported; ///< VMs that were asked for their reports
   /// VMs as they are, where their entries show something else.
   FleetVms mActual;
@@ -203,7 +204,10 @@
         continue;
       }
       EngineReport report;
-      report.mMembership = vm->mMembership;
+      report.mTellsMembership = mTellsMembership;
+      if (mTellsMembership) {
+        report.mMembership = vm->mMembership;
+      }
       report.mOrderCount = mOrderCounts[it];
       report.mStartedMillis = vm->mStartedMillis;
       RecordReport(mState, it, report, { mNow, mNow });
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -336,6 +336,39 @@
   }
 }
 
+// Guards against a report whose group can't be read, and that is taken for
+// proof that the VM has left its group (TWO).
+TEST(PlatformEngineControl, TellsNoMembershipWithoutAReadableGroup)
+{
+  const auto read = [this](const std::string& aGroup) {
+    ScriptedServer server(
+      { { MakeResponse(200, R"({"seq":7,"born":9)" + aGroup + "}") } });
+    return mEngines.GetReport(server.Address(), milliseconds(500)).value();
+  };
+  const EngineReport none = read("");
+  CHECK(none.mTellsMembership && !none.mMembership);
+  CHECK(none.mOrderCount == 7U);
+  CHECK_EQUAL(9U, none.mStartedMillis);
+  CHECK(read(R"(,"group":{"name":"g","epoch":1,"rank":0,"state":"open"})")
+          .mMembership.has_value());
+  for (const char* it : { R"("g")", "7", "[]", "{}", R"({"name":"g"})" }) {
+    CHECK_TEXT(!read(std::string(",\"group\":") + it).mTellsMembership, it);
+  }
+}
+
+// Guards against a join without the number of orders that its sender expects.
+TEST(PlatformEngineControl, SendsTheExpectedNumberOfOrders)
+{
+  ScriptedServer server(
+    { { MakeResponse(202, "{}") }, { MakeResponse(202, "{}") } });
+  FleetOrder order = MakeOrder(server.Address());
+  mEngines.SendOrder(order);
+  order.mExpectedCount = 0;
+  mEngines.SendOrder(order);
+  CHECK(server.Requests()[0].find("expect\"") == std::string::npos);
+  STRCMP_CONTAINS(R"("expect":0)", server.Requests()[1].c_str());
+}
+
 // Guards against probed targets whose responses without end fill the node's
 // memory.
 TEST(PlatformEngineControl, RejectsAReportThatIsTooLarge)
