--- a/src/fleet/targetlist.cc
+++ b/src/fleet/targetlist.cc
@@ -7,16 +7,25 @@
 
 namespace hibiscushold {
 
+namespace {
+
+/// Shorter than other nodes wait before they forget one.
+constexpr auto kMaxRosterAge = milliseconds(8000);
+
+} // namespace
+
 TargetList::TargetList(const FleetWatcher& aWatcher,
                        const ZoneFollower* aZones,
                        std::string aSelf,
                        ColdTolerance aTolerance,
-                       TimePoint aColdFrom)
+                       TimePoint aColdFrom,
+                       const Clock& aClock)
   : mWatcher(aWatcher)
   , mZones(aZones)
   , mSelf(std::move(aSelf))
   , mTolerance(aTolerance)
   , mColdFrom(aColdFrom)
+  , mClock(aClock)
 {
 }
 
@@ -28,12 +37,14 @@
   Inputs inputs{ mWatcher.Vms(),
                  mWatcher.Config(),
                  mZones == nullptr ? noZones : mZones->Zones(),
-                 0 };
+                 0,
+                 false };
   if (inputs.mConfig == nullptr || inputs.mZones == nullptr) {
     return noTargets;
   }
   const std::lock_guard guard(mLock);
   inputs.mRoster = mRosterChanges;
+  inputs.mIsRosterCurrent = mClock.Now() - mRosterAsOf < kMaxRosterAge;
   if (mTargets == nullptr || inputs != mInputs) {
     mTargets = Derive(inputs);
     mInputs = std::move(inputs);
@@ -46,11 +57,14 @@
 {
   FleetTargets targets =
     FindTargets(*aInputs.mVms, *aInputs.mConfig, *aInputs.mZones);
-  MarkColdTargets(
-    targets,
-    *aInputs.mConfig,
-    *aInputs.mZones,
-    { mSelf, mOthers, mRosterChanges > 0, mColdFrom, mTolerance });
+  MarkColdTargets(targets,
+                  *aInputs.mConfig,
+                  *aInputs.mZones,
+                  { mSelf,
+                    mOthers,
+                    mRosterChanges > 0 && aInputs.mIsRosterCurrent,
+                    mColdFrom,
+                    mTolerance });
   LogOddRanks(FindOddRanks(*aInputs.mVms, *aInputs.mConfig));
   return std::make_shared<const FleetTargets>(std::move(targets));
 }
@@ -71,10 +85,11 @@
 }
 
 void
-TargetList::SetRoster(std::vector<std::string> aOthers)
+TargetList::SetRoster(std::vector<std::string> aOthers, TimePoint aAsOf)
 {
   std::sort(aOthers.begin(), aOthers.end());
   const std::lock_guard guard(mLock);
+  mRosterAsOf = std::max(mRosterAsOf, aAsOf);
   if (mRosterChanges == 0 || aOthers != mOthers) {
     mOthers = std::move(aOthers);
     ++mRosterChanges;
--- a/src/fleet/targetlist.h
+++ b/src/fleet/targetlist.h
@@ -19,17 +19,22 @@
   /// @param aZones null if zones can't be taken out of service
   /// @param aSelf id of this node
   /// @param aColdFrom when this node's roster has settled
+  /// @param aClock tells when the roster is too old for cold targets
   TargetList(const FleetWatcher& aWatcher,
              const ZoneFollower* aZones,
              std::string aSelf,
              ColdTolerance aTolerance,
-             TimePoint aColdFrom);
+             TimePoint aColdFrom,
+             const Clock& aClock);
 
   /// @return the targets; none before the configuration and the zones are known
   FleetTargetsPtr Get();
 
-  /// Sets the ids of the other nodes, as read from the store.
-  void SetRoster(std::vector<std::string> aOthers);
+  /// Sets the ids of the other nodes, as read from the store. Other nodes may
+  /// forget one that doesn't read the roster, and share the rates of cold
+  /// targets without it; it sends to none of these before it reads it again.
+  /// @param aAsOf when they were last known to be current
+  void SetRoster(std::vector<std::string> aOthers, TimePoint aAsOf);
 
 private:
   struct Inputs
@@ -38,6 +43,7 @@
     FleetConfigPtr mConfig;
     ZonesOutPtr mZones;
     uint64_t mRoster = 0; ///< counts the changes of the roster
+    bool mIsRosterCurrent = false;
 
     bool operator==(const Inputs&) const = default;
   };
@@ -52,10 +58,12 @@
   const std::string mSelf;
   const ColdTolerance mTolerance;
   const TimePoint mColdFrom;
+  const Clock& mClock;
   std::mutex mLock; ///< guards the members below
   Inputs mInputs;
   FleetTargetsPtr mTargets;
   std::vector<std::string> mOthers;
+  TimePoint mRosterAsOf{};
   uint64_t mRosterChanges = 0;               ///< 0: the roster was not read yet
   std::map<std::string, uint32_t> mOddRanks; ///< by VM, in the log
 };
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -36,6 +36,8 @@
   MemberRegistered = 3101,
   UpstreamLost = 3102,
   RosterFailed = 3103,
+  NodeDoubted = 3104,
+  NodeForgotten = 3105,
   VmGone = 3201,
   VmUnreadable = 3202,
   VmAsked = 3203,
--- a/src/relay/registrar.cc
+++ b/src/relay/registrar.cc
@@ -9,6 +9,10 @@
 /// Longest wait of one watch. A new node is noticed within two of them; each
 /// costs a call to the store for every node that reads it directly.
 constexpr auto kMaxRosterWait = milliseconds(300);
+/// Interval at which the next node in the ring is called while all answer.
+constexpr auto kCallInterval = milliseconds(4000);
+/// Nodes that are called at a time if none answers.
+constexpr size_t kMaxCalls = 6;
 
 void
 LogFailure(const char* aAction, const Failure& aFailure)
@@ -19,14 +23,9 @@
 
 } // namespace
 
-Registrar::Registrar(RosterEntry aSelf,
-                     TokenSet& aTokens,
-                     RelayedPlatform& aRelay,
-                     PeersSink aOnPeers)
+Registrar::Registrar(RosterEntry aSelf, Dependencies aDependencies)
   : mSelf(std::move(aSelf))
-  , mTokens(aTokens)
-  , mRelay(aRelay)
-  , mOnPeers(std::move(aOnPeers))
+  , mDependencies(std::move(aDependencies))
   , mKey(std::string(kRosterPrefix) + mSelf.mId)
 {
 }
@@ -38,17 +37,18 @@
     // A stale listing does no harm: the first watch continues from its
     // revision. After a return of the store it may be from before it, with
     // revisions that are used again, so an upstream is asked instead.
-    return mRelay.List(kRosterPrefix,
-                       mHistoryGone ? CallPriority::Config
-                                    : CallPriority::Status);
+    return mDependencies.mRelay.List(kRosterPrefix,
+                                     mHistoryGone ? CallPriority::Config
+                                                  : CallPriority::Status);
   }
-  return mRelay.Watch(kRosterPrefix, mRevision, kMaxRosterWait);
+  return mDependencies.mRelay.Watch(kRosterPrefix, mRevision, kMaxRosterWait);
 }
 
 void
 Registrar::SyncRoster()
 {
   const bool isSnapshot = mRevision == 0;
+  const TimePoint sentAt = mDependencies.mClock.Now();
   const Result<Listing> read = Read();
   mFirstReadDone = true;
   if (!read) {
@@ -65,8 +65,67 @@
   mRevision = read.value().mRevision;
   ApplyListing(read.value(), isSnapshot);
   SyncOwnEntry();
-  mRelay.SetUpstreams(UpstreamsOf(mRoster, mSelf), RankInZone(mRoster, mSelf));
-  mOnPeers(OtherNodes());
+  mDependencies.mRelay.SetUpstreams(FindPreceding(mRoster, mSelf));
+  mDependencies.mOnPeers(OtherNodes(), sentAt - read.value().mMaxAge);
+  SyncGoneNodes();
+}
+
+bool
+Registrar::CallNext()
+{
+  const std::vector<RosterEntry> ring = RingAfter(mRoster, mSelf.mId);
+  size_t n = 0;
+  for (const RosterEntry& it : ring) {
+    const TimePoint sentAt = mDependencies.mClock.Now();
+    const bool answered = mDependencies.mCallNode(it);
+    RecordCall(mGone, it.mId, answered, sentAt);
+    if (answered || ++n == kMaxCalls) {
+      return answered;
+    }
+  }
+  return true;
+}
+
+void
+Registrar::SyncGoneNodes()
+{
+  const TimePoint now = mDependencies.mClock.Now();
+  RecordRoster(mGone, mRoster, now);
+  if (mDeregistered || (now < mNextCallAt && mGone.mSilences.empty())) {
+    return;
+  }
+  mNextCallAt = now + kCallInterval;
+  // A node that nobody answers may be cut off itself.
+  if (!CallNext()) {
+    return;
+  }
+  for (const GoneNodeWrite& it :
+       FindWrites(mGone, mRoster, mDependencies.mClock.Now())) {
+    WriteGone(it);
+  }
+}
+
+void
+Registrar::WriteGone(const GoneNodeWrite& aWrite)
+{
+  const std::string key = std::string(kRosterPrefix) + aWrite.mNodeId;
+  LogEvent(aWrite.mDeletes ? EventId::NodeForgotten : EventId::NodeDoubted,
+           { { "node", aWrite.mNodeId } });
+  if (aWrite.mDeletes) {
+    const Result<void> deleted =
+      mDependencies.mRelay.Delete(key, aWrite.mVersion, CallPriority::Status);
+    if (!deleted) {
+      LogFailure("forget", deleted.error());
+    }
+    return;
+  }
+  RosterEntry entry = mRoster.at(aWrite.mNodeId).mEntry;
+  entry.mIsDoubted = true;
+  const Result<uint64_t> written = mDependencies.mRelay.Update(
+    key, SerializeRosterEntry(entry), aWrite.mVersion, CallPriority::Status);
+  if (!written) {
+    LogFailure("doubt", written.error());
+  }
 }
 
 std::vector<RosterEntry>
@@ -115,20 +174,29 @@
   }
   if (own == mRoster.end()) {
     RecordWrite("create",
-                mRelay.Create(mKey, SerializedEntry(), CallPriority::Status));
+                mDependencies.mRelay.Create(
+                  mKey, SerializedEntry(), CallPriority::Status));
     return;
   }
-  const RosterEntry& entry = own->second.mEntry;
+  RosterEntry entry = own->second.mEntry;
   if (entry.mAddress == mSelf.mAddress && entry.mZone == mSelf.mZone &&
       entry.mCapacity == mSelf.mCapacity && entry.mCallers == mSelf.mCallers) {
     // Keep the entry from before a restart, as other nodes know its token.
-    mTokens.Replace(entry.mToken);
+    mDependencies.mTokens.Replace(entry.mToken);
     mOwnVersion = own->second.mVersion;
+    if (entry.mIsDoubted) {
+      entry.mIsDoubted = false;
+      RecordWrite("confirm",
+                  mDependencies.mRelay.Update(mKey,
+                                              SerializeRosterEntry(entry),
+                                              own->second.mVersion,
+                                              CallPriority::Status));
+    }
     return;
   }
   RecordWrite(
     "update",
-    mRelay.Update(
+    mDependencies.mRelay.Update(
       mKey, SerializedEntry(), own->second.mVersion, CallPriority::Status));
 }
 
@@ -157,7 +225,7 @@
     return;
   }
   const Result<void> deleted =
-    mRelay.Delete(mKey, mOwnVersion, CallPriority::Status);
+    mDependencies.mRelay.Delete(mKey, mOwnVersion, CallPriority::Status);
   if (!deleted) {
     LogFailure("leave", deleted.error());
   }
--- a/src/relay/relayedplatform.cc
+++ b/src/relay/relayedplatform.cc
@@ -4,6 +4,7 @@
 #include "observe/events.h"
 
 #include <algorithm>
+#include <set>
 
 namespace hibiscushold {
 
@@ -44,19 +45,57 @@
 }
 
 void
-RelayedPlatform::SetUpstreams(std::vector<RosterEntry> aUpstreams,
-                              size_t aRankInZone)
+RelayedPlatform::SetUpstreams(PrecedingNodes aPreceding)
 {
   const std::lock_guard guard(mLock);
-  mUpstreams = std::move(aUpstreams);
-  mRankInZone = aRankInZone;
+  mPreceding = std::move(aPreceding);
+  std::set<std::string_view> ids;
+  for (const auto* nodes : { &mPreceding.mInZone, &mPreceding.mInOtherZones }) {
+    for (const RosterEntry& it : *nodes) {
+      ids.insert(it.mId);
+    }
+  }
+  std::erase_if(mBackoffs,
+                [&](const auto& it) { return !ids.contains(it.first); });
+}
+
+bool
+RelayedPlatform::IsUnanswering(const RosterEntry& aNode) const
+{
+  const auto it = mBackoffs.find(aNode.mId);
+  return it != mBackoffs.end() && it->second.mFailures > 0;
+}
+
+std::vector<RosterEntry>
+RelayedPlatform::UpstreamsLocked() const
+{
+  const TimePoint now = mDependencies.mClock.Now();
+  return ChooseUpstreams(mPreceding, [&](const RosterEntry& aNode) {
+    return !IsUnanswering(aNode) || mBackoffs.at(aNode.mId).mUntil <= now;
+  });
+}
+
+size_t
+RelayedPlatform::RankLocked() const
+{
+  return static_cast<size_t>(std::count_if(
+    mPreceding.mInZone.begin(), mPreceding.mInZone.end(), [&](const auto& it) {
+      return !IsUnanswering(it);
+    }));
 }
 
 std::vector<RosterEntry>
 RelayedPlatform::Upstreams() const
 {
   const std::lock_guard guard(mLock);
-  return mUpstreams;
+  return UpstreamsLocked();
+}
+
+size_t
+RelayedPlatform::RankInZone() const
+{
+  const std::lock_guard guard(mLock);
+  return RankLocked();
 }
 
 std::optional<RosterEntry>
@@ -64,7 +103,7 @@
 {
   const TimePoint now = mDependencies.mClock.Now();
   const std::lock_guard guard(mLock);
-  for (const RosterEntry& it : mUpstreams) {
+  for (const RosterEntry& it : UpstreamsLocked()) {
     const auto backoff = mBackoffs.find(it.mId);
     if (backoff == mBackoffs.end() || backoff->second.mUntil <= now) {
       return it;
@@ -82,8 +121,7 @@
 bool
 RelayedPlatform::IsFirstInZone() const
 {
-  const std::lock_guard guard(mLock);
-  return mRankInZone == 0;
+  return RankInZone() == 0;
 }
 
 void
@@ -102,7 +140,7 @@
   Backoff& backoff = mBackoffs[aPeer.mId];
   const uint32_t doublings =
     answered ? 0 : std::min(backoff.mFailures, kMaxDoublings);
-  backoff.mFailures += answered ? 0 : 1;
+  backoff.mFailures = answered ? 0 : backoff.mFailures + 1;
   backoff.mUntil =
     mDependencies.mClock.Now() +
     (answered ? kNoStoreBackoff : kBaseBackoff * (1U << doublings));
@@ -166,7 +204,7 @@
 std::string
 RelayedPlatform::StoreReadsKey(std::string_view aPrefix) const
 {
-  return IsZoneReader(mRankInZone) ? std::string(aPrefix) : "";
+  return IsZoneReader(RankLocked()) ? std::string(aPrefix) : "";
 }
 
 bool
@@ -174,7 +212,9 @@
 {
   const std::lock_guard guard(mLock);
   const auto it = mStoreReads.find(StoreReadsKey(aPrefix));
-  return mUpstreams.empty() || it == mStoreReads.end() ||
+  const bool hasUpstreams =
+    !mPreceding.mInZone.empty() || !mPreceding.mInOtherZones.empty();
+  return !hasUpstreams || it == mStoreReads.end() ||
          IsStoreReadDue(it->second, mDependencies.mClock.Now());
 }
 
@@ -183,7 +223,7 @@
 {
   const std::lock_guard guard(mLock);
   RecordStoreRead(mStoreReads[StoreReadsKey(aPrefix)],
-                  mRankInZone,
+                  RankLocked(),
                   aSucceeded,
                   mDependencies.mClock.Now(),
                   NextFraction());
@@ -192,8 +232,7 @@
 bool
 RelayedPlatform::IsReader() const
 {
-  const std::lock_guard guard(mLock);
-  return IsZoneReader(mRankInZone);
+  return IsZoneReader(RankInZone());
 }
 
 std::optional<Result<Listing>>
--- a/src/relay/relayedplatform.h
+++ b/src/relay/relayedplatform.h
@@ -36,10 +36,10 @@
 
   explicit RelayedPlatform(Dependencies aDependencies);
 
-  /// Sets the nodes that may be read from, best first.
-  /// @param aRankInZone nodes of this one's zone that precede it
-  void SetUpstreams(std::vector<RosterEntry> aUpstreams,
-                    size_t aRankInZone = 0);
+  /// Sets the nodes that may be read from. Those that did not answer the latest
+  /// call have no part in this node's rank, and are no upstreams for a time, as
+  /// a node that is gone for good may stay in the roster.
+  void SetUpstreams(PrecedingNodes aPreceding);
 
   /// @return whether this node reads the store itself, as no upstream is usable
   bool ReadsStoreDirectly() const;
@@ -70,9 +70,13 @@
                       CallPriority aPriority) override;
   Result<VmListing> ListVms(uint64_t aSince) override;
 
-  /// @return all upstreams, including those not used after a failure
+  /// @return the upstreams, including those that lost the store a moment ago
   std::vector<RosterEntry> Upstreams() const;
 
+  /// @return the nodes of this one's zone that precede it, without those that
+  ///         did not answer the latest call
+  size_t RankInZone() const;
+
 private:
   /// @return the best upstream that is not backed off
   std::optional<RosterEntry> UsableUpstream() const;
@@ -80,7 +84,7 @@
   struct Backoff
   {
     TimePoint mUntil;
-    uint32_t mFailures = 0; ///< consecutive
+    uint32_t mFailures = 0; ///< consecutive calls without an answer
   };
 
   Result<Listing> ReadFromPeer(const RosterEntry& aPeer,
@@ -96,6 +100,10 @@
   std::optional<Result<Listing>> ReadFromPeers(std::string_view aPrefix,
                                                uint64_t aSince,
                                                TimePoint aWaitUntil);
+  /// The lock must be held for the three below.
+  bool IsUnanswering(const RosterEntry& aNode) const;
+  std::vector<RosterEntry> UpstreamsLocked() const;
+  size_t RankLocked() const;
   /// @return the key in mStoreReads; the lock must be held
   std::string StoreReadsKey(std::string_view aPrefix) const;
   bool MayReadStore(std::string_view aPrefix) const;
@@ -107,10 +115,9 @@
                              TimePoint aConfirmedAt);
 
   const Dependencies mDependencies;
-  mutable std::mutex mLock; ///< guards the four below
-  std::vector<RosterEntry> mUpstreams;
+  mutable std::mutex mLock; ///< guards the three below
+  PrecedingNodes mPreceding;
   std::map<std::string, Backoff> mBackoffs; ///< by node id
-  size_t mRankInZone = 0;
   /// By prefix at a reader, under one key otherwise.
   std::map<std::string, StoreReads> mStoreReads;
 };
--- a/src/relay/roster.cc
+++ b/src/relay/roster.cc
@@ -35,6 +35,9 @@
   if (!aEntry.mCallers.mHost.empty()) {
     json["callers"] = ToString(aEntry.mCallers);
   }
+  if (aEntry.mIsDoubted) {
+    json["doubted"] = true;
+  }
   return ToJson(json);
 }
 
@@ -54,46 +57,50 @@
     BOOST_OUTCOME_TRY(callers, ParseEndpoint(TextAt(json, "callers")));
     entry.mCallers = callers;
   }
+  entry.mIsDoubted = FlagAt(json, "doubted");
   return entry;
 }
 
-std::vector<RosterEntry>
-UpstreamsOf(const Roster& aRoster, const RosterEntry& aSelf)
+PrecedingNodes
+FindPreceding(const Roster& aRoster, const RosterEntry& aSelf)
 {
-  std::vector<RosterEntry> preceding;
+  PrecedingNodes nodes;
   for (const auto& [id, node] : aRoster) {
     if (id != aSelf.mId && Precedes(node.mEntry, aSelf)) {
-      preceding.push_back(node.mEntry);
+      (node.mEntry.mZone == aSelf.mZone ? nodes.mInZone : nodes.mInOtherZones)
+        .push_back(node.mEntry);
     }
   }
-  std::sort(preceding.begin(), preceding.end(), Precedes);
+  std::sort(nodes.mInZone.begin(), nodes.mInZone.end(), Precedes);
+  std::sort(nodes.mInOtherZones.begin(), nodes.mInOtherZones.end(), Precedes);
+  return nodes;
+}
+
+std::vector<RosterEntry>
+ChooseUpstreams(const PrecedingNodes& aNodes,
+                const std::function<bool(const RosterEntry&)>& aIsUsable)
+{
   std::vector<RosterEntry> upstreams;
-  for (const RosterEntry& it : preceding) {
-    if (it.mZone == aSelf.mZone && upstreams.size() < kMaxUpstreamsInZone) {
-      upstreams.push_back(it);
+  const auto add = [&](const std::vector<RosterEntry>& aFrom, size_t aMax) {
+    for (auto it = aFrom.begin(); it != aFrom.end() && aMax > 0; ++it) {
+      if (aIsUsable(*it)) {
+        upstreams.push_back(*it);
+        --aMax;
+      }
     }
-  }
+  };
   // Traffic between zones costs more, so nodes prefer upstreams of their own
   // zone, and one node of each zone reads from another zone.
-  size_t n = 0;
-  for (const RosterEntry& it : preceding) {
-    if (it.mZone != aSelf.mZone && n < kMaxUpstreamsInOtherZones) {
-      upstreams.push_back(it);
-      ++n;
-    }
-  }
+  add(aNodes.mInZone, kMaxUpstreamsInZone);
+  add(aNodes.mInOtherZones, kMaxUpstreamsInOtherZones);
   return upstreams;
 }
 
-size_t
-RankInZone(const Roster& aRoster, const RosterEntry& aSelf)
+std::vector<RosterEntry>
+UpstreamsOf(const Roster& aRoster, const RosterEntry& aSelf)
 {
-  return static_cast<size_t>(
-    std::count_if(aRoster.begin(), aRoster.end(), [&](const auto& it) {
-      const RosterEntry& entry = it.second.mEntry;
-      return entry.mZone == aSelf.mZone && entry.mId != aSelf.mId &&
-             Precedes(entry, aSelf);
-    }));
+  return ChooseUpstreams(FindPreceding(aRoster, aSelf),
+                         [](const RosterEntry&) { return true; });
 }
 
 } // namespace hibiscushold
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -28,12 +28,18 @@
   /// Where it accepts callers' requests, also those that other nodes pass on;
   /// no host if it is of a version that takes none of these.
   Endpoint mCallers{};
+  /// Another node doubts that this one runs (relay/gonenodes.h).
+  bool mIsDoubted = false;
 };
 
 /// Asks another node whether it reaches its targets.
 /// @return whether it says so; false also without an answer
 using PeerReachReader = std::function<bool(const RosterEntry& aPeer)>;
 
+/// Calls another node.
+/// @return whether that node has answered, and not another at its address
+using NodeCaller = std::function<bool(const RosterEntry& aNode)>;
+
 /// A roster entry as read from the store.
 struct RosterNode
 {
@@ -58,8 +64,20 @@
 std::vector<RosterEntry>
 UpstreamsOf(const Roster& aRoster, const RosterEntry& aSelf);
 
-/// @return the nodes of aSelf's zone that precede it in that order
-size_t
-RankInZone(const Roster& aRoster, const RosterEntry& aSelf);
+/// The nodes that precede one in that order, best first.
+struct PrecedingNodes
+{
+  std::vector<RosterEntry> mInZone;
+  std::vector<RosterEntry> mInOtherZones;
+};
+
+PrecedingNodes
+FindPreceding(const Roster& aRoster, const RosterEntry& aSelf);
+
+/// @param aIsUsable whether a node may be read from now
+/// @return the usable upstreams among the nodes, best first
+std::vector<RosterEntry>
+ChooseUpstreams(const PrecedingNodes& aNodes,
+                const std::function<bool(const RosterEntry&)>& aIsUsable);
 
 } // namespace hibiscushold
--- a/test/demandexchange-test.cc
+++ b/test/demandexchange-test.cc
@@ -83,7 +83,7 @@
 
   void setup() override
   {
-    mSecond.mRelay.SetUpstreams({ mFirst.mSelf });
+    mSecond.mRelay.SetUpstreams({ { mFirst.mSelf }, {} });
   }
 };
 
@@ -102,7 +102,7 @@
   std::this_thread::sleep_for(milliseconds(500));
   CHECK(AllFindIt({ &mFirst, &mSecond }));
   Node third{ "n3" };
-  third.mRelay.SetUpstreams({ mFirst.mSelf });
+  third.mRelay.SetUpstreams({ { mFirst.mSelf }, {} });
   CHECK(AllFindIt({ &mFirst, &third }));
 }
 
@@ -110,7 +110,7 @@
 TEST(DemandExchange, CrashesWithAnotherTokenAreRefused)
 {
   mSecond.mRelay.SetUpstreams(
-    { { "n1", "a", mFirst.mSelf.mAddress, "wrong", 1 } });
+    { { { "n1", "a", mFirst.mSelf.mAddress, "wrong", 1 } }, {} });
   mSecond.RecordCrashes(1, 3);
   CHECK(!AllFindIt({ &mFirst, &mSecond }));
   CHECK(!mFirst.IsQuarantined());
--- a/test/lateentry-test.cc
+++ b/test/lateentry-test.cc
@@ -153,7 +153,7 @@
       },
       mMetrics,
       mClock });
-  relay.SetUpstreams({ { "n2", "a", { "10.0.0.2", 7 }, "token", 1 } });
+  relay.SetUpstreams({ { { "n2", "a", { "10.0.0.2", 7 }, "token", 1 } }, {} });
   answer.value().mListing.mRevision = 10;
   answer.value().mListing.mObjects = { { kKey, 10, EntryOf(5, 9, kOpen) } };
   CHECK(relay.List("servers/", CallPriority::Config).has_value());
--- a/test/registrar-test.cc
+++ b/test/registrar-test.cc
@@ -2,6 +2,8 @@
 #include "manualclock.h"
 #include "relay/registrar.h"
 
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hibiscushold;
@@ -16,12 +18,21 @@
   const RosterEntry mSelf{ "n1", "a", { "10.0.0.1", 7 }, "token", 1 };
   TokenSet mTokens{ mSelf.mToken };
   std::vector<RosterEntry> mPeers;
-  Registrar mRegistrar{ mSelf,
-                        mTokens,
-                        mRelay,
-                        [this](std::vector<RosterEntry> aPeers) {
-                          mPeers = std::move(aPeers);
-                        } };
+  std::set<std::string> mGone; ///< nodes that do not answer
+  Registrar mRegistrar{ mSelf, Dependencies() };
+
+  Registrar::Dependencies Dependencies()
+  {
+    return { mTokens,
+             mRelay,
+             [this](std::vector<RosterEntry> aPeers, TimePoint) {
+               mPeers = std::move(aPeers);
+             },
+             [this](const RosterEntry& aNode) {
+               return !mGone.contains(aNode.mId);
+             },
+             mClock };
+  }
 
   std::string Stored()
   {
@@ -89,10 +100,7 @@
   Store({ "n1", "a", { "10.0.0.1", 7 }, "old", 1 });
   RosterEntry self = mSelf;
   self.mCallers = { "10.0.0.1", 80 };
-  Registrar registrar(
-    self, mTokens, mRelay, [this](std::vector<RosterEntry> aPeers) {
-      mPeers = std::move(aPeers);
-    });
+  Registrar registrar(self, Dependencies());
   registrar.SyncRoster();
   STRCMP_EQUAL(SerializeRosterEntry(self).c_str(), Stored().c_str());
   CHECK_EQUAL(1U, mPeers.size());
@@ -108,3 +116,97 @@
   mRegistrar.SyncRoster();
   STRCMP_EQUAL(SerializeRosterEntry(mSelf).c_str(), Stored().c_str());
 }
+
+/// Some of the other nodes do not answer.
+TEST_GROUP_BASE(RegistrarGone, TEST_GROUP_CppUTestGroupRegistrar){
+  /// Stores the entries of two more nodes.
+  void setup() override{ for (const char* it
+                              : { "n2", "n3" }){
+    mStore.Put("peers/" + std::string(it),
+               SerializeRosterEntry({ it, "a", { "10.0.0.2", 7 }, "t", 1 }));
+}
+}
+
+bool
+HasEntry(const char* aId) const
+{
+  return mStore.VersionOf("peers/" + std::string(aId)) != 0;
+}
+
+void
+RunFor(Duration aTime)
+{
+  for (const TimePoint end = mClock.Now() + aTime; mClock.Now() < end;) {
+    mRegistrar.SyncRoster();
+    mClock.Advance(milliseconds(1200));
+  }
+}
+}
+;
+
+// Guards against entries of nodes that are gone for good, which are counted for
+// ever as upstreams, ranks and callers' hosts.
+TEST(RegistrarGone, DeletesTheEntryOfANodeThatIsGone)
+{
+  mGone = { "n2" };
+  RunFor(seconds(40));
+  CHECK(!HasEntry("n2"));
+  CHECK(HasEntry("n3"));
+  CHECK_EQUAL(1U, mPeers.size());
+}
+
+// Guards against a node that only this one can't reach, and that is forgotten.
+TEST(RegistrarGone, KeepsTheEntryOfANodeThatRemovesTheDoubt)
+{
+  FeedCache feeds(mClock);
+  RelayedPlatform relay{
+    { mStore,
+      feeds,
+      [](const RosterEntry&, std::string_view, uint64_t, milliseconds) {
+        return Result<FeedResponse>(
+          Failure{ Error::PeerUnavailable, "cut off", "" });
+      },
+      mMetrics,
+      mClock }
+  };
+  TokenSet tokens{ "t" };
+  Registrar other({ "n2", "a", { "10.0.0.2", 7 }, "t", 1 },
+                  { tokens,
+                    relay,
+                    [](const auto&, TimePoint) {},
+                    [](const RosterEntry&) { return true; },
+                    mClock });
+  mGone = { "n2" };
+  for (int n = 0; n < 60; ++n) {
+    RunFor(milliseconds(1200));
+    other.SyncRoster();
+    CHECK(HasEntry("n2"));
+  }
+  STRCMP_EQUAL(
+    SerializeRosterEntry({ "n2", "a", { "10.0.0.2", 7 }, "t", 1 }).c_str(),
+    mStore.Get("peers/n2", CallPriority::Config).value().mValue.c_str());
+}
+
+// Guards against a node that is cut off from the others and forgets them all.
+TEST(RegistrarGone, WritesNothingWhileNobodyAnswers)
+{
+  for (int n = 4; n < 10; ++n) {
+    mStore.Put("peers/n" + std::to_string(n),
+               SerializeRosterEntry(
+                 { "n" + std::to_string(n), "a", { "10.0.0.2", 7 }, "t", 1 }));
+    mGone.insert("n" + std::to_string(n));
+  }
+  mGone.insert({ "n2", "n3" });
+  RunFor(seconds(60));
+  CHECK_EQUAL(8U, mPeers.size());
+}
+
+// Guards against a node that was forgotten while it was paused, and stays
+// unknown to the others.
+TEST(RegistrarGone, WritesItsOwnEntryAnew)
+{
+  RunFor(seconds(2));
+  mStore.Remove("peers/n1");
+  RunFor(seconds(3));
+  CHECK(HasEntry("n1"));
+}
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -128,7 +128,16 @@
 
   void Follow(std::vector<RosterEntry> aPeers)
   {
-    mRelay.SetUpstreams(std::move(aPeers));
+    mRelay.SetUpstreams({ std::move(aPeers), {} });
+  }
+
+  static PrecedingNodes SevenInZone()
+  {
+    PrecedingNodes nodes;
+    for (int n = 1; n <= 7; ++n) {
+      nodes.mInZone.push_back({ "n" + std::to_string(n), "a", {}, "t", 1 });
+    }
+    return nodes;
   }
 
   static Result<FeedResponse> Answer(uint64_t aRevision, milliseconds aAge)
@@ -190,7 +199,7 @@
       mMetrics,
       mClock }
   };
-  relay.SetUpstreams({ { "n1", "a", {}, "t", 1 } });
+  relay.SetUpstreams({ { { "n1", "a", {}, "t", 1 } }, {} });
   mFeeds.Update("a/", ListingOf(7, {}), true, mClock.Now());
   bool followersFailed = false;
   store.mOnWatch = [&] {
@@ -219,10 +228,7 @@
 // which the node that they follow loses it: most ask another upstream first.
 TEST(Relay, AFollowerAsksItsOtherUpstreamsBeforeTheStore)
 {
-  mRelay.SetUpstreams({ { "n1", "a", {}, "t", 1 },
-                        { "n2", "a", {}, "t", 1 },
-                        { "n3", "a", {}, "t", 1 } },
-                      7);
+  mRelay.SetUpstreams(SevenInZone());
   mPeers.emplace("n1", NoResponse());
   mPeers.emplace("n2", Failure{ Error::StoreUnavailable, "", "" });
   mPeers.emplace("n3", Answer(7, milliseconds(10)));
@@ -236,8 +242,10 @@
 // its feeds while the store is away.
 TEST(Relay, AFollowerTakesAFailedReadForAllItsFeeds)
 {
-  mRelay.SetUpstreams({ { "n1", "a", {}, "t", 1 } }, 7);
-  mPeers.emplace("n1", NoResponse());
+  mRelay.SetUpstreams(SevenInZone());
+  for (const char* it : { "n1", "n2", "n3" }) {
+    mPeers.emplace(it, Failure{ Error::StoreUnavailable, "", "" });
+  }
   mStore.mNextReadFault = StoreFault::Unavailable;
   CHECK(!mRelay.Watch("a/", 7, milliseconds(100)).has_value());
   CHECK(!mRelay.Watch("b/", 7, milliseconds(100)).has_value());
@@ -261,8 +269,7 @@
       mMetrics,
       mClock }
   };
-  relay.SetUpstreams({ { "n1", "a", {}, "t", 1 }, { "n2", "a", {}, "t", 1 } },
-                     7);
+  relay.SetUpstreams(SevenInZone());
   const TimePoint startedAt = mClock.Now();
   const Listing read = relay.Watch("a/", 5, milliseconds(600)).value();
   // The second upstream was asked 400 ms after the start.
@@ -270,6 +277,63 @@
         startedAt + milliseconds(400) - milliseconds(500));
 }
 
+// Guards against a node that counts nodes that are gone for good as preceding
+// it, so that it takes no part in the planner's lease and waits for seconds
+// before it asks the store again (CONFIG, RECOVER).
+TEST(Relay, NodesThatDoNotAnswerHaveNoPartInItsRank)
+{
+  mRelay.SetUpstreams({ { { "n1", "a", {}, "t", 1 },
+                          { "n2", "a", {}, "t", 1 },
+                          { "n3", "a", {}, "t", 1 } },
+                        {} });
+  for (const char* it : { "n1", "n2", "n3" }) {
+    mPeers.emplace(it, NoResponse());
+  }
+  CHECK(!mRelay.IsReader());
+  CHECK(mRelay.Watch("a/", 7, milliseconds(100)).has_value());
+  CHECK(mRelay.IsReader());
+  CHECK(mRelay.IsFirstInZone());
+  CHECK(mRelay.ReadsStoreDirectly());
+  mStore.mNextReadFault = StoreFault::Unavailable;
+  CHECK(!mRelay.Watch("a/", 7, milliseconds(100)).has_value());
+  mClock.Advance(milliseconds(1000));
+  CHECK(mRelay.Watch("a/", 7, milliseconds(100)).has_value());
+  // Still after the time at which they are asked again.
+  mClock.Advance(seconds(3));
+  CHECK(mRelay.IsFirstInZone());
+}
+
+// Guards against a node that has only upstreams that are gone, although others
+// precede it.
+TEST(Relay, ReadsFromTheNodesAfterThoseThatDoNotAnswer)
+{
+  mRelay.SetUpstreams(SevenInZone());
+  for (const char* it : { "n1", "n2", "n3" }) {
+    mPeers.emplace(it, NoResponse());
+  }
+  mPeers.emplace("n4", Answer(7, milliseconds(10)));
+  (void)mRelay.Watch("a/", 5, milliseconds(100));
+  (void)mRelay.Watch("a/", 5, milliseconds(100));
+  STRCMP_EQUAL("n4", mReadFrom.back().c_str());
+  STRCMP_EQUAL("n4", mRelay.Upstreams().front().mId.c_str());
+  CHECK(mRelay.IsReader() == (mRelay.RankInZone() < 3));
+  CHECK_EQUAL(4U, mRelay.RankInZone());
+}
+
+// Guards against a node that is passed over for good although it is back.
+TEST(Relay, ReadsAgainFromANodeThatAnswersAgain)
+{
+  Follow({ { "n1", "a", {}, "t", 1 } });
+  mPeers.emplace("n1", NoResponse());
+  (void)mRelay.Watch("a/", 5, milliseconds(100));
+  CHECK_EQUAL(0U, mRelay.RankInZone());
+  mPeers.at("n1") = Answer(7, milliseconds(10));
+  mClock.Advance(seconds(3));
+  (void)mRelay.Watch("a/", 5, milliseconds(100));
+  CHECK_EQUAL(1U, mRelay.RankInZone());
+  CHECK(!mRelay.ReadsStoreDirectly());
+}
+
 TEST(Relay, LeavesUpstreamWithStaleData)
 {
   Follow({ { "n1", "a", {}, "t", 1 } });
@@ -328,7 +392,7 @@
 {
   RpcServer server;
   bool reaches = true;
-  AddReachMethod(server, [&reaches] { return reaches; });
+  AddReachMethod(server, "n9", [&reaches] { return reaches; });
   const std::string question =
     R"({"jsonrpc":"2.0","id":1,"method":"reach","params":{}})";
   STRCMP_CONTAINS("\"reaches_targets\":true",
--- a/test/storeera-soak-test.cc
+++ b/test/storeera-soak-test.cc
@@ -246,7 +246,7 @@
     for (size_t n = 0; n < aIndex; ++n) {
       upstreams.push_back({ "n" + std::to_string(n), "a", {}, "t", 1 });
     }
-    mNodes[aIndex]->mRelay.SetUpstreams(upstreams);
+    mNodes[aIndex]->mRelay.SetUpstreams({ upstreams, {} });
     mNodes[aIndex]->mStartedOnCopy = mRewriteAt != TimePoint::max();
     for (size_t n = 0; n < aIndex; ++n) {
       mNodes[aIndex]->mStartedOnCopy |= mNodes[n]->mStartedOnCopy;
--- a/test/storeera-test.cc
+++ b/test/storeera-test.cc
@@ -313,7 +313,7 @@
       },
       metrics,
       mClock });
-  relay.SetUpstreams({ { "n2", "a", { "10.0.0.2", 7 }, "token", 1 } });
+  relay.SetUpstreams({ { { "n2", "a", { "10.0.0.2", 7 }, "token", 1 } }, {} });
   for (const char* it : { "a/1", "a/2", "a/3" }) {
     CHECK(store.Create(it, "1", CallPriority::Config).has_value());
   }
@@ -339,7 +339,7 @@
       },
       metrics,
       mClock });
-  relay.SetUpstreams({ { "n2", "a", { "10.0.0.2", 7 }, "token", 1 } });
+  relay.SetUpstreams({ { { "n2", "a", { "10.0.0.2", 7 }, "token", 1 } }, {} });
   Update(ListingOf(At(2, 8), { Numbered("a/1", At(2, 4), "1") }), true);
   const Result<Listing> read = relay.List("a/", CallPriority::Config);
   CHECK(!read || read.value().mObjects.empty());
@@ -711,7 +711,12 @@
   RelayedPlatform relay({ platform, feeds, nullptr, mMetrics, mClock });
   const RosterEntry self{ "n1", "a", { "10.0.0.1", 7 }, "token", 1 };
   TokenSet tokens(self.mToken);
-  Registrar registrar(self, tokens, relay, [](const auto&) {});
+  Registrar registrar(self,
+                      { tokens,
+                        relay,
+                        [](const auto&, TimePoint) {},
+                        [](const RosterEntry&) { return true; },
+                        mClock });
   const FakePlatform::Copy copy = platform.Save();
   registrar.SyncRoster();
   platform.Restore(copy);
