--- a/src/relay/registrar.cc
+++ b/src/relay/registrar.cc
@@ -79,8 +79,11 @@
     const TimePoint sentAt = mDependencies.mClock.Now();
     const bool answered = mDependencies.mCallNode(it);
     RecordCall(mGone, it.mId, answered, sentAt);
-    if (answered || ++n == kMaxCalls) {
-      return answered;
+    if (answered) {
+      return true;
+    }
+    if (++n == kMaxCalls) {
+      return n == ring.size();
     }
   }
   return true;
--- a/test/registrar-test.cc
+++ b/test/registrar-test.cc
@@ -201,6 +201,21 @@
   CHECK_EQUAL(8U, mPeers.size());
 }
 
+// Guards against a node that takes itself for cut off for good, as it is the
+// last one.
+TEST(RegistrarGone, ForgetsAllOthersIfItHasCalledThemAll)
+{
+  for (int n = 4; n < 8; ++n) {
+    const std::string id = "n" + std::to_string(n);
+    mStore.Put("peers/" + id,
+               SerializeRosterEntry({ id, "a", { "10.0.0.2", 7 }, "t", 1 }));
+    mGone.insert(id);
+  }
+  mGone.insert({ "n2", "n3" });
+  RunFor(seconds(60));
+  CHECK_EQUAL(0U, mPeers.size());
+}
+
 // Guards against a node that was forgotten while it was paused, and stays
 // unknown to the others.
 TEST(RegistrarGone, WritesItsOwnEntryAnew)
