--- a/emulator/run.cc
+++ b/emulator/run.cc
@@ -198,11 +198,13 @@
     }
   };
   const int64_t from = mTimeline.Now();
+  mTargets.SetReportsLate(aFault.mKind == FaultKind::WritesLate);
   set(aFault.mKind == FaultKind::WritesLate ? WriteFate::Late
                                             : WriteFate::AnswerLost,
       aFault.mLost);
   std::this_thread::sleep_for(milliseconds(aFault.mFor));
   set(WriteFate::Answered, 0);
+  mTargets.SetReportsLate(false);
   mRecorder.Record(
     DisturbanceLine{ DisturbanceLine::Kind::Store, 0, from, mTimeline.Now() });
 }
--- a/emulator/target.cc
+++ b/emulator/target.cc
@@ -114,6 +114,15 @@
   }
 }
 
+void
+TargetAddress::Beat()
+{
+  const std::lock_guard guard(mLock);
+  if (mOccupant) {
+    ++mOccupant->mSequence;
+  }
+}
+
 void
 TargetAddress::TurnCold(int64_t aUntil)
 {
--- a/emulator/target.h
+++ b/emulator/target.h
@@ -51,6 +51,8 @@
   void Start(Target aTarget);
   /// The target says from now on that it leaves.
   void Leave();
+  /// The target reports once more.
+  void Beat();
   /// The target is cold for a time.
   void TurnCold(int64_t aUntil);
   /// Ends the target; connections to the address are closed from then on.
--- a/emulator/targets.cc
+++ b/emulator/targets.cc
@@ -19,6 +19,10 @@
 constexpr int64_t kRestartMillis = 3000;
 constexpr size_t kSparePlaces = 4;
 constexpr int64_t kColdMillis = 3000;
+/// Part of the reports that are late, and when the store executes them.
+constexpr double kLateShare = 0.35;
+constexpr int64_t kMinLateMillis = 1000;
+constexpr int64_t kMaxLateMillis = 6000;
 /// A cold target ends at this multiple of the rate that it tolerates.
 constexpr double kFatalFactor = 6;
 
@@ -179,15 +183,47 @@
   if (now < aPlace.mNextBeatAt || aIsStoreAway) {
     return;
   }
+  Report(aPlace, *target);
+}
+
+void
+Targets::Report(Place& aPlace, const Target& aTarget)
+{
+  const int64_t now = mTimeline.Now();
   aPlace.mNextBeatAt = now + kBeatMillis;
-  mStore.Put(
-    VmKind(), target->mId, aPlace.mAddress->EntryOf(*target), std::nullopt);
-  if (target->mIsLeaving && !aPlace.mIsLeavingAcked) {
-    aPlace.mIsLeavingAcked = true;
-    mRecorder.Record(LeavingLine{ target->mId, mTimeline.Now() });
+  const LateReport report{ aTarget.mId,
+                           aPlace.mAddress->EntryOf(aTarget),
+                           aTarget.mIsLeaving };
+  aPlace.mAddress->Beat();
+  if (mAreReportsLate && std::bernoulli_distribution(kLateShare)(mRandom)) {
+    std::uniform_int_distribution<int64_t> draw(kMinLateMillis, kMaxLateMillis);
+    mLateReports.emplace(now + draw(mRandom), report);
+  } else {
+    Execute(report);
   }
 }
 
+void
+Targets::Execute(const LateReport& aReport)
+{
+  mStore.Put(VmKind(), aReport.mTarget, aReport.mEntry, std::nullopt);
+  for (Place& it : mPlaces) {
+    const std::optional<Target> target = it.mAddress->Occupant();
+    if (target && target->mId == aReport.mTarget && aReport.mSaysLeaving &&
+        !it.mIsLeavingAcked) {
+      it.mIsLeavingAcked = true;
+      mRecorder.Record(LeavingLine{ target->mId, mTimeline.Now() });
+    }
+  }
+}
+
+void
+Targets::SetReportsLate(bool aAreLate)
+{
+  const std::lock_guard guard(mLock);
+  mAreReportsLate = aAreLate;
+}
+
 void
 Targets::RemoveOrphans()
 {
@@ -220,6 +256,11 @@
   for (Place& it : mPlaces) {
     SyncPlace(it, aIsStoreAway);
   }
+  while (!aIsStoreAway && !mLateReports.empty() &&
+         mLateReports.begin()->first <= mTimeline.Now()) {
+    Execute(mLateReports.begin()->second);
+    mLateReports.erase(mLateReports.begin());
+  }
   if (!aIsStoreAway) {
     RemoveOrphans();
   }
--- a/emulator/targets.h
+++ b/emulator/targets.h
@@ -3,6 +3,7 @@
 #include "emulator/scenario.h"
 #include "emulator/target.h"
 
+#include <map>
 #include <memory>
 #include <random>
 #include <vector>
@@ -32,6 +33,9 @@
   /// @param aShare of the targets, drawn anew
   void SpoilAnswers(AnswerFault aFault, double aShare);
 
+  /// The store executes some of the targets' reports seconds late.
+  void SetReportsLate(bool aAreLate);
+
   /// Another writer leaves an entry, which expires as those of silent targets
   /// do.
   void LeaveOddEntry(const Json::Value& aEntry);
@@ -54,6 +58,14 @@
     std::optional<size_t> mRestartedService{};
   };
 
+  /// A report that the store has not executed yet.
+  struct LateReport
+  {
+    std::string mTarget;
+    Json::Value mEntry;
+    bool mSaysLeaving = false;
+  };
+
   /// When an entry without a living target was first seen.
   using Orphans = std::map<std::string, int64_t>;
 
@@ -61,6 +73,9 @@
   /// @return until when a target is cold that turns cold now, 0 if none does
   int64_t ColdUntil() const;
   void SyncPlace(Place& aPlace, bool aIsStoreAway);
+  void Report(Place& aPlace, const Target& aTarget);
+  /// The store executes a report, and answers the target if it waits for that.
+  void Execute(const LateReport& aReport);
   void RemoveOrphans();
   Place* FindFree();
 
@@ -73,6 +88,8 @@
   uint64_t mNextId = 1;
   std::vector<Place> mPlaces;
   Orphans mOrphans;
+  bool mAreReportsLate = false;
+  std::multimap<int64_t, LateReport> mLateReports; ///< by time of execution
 };
 
 } // namespace hibiscushold::emulator
